Add the design page, the workspace skeleton and shared types

Cause: the project starts from an empty repository. Change: docs/design.md records the modules, interfaces, state, messages, failure modes and the options weighed. The workspace holds one crate per concern, shared lints and dependency versions, and auburnbridge_types with identifiers, the clock and the closed table of answers. Conclusion: the crates can be filled in parallel behind the fixed interfaces.

--- /dev/null
+++ b/crates/auburnbridge_caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! The listener for callers and the handling of each request.
--- /dev/null
+++ b/crates/auburnbridge_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry role: assembles the request path.
--- /dev/null
+++ b/crates/auburnbridge_ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! The ledger of permissions to dispatch non-idempotent requests.
--- /dev/null
+++ b/crates/auburnbridge_log/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated log as a pure state machine.
--- /dev/null
+++ b/crates/auburnbridge_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Target announcements, leases, departures and their gossip between entries.
--- /dev/null
+++ b/crates/auburnbridge_operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The administration API for operators.
--- /dev/null
+++ b/crates/auburnbridge_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Transport between the system's own processes: QUIC with mutual TLS.
--- /dev/null
+++ b/crates/auburnbridge_policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions about target health, ejection, selection, admission and retries.
--- /dev/null
+++ b/crates/auburnbridge_rules/src/lib.rs
@@ -0,0 +1,1 @@
+//! The rules file: grammar, checks, differences and route lookup.
--- /dev/null
+++ b/crates/auburnbridge_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! JSON settings of each role.
--- /dev/null
+++ b/crates/auburnbridge_spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small specifications of the core protocols and their exhaustive search.
--- /dev/null
+++ b/crates/auburnbridge_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in targets and callers for tests, the quickstart and measurements.
--- /dev/null
+++ b/crates/auburnbridge_store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable storage of one replica of the log.
--- /dev/null
+++ b/crates/auburnbridge_target/src/lib.rs
@@ -0,0 +1,1 @@
+//! The connection pool towards targets and single exchanges on it.
--- /dev/null
+++ b/crates/auburnbridge_types/src/idempotency.rs
@@ -0,0 +1,96 @@
+//! Keys and digests that identify a caller's request across resends.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::{ParseError, Timestamp};
+
+/// A caller's key for one request: a UUID version 7, which holds its time of creation.
+///
+/// The creation time lets the ledger refuse a key that is older than its memory, so that a key can
+/// be dropped without a later resend running again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "Uuid", into = "Uuid")]
+pub struct IdempotencyKey(Uuid);
+
+impl IdempotencyKey {
+    /// Time at which the caller made the key.
+    pub fn created(&self) -> Timestamp {
+        let bits = self.0.as_u128() >> 80;
+        Timestamp(u64::try_from(bits).expect("48 bits fit into 64"))
+    }
+
+    /// Builds a key from its creation time and 10 bytes of randomness.
+    pub fn from_parts(created: Timestamp, random: [u8; 10]) -> Self {
+        Self(uuid::Builder::from_unix_timestamp_millis(created.0, &random).into_uuid())
+    }
+}
+
+impl TryFrom<Uuid> for IdempotencyKey {
+    type Error = ParseError;
+
+    fn try_from(uuid: Uuid) -> Result<Self, ParseError> {
+        if uuid.get_version_num() == 7 && uuid.get_variant() == uuid::Variant::RFC4122 {
+            Ok(Self(uuid))
+        } else {
+            Err(ParseError::new("a UUID version 7", &uuid.to_string()))
+        }
+    }
+}
+
+impl From<IdempotencyKey> for Uuid {
+    fn from(key: IdempotencyKey) -> Self {
+        key.0
+    }
+}
+
+impl FromStr for IdempotencyKey {
+    type Err = ParseError;
+
+    /// Parses the value of an `Idempotency-Key` header, with or without the quotes of a
+    /// structured field string.
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let bare = text
+            .strip_prefix('"')
+            .and_then(|rest| rest.strip_suffix('"'))
+            .unwrap_or(text);
+        Uuid::parse_str(bare)
+            .map_err(|_| ParseError::new("a UUID version 7", text))?
+            .try_into()
+    }
+}
+
+impl fmt::Display for IdempotencyKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// SHA-256 digest of a request's method, path and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct BodyDigest(pub [u8; 32]);
+
+impl fmt::Display for BodyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for BodyDigest {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let error = || ParseError::new("64 hexadecimal digits", text);
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(error());
+        }
+        let mut digest = [0; 32];
+        for (byte, at) in digest.iter_mut().zip((0..64).step_by(2)) {
+            *byte = u8::from_str_radix(&text[at..at + 2], 16).map_err(|_| error())?;
+        }
+        Ok(Self(digest))
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_types/tests/types.rs
@@ -0,0 +1,84 @@
+//! Guards the spelling of values and the closed table of answers.
+
+use std::task::{Context, Poll, Waker};
+
+use auburnbridge_types::{
+    AttemptId, Clock, ErrorKind, IdempotencyKey, Millis, Outcome, PausedClock, Slots, Timestamp,
+    VmId,
+};
+use strum::IntoEnumIterator;
+
+/// Guards against a changed status, outcome or `Retry-After`, which are part of the HTTP contract.
+#[test]
+fn table_of_answers() {
+    let table: Vec<String> = ErrorKind::iter()
+        .map(|kind| {
+            let answer = kind.answer();
+            let retry_after = answer
+                .retry_after
+                .map_or("-".to_owned(), |seconds| seconds.to_string());
+            format!(
+                "{kind} {} {} {retry_after} {}",
+                answer.status, answer.outcome, answer.title
+            )
+        })
+        .collect();
+    insta::assert_snapshot!(table.join("\n"));
+}
+
+/// Guards against a refusal of a possible resend that claims certainty.
+#[test]
+fn possible_resend_is_never_not_run() {
+    for kind in ErrorKind::iter() {
+        assert_eq!(
+            kind.answer().for_possible_resend().outcome,
+            Outcome::Unknown
+        );
+    }
+}
+
+/// Guards against names that would break log lines or grow messages without bound.
+#[test]
+fn names_are_bounded() {
+    assert!("entry-1.a:9000".parse::<VmId>().is_ok());
+    for text in ["", "two words", "line\nbreak", &"x".repeat(65)] {
+        assert!(text.parse::<VmId>().is_err(), "accepted {text:?}");
+    }
+}
+
+/// Guards against a value that can't be read back from its own spelling.
+#[test]
+fn values_round_trip() {
+    let attempt = AttemptId {
+        vm: "entry-1".parse().unwrap(),
+        boot: 0xfeed,
+        sequence: 7,
+    };
+    assert_eq!(attempt.to_string().parse(), Ok(attempt));
+    assert_eq!("250ms".parse(), Ok(Millis(250)));
+    assert_eq!(Millis(250).to_string(), "250ms");
+    assert!("three".parse::<Slots>().is_err());
+}
+
+/// Guards against a key without a usable creation time.
+#[test]
+fn idempotency_key_holds_its_creation_time() {
+    let key = IdempotencyKey::from_parts(Timestamp(1_700_000_000_123), [9; 10]);
+    assert_eq!(key.created(), Timestamp(1_700_000_000_123));
+    assert_eq!(format!("\"{key}\"").parse(), Ok(key));
+    let version_4 = "7f1e2a54-3c7d-4b1e-9f60-0123456789ab";
+    assert!(version_4.parse::<IdempotencyKey>().is_err());
+}
+
+/// Guards against a paused clock that runs by itself or never wakes.
+#[test]
+fn paused_clock_moves_only_when_advanced() {
+    let clock = PausedClock::new(Timestamp(1_000));
+    let mut sleep = clock.sleep(Millis(50));
+    let mut cx = Context::from_waker(Waker::noop());
+    assert_eq!(sleep.as_mut().poll(&mut cx), Poll::Pending);
+    clock.advance(Millis(49));
+    assert_eq!(sleep.as_mut().poll(&mut cx), Poll::Pending);
+    clock.advance(Millis(1));
+    assert_eq!(sleep.as_mut().poll(&mut cx), Poll::Ready(()));
+}
