--- /dev/null
+++ b/crates/auburnbridge_policy/src/fleet.rs
@@ -0,0 +1,435 @@
+//! The targets of one service as one entry sees them.
+//!
+//! The floor is kept by construction: [`Fleet`] ejects a target only if the slots that stay in use
+//! are at or above `min(floor, slots of all members)`, and reinstates the least suspicious ejected
+//! targets whenever a departure breaks that bound. Each entry keeps the bound for itself, so the
+//! fleet's capacity in use, the union over its entries, keeps it without any agreement.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use auburnbridge_types::{Millis, Slots, TargetId, Timestamp};
+use rand::Rng;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::RequestClass;
+use crate::decision::{Action, Decision, Reason};
+use crate::health::Observation;
+use crate::policy::ServicePolicy;
+use crate::target::{Member, Presence, ServiceState, Target};
+
+new_key_type! {
+    /// Handle of a target within its [`Fleet`].
+    pub struct TargetKey;
+}
+
+/// Time that a target gets no further work after it shed a request, unless no other is free.
+const SHED_PAUSE: Millis = Millis(20);
+/// Time that a target without a lease stays in use without a success.
+const STALE_GRACE: Millis = Millis(2_000);
+/// Lead in nats that an ejected target needs to replace one that the floor keeps in use.
+const SWAP_MARGIN: f64 = 2.0;
+
+/// The target chosen for one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Handle for [`Fleet::finish`].
+    pub key: TargetKey,
+    /// The target's name.
+    pub target: TargetId,
+    /// Where it accepts requests.
+    pub address: SocketAddr,
+    /// Requests in flight from this entry per slot, with this one.
+    pub load: f64,
+    /// Evidence against the target, in nats.
+    pub suspicion: f64,
+    /// Number of targets that could have been chosen.
+    pub candidates: usize,
+}
+
+/// One target for status reports.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetView {
+    /// What the announcements say.
+    pub member: Member,
+    /// Whether it gets work.
+    pub state: ServiceState,
+    /// Evidence against it, in nats.
+    pub suspicion: f64,
+    /// Requests in flight from this entry.
+    pub in_flight: u32,
+    /// Ejections that are not forgiven yet.
+    pub ejections: u32,
+}
+
+/// The targets of one service.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    policy: ServicePolicy,
+    targets: SlotMap<TargetKey, Target>,
+    by_id: HashMap<TargetId, TargetKey>,
+}
+
+impl Fleet {
+    /// Creates a fleet without targets.
+    pub fn new(policy: ServicePolicy) -> Self {
+        Self {
+            policy,
+            targets: SlotMap::with_key(),
+            by_id: HashMap::new(),
+        }
+    }
+
+    /// Replaces the policy after a change of the rules.
+    pub fn set_policy(&mut self, now: Timestamp, policy: ServicePolicy) -> Vec<Decision> {
+        self.policy = policy;
+        self.restore_floor(now)
+    }
+
+    /// Takes over the present members; targets that are not listed have left.
+    pub fn reconcile(&mut self, now: Timestamp, members: &[Member]) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for member in members {
+            self.reconcile_member(now, member, &mut decisions);
+        }
+        let listed: std::collections::HashSet<&TargetId> =
+            members.iter().map(|member| &member.id).collect();
+        let departed: Vec<TargetKey> = self
+            .by_id
+            .iter()
+            .filter(|(id, _)| !listed.contains(id))
+            .map(|(_, key)| *key)
+            .collect();
+        for key in departed {
+            let target = self.targets.remove(key).expect("listed keys are live");
+            self.by_id.remove(&target.member.id);
+            decisions.push(self.decision(&target, Action::Remove, Reason::Departed));
+        }
+        decisions.extend(self.restore_floor(now));
+        decisions
+    }
+
+    fn reconcile_member(&mut self, now: Timestamp, member: &Member, decisions: &mut Vec<Decision>) {
+        let Some(&key) = self.by_id.get(&member.id) else {
+            let target = Target::new(now, member.clone());
+            let key = self.targets.insert(target);
+            self.by_id.insert(member.id.clone(), key);
+            decisions.push(self.decision(&self.targets[key], Action::Add, Reason::Announced));
+            return;
+        };
+        let target = &mut self.targets[key];
+        let restarted = target.member.incarnation != member.incarnation;
+        target.member = member.clone();
+        if restarted {
+            target.health.clear_suspicion();
+            if !target.in_use() {
+                // A restarted target proves itself in a trial, since a crash loop also restarts.
+                target.state = ServiceState::Trial { successes: 0 };
+                decisions.push(self.decision(&self.targets[key], Action::Trial, Reason::Restarted));
+            }
+        }
+    }
+
+    /// Chooses a target and counts the request as in flight on it.
+    pub fn choose(
+        &mut self,
+        now: Timestamp,
+        class: RequestClass,
+        exclude: &[TargetKey],
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        let candidates: Vec<TargetKey> = self
+            .targets
+            .iter()
+            .filter(|(key, target)| target.in_use() && !exclude.contains(key))
+            .map(|(key, _)| key)
+            .collect();
+        let key = self
+            .trial_candidate(class, exclude)
+            .or_else(|| self.choose_of_two(now, &candidates, rng))?;
+        let target = &mut self.targets[key];
+        target.in_flight += 1;
+        Some(Choice {
+            key,
+            target: target.member.id.clone(),
+            address: target.member.address,
+            load: f64::from(target.in_flight) / f64::from(target.member.slots.0.max(1)),
+            suspicion: target.health.suspicion(),
+            candidates: candidates.len(),
+        })
+    }
+
+    /// An idle target in its trial; only idempotent requests are risked on it.
+    fn trial_candidate(&self, class: RequestClass, exclude: &[TargetKey]) -> Option<TargetKey> {
+        if class != RequestClass::Idempotent {
+            return None;
+        }
+        self.targets
+            .iter()
+            .find(|(key, target)| {
+                matches!(target.state, ServiceState::Trial { .. })
+                    && target.in_flight == 0
+                    && !exclude.contains(key)
+            })
+            .map(|(key, _)| key)
+    }
+
+    /// The better of two random candidates, which spreads load without a shared counter.
+    fn choose_of_two(
+        &self,
+        now: Timestamp,
+        candidates: &[TargetKey],
+        rng: &mut impl Rng,
+    ) -> Option<TargetKey> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let first = rng.random_range(0..candidates.len());
+        let second = match candidates.len() {
+            1 => first,
+            count => (first + rng.random_range(1..count)) % count,
+        };
+        let (first, second) = (candidates[first], candidates[second]);
+        Some(if self.cost(now, second) < self.cost(now, first) {
+            second
+        } else {
+            first
+        })
+    }
+
+    /// Order of preference: free of a recent shed, then low load, then low suspicion.
+    fn cost(&self, now: Timestamp, key: TargetKey) -> (bool, f64, f64) {
+        let target = &self.targets[key];
+        (
+            target.shed_until > now,
+            target.load(),
+            target.health.suspicion(),
+        )
+    }
+
+    /// Ends a request on a target and takes its result as evidence.
+    pub fn finish(
+        &mut self,
+        now: Timestamp,
+        key: TargetKey,
+        observation: Observation,
+    ) -> Vec<Decision> {
+        let peer_latency = self.peer_latency(key);
+        let Some(target) = self.targets.get_mut(key) else {
+            return Vec::new();
+        };
+        target.in_flight = target.in_flight.saturating_sub(1);
+        if observation == Observation::Shed {
+            target.shed_until = now.after(SHED_PAUSE);
+        }
+        let before = target.health.observations();
+        target.health.observe(now, observation, peer_latency);
+        if target.health.observations() == before {
+            return Vec::new();
+        }
+        let succeeded = matches!(observation, Observation::Answered(_));
+        match target.state {
+            ServiceState::InUse => self.judge(now, key),
+            ServiceState::Trial { successes } => self.judge_trial(now, key, successes, succeeded),
+            ServiceState::Ejected { .. } => Vec::new(),
+        }
+    }
+
+    /// Median of the other targets' average answer times.
+    fn peer_latency(&self, key: TargetKey) -> Option<f64> {
+        let mut averages: Vec<f64> = self
+            .targets
+            .iter()
+            .filter(|(other, _)| *other != key)
+            .filter_map(|(_, target)| target.health.latency_ms())
+            .collect();
+        averages.sort_by(f64::total_cmp);
+        averages.get(averages.len() / 2).copied()
+    }
+
+    fn judge(&mut self, now: Timestamp, key: TargetKey) -> Vec<Decision> {
+        if self.targets[key].health.suspicion() < self.policy.dial.threshold() {
+            return Vec::new();
+        }
+        self.try_eject(now, key, Reason::Suspicion)
+    }
+
+    fn judge_trial(
+        &mut self,
+        now: Timestamp,
+        key: TargetKey,
+        successes: u32,
+        succeeded: bool,
+    ) -> Vec<Decision> {
+        if !succeeded {
+            self.set_ejected(now, key);
+            return vec![self.decision(&self.targets[key], Action::Eject, Reason::TrialFailed)];
+        }
+        let successes = successes + 1;
+        let target = &mut self.targets[key];
+        if successes < self.policy.trial_successes {
+            target.state = ServiceState::Trial { successes };
+            return Vec::new();
+        }
+        target.health.clear_suspicion();
+        target.state = ServiceState::InUse;
+        target.healthy_since = now;
+        vec![self.decision(&self.targets[key], Action::Reinstate, Reason::TrialPassed)]
+    }
+
+    /// Makes the decisions that depend on time: ends of ejections, lost leases and forgiveness.
+    pub fn decide(&mut self, now: Timestamp) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        let keys: Vec<TargetKey> = self.targets.keys().collect();
+        for key in keys {
+            decisions.extend(self.decide_target(now, key));
+        }
+        decisions.extend(self.restore_floor(now));
+        decisions
+    }
+
+    fn decide_target(&mut self, now: Timestamp, key: TargetKey) -> Vec<Decision> {
+        let forgive_after = self.policy.forgive_after;
+        let target = &mut self.targets[key];
+        match target.state {
+            ServiceState::Ejected { until } if now >= until => {
+                target.state = ServiceState::Trial { successes: 0 };
+                vec![self.decision(&self.targets[key], Action::Trial, Reason::EjectionOver)]
+            }
+            ServiceState::InUse => {
+                if target.ejections > 0 && now.since(target.healthy_since) >= forgive_after {
+                    target.ejections -= 1;
+                    target.healthy_since = now;
+                }
+                match target.member.presence {
+                    Presence::Stale(since) if lease_is_lost(now, since, target) => {
+                        self.try_eject(now, key, Reason::LeaseLost)
+                    }
+                    Presence::Stale(_) | Presence::Ready => Vec::new(),
+                }
+            }
+            ServiceState::Ejected { .. } | ServiceState::Trial { .. } => Vec::new(),
+        }
+    }
+
+    /// Ejects a target unless the floor forbids it; then a less suspicious one may take its place.
+    fn try_eject(&mut self, now: Timestamp, key: TargetKey, reason: Reason) -> Vec<Decision> {
+        let slots = self.targets[key].member.slots;
+        if self.in_use().0.saturating_sub(slots.0) >= self.bound().0 {
+            self.set_ejected(now, key);
+            return vec![self.decision(&self.targets[key], Action::Eject, reason)];
+        }
+        let Some(substitute) = self.substitute_for(key) else {
+            return vec![self.decision(&self.targets[key], Action::Keep, Reason::Floor)];
+        };
+        self.targets[substitute].state = ServiceState::InUse;
+        let reinstated = self.decision(&self.targets[substitute], Action::Reinstate, Reason::Floor);
+        self.set_ejected(now, key);
+        vec![
+            reinstated,
+            self.decision(&self.targets[key], Action::Eject, reason),
+        ]
+    }
+
+    /// An ejected target that is clearly less suspicious and has enough slots to hold the floor.
+    fn substitute_for(&self, key: TargetKey) -> Option<TargetKey> {
+        let sick = &self.targets[key];
+        let without = self.in_use().0.saturating_sub(sick.member.slots.0);
+        self.targets
+            .iter()
+            .filter(|(_, target)| !target.in_use())
+            .filter(|(_, target)| without + target.member.slots.0 >= self.bound().0)
+            .filter(|(_, target)| {
+                target.health.suspicion() + SWAP_MARGIN <= sick.health.suspicion()
+            })
+            .min_by(|a, b| a.1.health.suspicion().total_cmp(&b.1.health.suspicion()))
+            .map(|(key, _)| key)
+    }
+
+    fn set_ejected(&mut self, now: Timestamp, key: TargetKey) {
+        let doublings = self.targets[key].ejections.min(16);
+        let time = Millis(
+            self.policy
+                .ejection_time
+                .0
+                .saturating_mul(1 << doublings)
+                .min(self.policy.ejection_limit.0),
+        );
+        let target = &mut self.targets[key];
+        target.ejections += 1;
+        target.state = ServiceState::Ejected {
+            until: now.after(time),
+        };
+    }
+
+    /// Reinstates the least suspicious targets until the floor holds again.
+    fn restore_floor(&mut self, now: Timestamp) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        while self.in_use() < self.bound() {
+            let key = self
+                .targets
+                .iter()
+                .filter(|(_, target)| !target.in_use())
+                .min_by(|a, b| a.1.health.suspicion().total_cmp(&b.1.health.suspicion()))
+                .map(|(key, _)| key)
+                .expect("slots below the bound belong to targets that are not in use");
+            let target = &mut self.targets[key];
+            target.state = ServiceState::InUse;
+            target.healthy_since = now;
+            decisions.push(self.decision(&self.targets[key], Action::Reinstate, Reason::Floor));
+        }
+        decisions
+    }
+
+    /// Slots of the targets in use.
+    pub fn in_use(&self) -> Slots {
+        Slots(
+            self.targets
+                .values()
+                .filter(|target| target.in_use())
+                .map(|target| target.member.slots.0)
+                .sum(),
+        )
+    }
+
+    /// Slots that must stay in use: the floor, or all slots if there are fewer.
+    pub fn bound(&self) -> Slots {
+        let all = self
+            .targets
+            .values()
+            .map(|target| target.member.slots.0)
+            .sum();
+        Slots(self.policy.floor.0.min(all))
+    }
+
+    /// All targets, for status reports.
+    pub fn view(&self) -> Vec<TargetView> {
+        self.targets
+            .values()
+            .map(|target| TargetView {
+                member: target.member.clone(),
+                state: target.state,
+                suspicion: target.health.suspicion(),
+                in_flight: target.in_flight,
+                ejections: target.ejections,
+            })
+            .collect()
+    }
+
+    fn decision(&self, target: &Target, action: Action, reason: Reason) -> Decision {
+        Decision {
+            target: target.member.id.clone(),
+            action,
+            reason,
+            suspicion: target.health.suspicion(),
+            threshold: self.policy.dial.threshold(),
+            in_use: self.in_use(),
+            floor: self.policy.floor,
+        }
+    }
+}
+
+fn lease_is_lost(now: Timestamp, since: Timestamp, target: &Target) -> bool {
+    let last_success = target.health.last_success().unwrap_or(since).max(since);
+    now.since(last_success) >= STALE_GRACE
+}
