Add the listener for callers with graceful shutdown

Cause: tide's own listener leaves Nagle's algorithm on and knows no phases of a stop. Ruled out: wrapping async-h1's server, which delivers truncated requests as whole. Change: auburnbridge_caller accepts connections with TCP_NODELAY, reads requests through the framing guard, reports a caller's disconnect to the service and turns a stop into Draining and Closing. Rejections are RFC 9457 problems with an outcome. Measured: nothing yet; no service uses it.

--- a/crates/auburnbridge_caller/src/lib.rs
+++ b/crates/auburnbridge_caller/src/lib.rs
@@ -1,1 +1,15 @@
 //! The listener for callers and the handling of each request.
+//!
+//! The listener accepts TCP connections, reads each request whole through the framing guard, hands
+//! it to a [`Service`] and writes the response in one write. It knows nothing of routes or targets.
+//! [`Lifecycle`] turns a stop of the process into a graceful shutdown of all connections.
+
+mod disconnect;
+mod lifecycle;
+mod listener;
+mod problem;
+
+pub use disconnect::{Disconnect, DisconnectSignal};
+pub use lifecycle::{InFlight, Lifecycle, Phase};
+pub use listener::{Listener, ListenerOptions, ListenerOptionsBuilder, Service};
+pub use problem::{OUTCOME_HEADER, Problem};
--- /dev/null
+++ b/crates/auburnbridge_caller/src/listener.rs
@@ -0,0 +1,320 @@
+//! Accepts connections and serves the requests on each, one after the other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use auburnbridge_http::{Connection, FramingError, Limits, Request, RequestInfo, Response, Verdict};
+use auburnbridge_types::{BoxFuture, Clock, ErrorKind, Millis, RuntimeClock};
+use futures_lite::FutureExt;
+use log::{debug, warn};
+
+use crate::{Disconnect, Lifecycle, Phase, Problem};
+
+/// Pause after a failed accept, such as on too many open files.
+const ACCEPT_PAUSE: Millis = Millis(20);
+/// Time that an idle connection stays readable after the shutdown began, so that a request that was
+/// already on its way gets an answer.
+const LINGER: Millis = Millis(500);
+
+/// Handles whole requests.
+pub trait Service: Send + Sync + 'static {
+    /// Gives the response to `req`; `disconnect` tells when the caller goes away.
+    fn respond<'a>(
+        &'a self,
+        req: Request,
+        caller: SocketAddr,
+        disconnect: Disconnect,
+    ) -> BoxFuture<'a, Response>;
+}
+
+/// Settings of a [`Listener`].
+#[derive(Clone)]
+pub struct ListenerOptions {
+    limits: Limits,
+    clock: Arc<dyn Clock>,
+    idle_timeout: Millis,
+    request_timeout: Millis,
+    connection_limit: usize,
+}
+
+impl ListenerOptions {
+    /// Starts with the defaults.
+    pub fn builder() -> ListenerOptionsBuilder {
+        ListenerOptionsBuilder(Self {
+            limits: Limits::default(),
+            clock: Arc::new(RuntimeClock),
+            idle_timeout: Millis(60_000),
+            request_timeout: Millis(15_000),
+            connection_limit: 10_000,
+        })
+    }
+}
+
+/// Builds [`ListenerOptions`].
+pub struct ListenerOptionsBuilder(ListenerOptions);
+
+impl ListenerOptionsBuilder {
+    /// Sets the limits on requests.
+    #[must_use]
+    pub fn limits(mut self, limits: Limits) -> Self {
+        self.0.limits = limits;
+        self
+    }
+
+    /// Sets the clock.
+    #[must_use]
+    pub fn clock(mut self, clock: Arc<dyn Clock>) -> Self {
+        self.0.clock = clock;
+        self
+    }
+
+    /// Sets the time after which a connection without a request is closed.
+    #[must_use]
+    pub fn idle_timeout(mut self, timeout: Millis) -> Self {
+        self.0.idle_timeout = timeout;
+        self
+    }
+
+    /// Sets the time within which a request must arrive whole.
+    #[must_use]
+    pub fn request_timeout(mut self, timeout: Millis) -> Self {
+        self.0.request_timeout = timeout;
+        self
+    }
+
+    /// Sets the number of connections beyond which new ones are closed at once.
+    #[must_use]
+    pub fn connection_limit(mut self, limit: usize) -> Self {
+        self.0.connection_limit = limit;
+        self
+    }
+
+    /// The finished options.
+    pub fn build(self) -> ListenerOptions {
+        self.0
+    }
+}
+
+/// A listening socket with its service.
+pub struct Listener {
+    socket: TcpListener,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    service: Arc<dyn Service>,
+    lifecycle: Arc<Lifecycle>,
+    options: ListenerOptions,
+    connections: AtomicUsize,
+}
+
+impl Listener {
+    /// Starts to listen on `address`.
+    pub async fn bind(
+        address: SocketAddr,
+        service: Arc<dyn Service>,
+        lifecycle: Arc<Lifecycle>,
+        options: ListenerOptions,
+    ) -> std::io::Result<Self> {
+        Ok(Self {
+            socket: TcpListener::bind(address).await?,
+            shared: Arc::new(Shared {
+                service,
+                lifecycle,
+                options,
+                connections: AtomicUsize::new(0),
+            }),
+        })
+    }
+
+    /// The address it listens on.
+    pub fn local_address(&self) -> std::io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Accepts connections until the phase `Closing`.
+    pub async fn run(self) {
+        let accept = async {
+            loop {
+                self.accept_one().await;
+            }
+        };
+        accept.or(self.shared.lifecycle.wait_closing()).await;
+    }
+
+    async fn accept_one(&self) {
+        let (stream, caller) = match self.socket.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                warn!("can't accept a connection: {error}");
+                self.shared.options.clock.sleep(ACCEPT_PAUSE).await;
+                return;
+            }
+        };
+        let shared = Arc::clone(&self.shared);
+        if shared.connections.fetch_add(1, Ordering::SeqCst) >= shared.options.connection_limit {
+            shared.connections.fetch_sub(1, Ordering::SeqCst);
+            warn!("closed the connection of {caller}: the connection limit is reached");
+            return;
+        }
+        task::spawn(async move {
+            // Without it small responses wait for the peer's delayed acknowledgement, about 40 ms.
+            if let Err(error) = stream.set_nodelay(true) {
+                debug!("can't set TCP_NODELAY for {caller}: {error}");
+            }
+            shared.serve_connection(Connection::new(stream), caller).await;
+            shared.connections.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+}
+
+enum Idle {
+    Bytes,
+    Over,
+}
+
+impl Shared {
+    async fn serve_connection(&self, mut connection: Connection<TcpStream>, caller: SocketAddr) {
+        while let Idle::Bytes = self.wait_for_request(&mut connection).await {
+            match self.serve_request(&mut connection, caller).await {
+                Verdict::Reuse => {}
+                Verdict::Retire => break,
+            }
+        }
+        close_gracefully(&mut connection, self.options.clock.as_ref()).await;
+    }
+
+    async fn wait_for_request(&self, connection: &mut Connection<TcpStream>) -> Idle {
+        let clock = &self.options.clock;
+        let bytes = async {
+            match connection.wait_for_bytes().await {
+                Ok(true) => Idle::Bytes,
+                Ok(false) | Err(_) => Idle::Over,
+            }
+        };
+        let idle = async {
+            clock.sleep(self.options.idle_timeout).await;
+            Idle::Over
+        };
+        let closing = async {
+            self.lifecycle.wait_closing().await;
+            clock.sleep(LINGER).await;
+            Idle::Over
+        };
+        bytes.or(idle).or(closing).await
+    }
+
+    async fn serve_request(
+        &self,
+        connection: &mut Connection<TcpStream>,
+        caller: SocketAddr,
+    ) -> Verdict {
+        let req = match self.read_request(connection).await {
+            Ok(req) => req,
+            Err(kind) => {
+                if let Some(kind) = kind {
+                    let mut problem = Problem::new(kind, "the request could not be read");
+                    // The key of a request that did not arrive whole is unknown, so it may resend
+                    // one that ran. A malformed or oversize one is refused on every attempt.
+                    if matches!(kind, ErrorKind::RequestTimeout | ErrorKind::Overloaded) {
+                        problem = problem.for_possible_resend();
+                    }
+                    let response = problem.to_response();
+                    let info = RequestInfo::default();
+                    let _ = connection
+                        .write_response(&response, info, Verdict::Retire)
+                        .await;
+                }
+                return Verdict::Retire;
+            }
+        };
+        let info = RequestInfo::from(&req);
+        let asked = req.verdict;
+        let Some(_in_flight) = self.lifecycle.begin_request() else {
+            let response = Problem::new(ErrorKind::ShuttingDown, "the entry is shutting down")
+                .for_possible_resend()
+                .to_response();
+            let _ = connection
+                .write_response(&response, info, Verdict::Retire)
+                .await;
+            return Verdict::Retire;
+        };
+        let response = self.respond(connection, req, caller).await;
+        let verdict = if self.lifecycle.phase() == Phase::Serving {
+            asked
+        } else {
+            Verdict::Retire
+        };
+        match connection.write_response(&response, info, verdict).await {
+            Ok(()) => verdict,
+            Err(error) => {
+                debug!("can't write the response to {caller}: {error}");
+                Verdict::Retire
+            }
+        }
+    }
+
+    async fn read_request(
+        &self,
+        connection: &mut Connection<TcpStream>,
+    ) -> Result<Request, Option<ErrorKind>> {
+        let read = async {
+            connection
+                .read_request(&self.options.limits)
+                .await
+                .map_err(|error: FramingError| {
+                    debug!("rejected a request: {error}");
+                    error.request_kind()
+                })
+        };
+        let late = async {
+            self.options.clock.sleep(self.options.request_timeout).await;
+            Err(Some(ErrorKind::RequestTimeout))
+        };
+        read.or(late).await
+    }
+
+    /// Runs the service while watching the connection for the caller's disconnect.
+    async fn respond(
+        &self,
+        connection: &mut Connection<TcpStream>,
+        req: Request,
+        caller: SocketAddr,
+    ) -> Response {
+        // A caller that asked to close after this response may have closed its sending side
+        // already, which is not a disconnect.
+        let may_half_close = req.verdict == Verdict::Retire;
+        let (signal, disconnect) = Disconnect::new();
+        let watch = async {
+            let bytes = connection.wait_for_bytes().await;
+            match bytes {
+                Ok(false) if !may_half_close => signal.report(),
+                Err(_) => signal.report(),
+                Ok(_) => {}
+            }
+            std::future::pending::<Response>().await
+        };
+        self.service.respond(req, caller, disconnect).or(watch).await
+    }
+}
+
+/// Closes the sending side and reads what is on its way, so that the kernel doesn't reset the
+/// connection before the caller has read the response.
+async fn close_gracefully(connection: &mut Connection<TcpStream>, clock: &dyn Clock) {
+    if connection
+        .get_ref()
+        .shutdown(std::net::Shutdown::Write)
+        .is_err()
+    {
+        return;
+    }
+    let drain = async {
+        let mut buf = [0; 1024];
+        let stream = connection.get_mut();
+        while let Ok(1..) = async_std::io::ReadExt::read(stream, &mut buf).await {}
+    };
+    drain.or(clock.sleep(LINGER)).await;
+}
