--- /dev/null
+++ b/crates/auburnbridge_ledger/tests/ledger.rs
@@ -0,0 +1,338 @@
+//! Guards the rules of grants, with a table of cases and with random schedules.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use auburnbridge_ledger::{
+    Command, Ledger, LedgerKey, Limits, MAX_CLOCK_AHEAD, MAX_WITHDRAWN_PROCESSES, Reply,
+    RestoreError, SNAPSHOT_VERSION, StoredAnswer,
+};
+use auburnbridge_types::{AttemptId, BodyDigest, ByteSize, IdempotencyKey, Millis, Timestamp};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const START: Timestamp = Timestamp(1_000_000);
+
+fn key(created: Timestamp, tag: u8) -> LedgerKey {
+    LedgerKey {
+        idempotency_key: IdempotencyKey::from_parts(created, [tag; 10]),
+        account: "shop".parse().unwrap(),
+        service: "orders".parse().unwrap(),
+    }
+}
+
+fn attempt(boot: u64, sequence: u64) -> AttemptId {
+    AttemptId {
+        vm: "entry-1".parse().unwrap(),
+        boot,
+        sequence,
+    }
+}
+
+fn grant(key: &LedgerKey, attempt: &AttemptId, deadline: u64) -> Command {
+    Command::Grant {
+        key: key.clone(),
+        body_digest: BodyDigest([1; 32]),
+        attempt: attempt.clone(),
+        deadline: START.after(Millis(deadline)),
+    }
+}
+
+fn withdraw(key: &LedgerKey, attempt: &AttemptId) -> Command {
+    Command::Withdraw {
+        key: key.clone(),
+        attempt: attempt.clone(),
+    }
+}
+
+fn conclude(key: &LedgerKey, attempt: &AttemptId, answer: &[u8]) -> Command {
+    Command::Conclude {
+        key: key.clone(),
+        attempt: attempt.clone(),
+        answer: StoredAnswer::new(answer),
+    }
+}
+
+fn abandon(key: &LedgerKey, attempt: &AttemptId) -> Command {
+    Command::Abandon {
+        key: key.clone(),
+        attempt: attempt.clone(),
+    }
+}
+
+/// Guards against a key that is granted twice, freed by the wrong attempt, or loses its answer.
+#[test]
+fn table_of_grants() {
+    let (k, a, b) = (key(START, 1), attempt(1, 1), attempt(2, 1));
+    let other_body = Command::Grant {
+        key: k.clone(),
+        body_digest: BodyDigest([2; 32]),
+        attempt: b.clone(),
+        deadline: START.after(Millis(100)),
+    };
+    let whole = Reply::Answered(StoredAnswer::new(b"ok"));
+    let large = vec![0; 64 * 1024 + 1];
+    let oversized = Command::Conclude {
+        key: k.clone(),
+        attempt: a.clone(),
+        answer: StoredAnswer::Whole(large.into()),
+    };
+    // Each step is the time after the start, the command and its reply.
+    let cases = [
+        (
+            "repeated and competing grants",
+            vec![
+                (0, grant(&k, &a, 100), Reply::Granted),
+                (1, grant(&k, &a, 100), Reply::Granted),
+                (2, grant(&k, &b, 100), Reply::InProgress),
+                (3, other_body, Reply::BodyMismatch),
+            ],
+        ),
+        (
+            "withdrawals that are foreign, duplicated or late",
+            vec![
+                (0, withdraw(&k, &a), Reply::NotHolder),
+                (0, grant(&k, &a, 100), Reply::Granted),
+                (1, withdraw(&k, &b), Reply::NotHolder),
+                (2, withdraw(&k, &a), Reply::Done),
+                (3, grant(&k, &a, 100), Reply::NotHolder),
+                (4, grant(&k, &b, 100), Reply::Granted),
+                (5, withdraw(&k, &a), Reply::Done),
+                (6, grant(&k, &a, 100), Reply::InProgress),
+                (100, withdraw(&k, &b), Reply::Unknown),
+                (101, grant(&k, &a, 200), Reply::Unknown),
+            ],
+        ),
+        (
+            "conclusions that are duplicated or late",
+            vec![
+                (0, grant(&k, &a, 100), Reply::Granted),
+                (1, conclude(&k, &b, b"no"), Reply::NotHolder),
+                (100, grant(&k, &b, 300), Reply::Unknown),
+                (200, conclude(&k, &a, b"ok"), Reply::Done),
+                (201, conclude(&k, &a, b"again"), Reply::Done),
+                (202, grant(&k, &b, 300), whole.clone()),
+                (203, withdraw(&k, &a), whole.clone()),
+                (204, abandon(&k, &a), whole),
+            ],
+        ),
+        (
+            "abandoned for good",
+            vec![
+                (0, grant(&k, &a, 100), Reply::Granted),
+                (1, abandon(&k, &b), Reply::NotHolder),
+                (2, abandon(&k, &a), Reply::Done),
+                (3, conclude(&k, &a, b"ok"), Reply::Unknown),
+                (4, withdraw(&k, &a), Reply::Unknown),
+                (5, grant(&k, &b, 100), Reply::Unknown),
+            ],
+        ),
+        (
+            "an answer over the limit",
+            vec![
+                (0, grant(&k, &a, 100), Reply::Granted),
+                (1, oversized, Reply::Done),
+                (
+                    2,
+                    grant(&k, &b, 100),
+                    Reply::Answered(StoredAnswer::NotKept),
+                ),
+            ],
+        ),
+        (
+            "a grant that arrives after its own deadline",
+            vec![
+                (100, grant(&k, &a, 100), Reply::NotHolder),
+                (101, grant(&k, &b, 200), Reply::Granted),
+            ],
+        ),
+    ];
+    for (name, steps) in cases {
+        let mut ledger = Ledger::default();
+        for (at, command, expected) in steps {
+            let reply = ledger.apply(START.after(Millis(at)), command.clone());
+            assert_eq!(reply, expected, "{name}: {command:?}");
+        }
+    }
+}
+
+/// Guards against a key that runs again after its record was dropped, whatever the retention does.
+#[test]
+fn dropped_key_stays_refused_after_changes_of_retention() {
+    let (old, young) = (key(START, 1), key(START.after(Millis(40)), 2));
+    let mut ledger = Ledger::default();
+    let mut apply = |at, command| ledger.apply(START.after(Millis(at)), command);
+    apply(0, Command::SetRetention(Millis(100)));
+    assert_eq!(apply(50, grant(&old, &attempt(1, 1), 500)), Reply::Granted);
+    assert_eq!(
+        apply(50, grant(&young, &attempt(1, 2), 500)),
+        Reply::Granted
+    );
+    assert_eq!(apply(100, grant(&old, &attempt(1, 3), 500)), Reply::Expired);
+    apply(101, Command::SetRetention(Millis(1_000)));
+    assert_eq!(apply(102, grant(&old, &attempt(1, 4), 500)), Reply::Expired);
+    assert_eq!(
+        apply(103, grant(&young, &attempt(1, 5), 500)),
+        Reply::InProgress
+    );
+    apply(104, Command::SetRetention(Millis(10)));
+    apply(105, Command::SetRetention(Millis(1_000)));
+    assert_eq!(
+        apply(106, grant(&young, &attempt(1, 6), 500)),
+        Reply::Expired
+    );
+    let ahead = |by| key(START.after(Millis(107 + MAX_CLOCK_AHEAD.0 + by)), 3);
+    assert_eq!(
+        apply(107, grant(&ahead(1), &attempt(1, 7), 500)),
+        Reply::Expired
+    );
+    assert_eq!(
+        apply(107, grant(&ahead(0), &attempt(1, 8), 500)),
+        Reply::Granted
+    );
+    assert_eq!(ledger.len(), 1);
+}
+
+/// Guards against unbounded memory, and against a full ledger that forgets that a request ran.
+#[test]
+fn limits_refuse_new_keys() {
+    let mut ledger = Ledger::new(Limits {
+        max_records: 2,
+        max_stored: ByteSize(4),
+    });
+    let (a, b) = (key(START, 1), key(START, 2));
+    let holder = attempt(1, 1);
+    let mut apply = |command| ledger.apply(START, command);
+    assert_eq!(apply(grant(&a, &holder, 9)), Reply::Granted);
+    assert_eq!(apply(grant(&b, &holder, 9)), Reply::Granted);
+    assert_eq!(apply(grant(&key(START, 3), &holder, 9)), Reply::Full);
+    assert_eq!(apply(conclude(&a, &holder, b"four")), Reply::Done);
+    assert_eq!(apply(conclude(&b, &holder, b"x")), Reply::Done);
+    let not_kept = Reply::Answered(StoredAnswer::NotKept);
+    assert_eq!(apply(grant(&b, &attempt(1, 2), 9)), not_kept);
+    assert_eq!(ledger.stored(), ByteSize(4));
+}
+
+/// Guards against a withdrawn attempt that is granted again once too many have withdrawn.
+#[test]
+fn withdrawals_are_remembered_up_to_a_bound() {
+    let mut ledger = Ledger::default();
+    let k = key(START, 1);
+    for boot in 0..MAX_WITHDRAWN_PROCESSES as u64 {
+        for sequence in 1..4 {
+            let attempt = attempt(boot, sequence);
+            assert_eq!(ledger.apply(START, grant(&k, &attempt, 9)), Reply::Granted);
+            assert_eq!(ledger.apply(START, withdraw(&k, &attempt)), Reply::Done);
+        }
+    }
+    assert_eq!(
+        ledger.apply(START, grant(&k, &attempt(0, 3), 9)),
+        Reply::NotHolder
+    );
+    assert_eq!(
+        ledger.apply(START, grant(&k, &attempt(99, 1), 9)),
+        Reply::Full
+    );
+}
+
+/// Guards against reading a snapshot of another format or a damaged one.
+#[test]
+fn foreign_snapshots_are_rejected() {
+    let mut snapshot = Ledger::default().snapshot();
+    assert_eq!(Ledger::restore(&snapshot), Ok(Ledger::default()));
+    let malformed = Err(RestoreError::Malformed);
+    assert_eq!(Ledger::restore(&snapshot[..snapshot.len() - 1]), malformed);
+    snapshot.push(0);
+    assert_eq!(Ledger::restore(&snapshot), malformed);
+    snapshot[0] += 1;
+    let found = SNAPSHOT_VERSION + 1;
+    assert_eq!(
+        Ledger::restore(&snapshot),
+        Err(RestoreError::Version { found })
+    );
+}
+
+fn command() -> impl Strategy<Value = Command> {
+    let k = (0..3u64).prop_map(|at| key(START.after(Millis(at * 40)), 1));
+    // The boots stand for several entries.
+    let a = (0..3u64, 0..3u64).prop_map(|(boot, sequence)| attempt(boot, sequence));
+    (k, a, 0..52u8, 0..1_000u64).prop_map(|(k, a, kind, number)| match kind {
+        0..24 => grant(&k, &a, number),
+        24..40 => withdraw(&k, &a),
+        40..48 => conclude(&k, &a, &a.sequence.to_be_bytes()[6..]),
+        48..51 => abandon(&k, &a),
+        _ => Command::SetRetention(Millis(number)),
+    })
+}
+
+/// What a schedule has shown about one key.
+#[derive(Default)]
+struct Observed {
+    holder: Option<AttemptId>,
+    withdrawn: BTreeSet<AttemptId>,
+    concluded: bool,
+}
+
+/// The seed is fixed, so that each run gives the same verdict.
+fn schedules() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(schedules())]
+
+    /// Guards against two holders of a key without a withdrawal between them, a withdrawn or
+    /// concluded attempt that is granted, and replies that a restart from a snapshot changes.
+    /// A command that comes again later stands for a duplicate, and any order for reordering.
+    #[test]
+    fn one_holder_at_a_time(
+        commands in prop::collection::vec((command(), 0..6u64, any::<bool>()), 1..200),
+    ) {
+        let limits = Limits { max_records: 2, max_stored: ByteSize(3) };
+        let (mut ledger, mut restarted) = (Ledger::new(limits), Ledger::new(limits));
+        let mut observed: BTreeMap<LedgerKey, Observed> = BTreeMap::new();
+        let mut now = START;
+        for (command, advance, restart) in commands {
+            now = now.after(Millis(advance));
+            if restart {
+                restarted = Ledger::restore(&restarted.snapshot()).unwrap();
+            }
+            let reply = ledger.apply(now, command.clone());
+            prop_assert_eq!(&reply, &restarted.apply(now, command.clone()));
+            prop_assert!(ledger.len() <= limits.max_records);
+            prop_assert!(ledger.stored() <= limits.max_stored);
+            match (command, reply) {
+                (Command::Grant { key, attempt, deadline, .. }, Reply::Granted) => {
+                    let seen = observed.entry(key).or_default();
+                    prop_assert!(now < deadline || seen.holder.is_some());
+                    prop_assert!(!seen.concluded);
+                    prop_assert!(!seen.withdrawn.contains(&attempt));
+                    let holder = seen.holder.get_or_insert_with(|| attempt.clone());
+                    prop_assert_eq!(&*holder, &attempt);
+                }
+                (Command::Withdraw { key, attempt }, Reply::Done) => {
+                    let seen = observed.entry(key).or_default();
+                    if seen.holder.as_ref() == Some(&attempt) {
+                        prop_assert!(!seen.concluded);
+                        seen.holder = None;
+                    }
+                    seen.withdrawn.insert(attempt);
+                }
+                (
+                    Command::Conclude { key, attempt, .. } | Command::Abandon { key, attempt },
+                    Reply::Done,
+                ) => {
+                    let seen = observed.entry(key).or_default();
+                    prop_assert_eq!(seen.holder.as_ref(), Some(&attempt));
+                    seen.concluded = true;
+                }
+                _ => {}
+            }
+        }
+        prop_assert_eq!(ledger.snapshot(), restarted.snapshot());
+    }
+}
