--- /dev/null
+++ b/crates/auburnbridge_rules/src/grammar.rs
@@ -0,0 +1,288 @@
+//! Declarations of every kind of line and every option.
+
+use auburnbridge_types::{ByteSize, Millis, RatePerSecond, Slots};
+
+use crate::model::{EjectionDial, Percent};
+pub use crate::value::ValueKind;
+
+/// Slots expected per target when the service line gives none.
+pub const DEFAULT_SLOTS_PER_TARGET: Slots = Slots(3);
+/// Largest number of targets of one service when the service line gives none.
+pub const DEFAULT_MOST_TARGETS: u32 = 4_096;
+/// Ejection dial of a service that gives none.
+pub const DEFAULT_EJECTION: EjectionDial = EjectionDial::BALANCED;
+/// Retry budget of a service that gives none, as a share of its requests.
+pub const DEFAULT_RETRY_PERCENT: Percent = Percent(10);
+/// Retries allowed on top of the share, so that quiet services can retry at all.
+pub const DEFAULT_RETRY_RATE: RatePerSecond = RatePerSecond(3);
+/// Requests that may wait on one entry for a service that gives no bound.
+pub const DEFAULT_QUEUE: u32 = 256;
+/// Share of the slots that lookups keep when the service line gives none.
+pub const DEFAULT_LOOKUP_SHARE: Percent = Percent(10);
+/// Time allowed for a request of a route that gives none.
+pub const DEFAULT_ROUTE_TIMEOUT: Millis = Millis(2_000);
+/// Largest response body of a route that gives none.
+pub const DEFAULT_LARGEST_ANSWER: ByteSize = ByteSize(1 << 20);
+/// Rate limit of accounts when there is no `account default` line.
+pub const DEFAULT_ACCOUNT_LIMIT: RatePerSecond = RatePerSecond(100);
+/// Burst of accounts, in requests, when there is no `account default` line.
+pub const DEFAULT_ACCOUNT_BURST: u32 = 200;
+/// Retention of idempotency keys when there is no `keys` line.
+pub const DEFAULT_KEY_RETENTION: Millis = Millis(24 * HOUR_MS);
+/// Name of the account whose limits apply to accounts without a line.
+pub const DEFAULT_ACCOUNT: &str = "default";
+
+const SECOND_MS: u64 = 1_000;
+const HOUR_MS: u64 = 3_600 * SECOND_MS;
+const MAX_SLOTS_PER_TARGET: u64 = 1_024;
+
+/// One word or value at a fixed place of a line.
+#[derive(Clone, Copy, Debug)]
+pub enum Part {
+    /// A word that is written as it stands.
+    Word(&'static str),
+    /// A value.
+    Argument(&'static ArgumentSpec),
+}
+
+/// A value at a fixed place.
+#[derive(Clone, Copy, Debug)]
+pub struct ArgumentSpec {
+    /// Placeholder in the reference, such as `SERVICE`.
+    pub name: &'static str,
+    /// Kind of the value.
+    pub kind: ValueKind,
+    /// What the value means.
+    pub meaning: &'static str,
+}
+
+/// A named value after the fixed part; options stand in any order.
+#[derive(Clone, Copy, Debug)]
+pub struct OptionSpec {
+    /// Word before the value.
+    pub name: &'static str,
+    /// Kind of the value.
+    pub kind: ValueKind,
+    /// Value of a line without the option; `None` makes the option required.
+    pub default: Option<u64>,
+    /// What the value means.
+    pub meaning: &'static str,
+}
+
+/// One kind of line.
+#[derive(Clone, Copy, Debug)]
+pub struct LineSpec {
+    /// First word.
+    pub name: &'static str,
+    /// Words and values that follow the first word.
+    pub parts: &'static [Part],
+    /// Options that follow the parts.
+    pub options: &'static [&'static OptionSpec],
+    /// Number of leading words that identify the line; no two lines share them.
+    pub key_words: usize,
+    /// What the line does.
+    pub meaning: &'static str,
+    /// A valid line.
+    pub example: &'static str,
+}
+
+const SERVICE: ArgumentSpec = ArgumentSpec {
+    name: "SERVICE",
+    kind: ValueKind::Name,
+    meaning: "name of the service, as its targets announce it",
+};
+const METHOD: ArgumentSpec = ArgumentSpec {
+    name: "METHOD",
+    kind: ValueKind::Method,
+    meaning: "method of the requests",
+};
+const PATH: ArgumentSpec = ArgumentSpec {
+    name: "PATH",
+    kind: ValueKind::Path,
+    meaning: "path of the requests; an exact path wins over a wildcard, a longer wildcard over a shorter one",
+};
+const CLASS: ArgumentSpec = ArgumentSpec {
+    name: "CLASS",
+    kind: ValueKind::Class,
+    meaning: "`idempotent` requests may be retried; `once` requests run at most once and need an `Idempotency-Key`",
+};
+const ACCOUNT: ArgumentSpec = ArgumentSpec {
+    name: "ACCOUNT",
+    kind: ValueKind::Name,
+    meaning: "name of the account; `default` stands for every account without a line",
+};
+const TEAM: ArgumentSpec = ArgumentSpec {
+    name: "TEAM",
+    kind: ValueKind::Name,
+    meaning: "name of the team, as the operator keys give it",
+};
+const TEAM_SCOPE: ArgumentSpec = ArgumentSpec {
+    name: "SERVICE",
+    kind: ValueKind::NameOrAll,
+    meaning: "service whose `service` and `route` lines the team may change; `*` for every line",
+};
+const RETENTION: ArgumentSpec = ArgumentSpec {
+    name: "DURATION",
+    kind: ValueKind::Duration(HOUR_MS, 7 * 24 * HOUR_MS),
+    meaning: "how long after its creation an idempotency key is accepted and remembered",
+};
+
+/// Slots that ejections leave in use.
+pub const SLOTS_FLOOR: OptionSpec = OptionSpec {
+    name: "slots-floor",
+    kind: ValueKind::Count(1, 10_000_000),
+    default: None,
+    meaning: "slots that ejections leave in use, as long as that many are announced",
+};
+/// Slots expected per target.
+pub const SLOTS_PER_TARGET: OptionSpec = OptionSpec {
+    name: "slots-per-target",
+    kind: ValueKind::Count(1, MAX_SLOTS_PER_TARGET),
+    default: Some(DEFAULT_SLOTS_PER_TARGET.0 as u64),
+    meaning: "slots that each target is expected to announce",
+};
+/// Largest expected number of targets.
+pub const MOST_TARGETS: OptionSpec = OptionSpec {
+    name: "most-targets",
+    kind: ValueKind::Count(1, DEFAULT_MOST_TARGETS as u64),
+    default: Some(DEFAULT_MOST_TARGETS as u64),
+    meaning: "largest number of targets that the service is expected to have; bounds the floor",
+};
+/// Trade-off between false ejections and detection time.
+pub const EJECTION: OptionSpec = OptionSpec {
+    name: "ejection",
+    kind: ValueKind::Dial,
+    default: Some(DEFAULT_EJECTION.0 as u64),
+    meaning: "trade-off between few false ejections and fast detection",
+};
+/// Retry budget as a share of the requests.
+pub const RETRY_PERCENT: OptionSpec = OptionSpec {
+    name: "retry-percent",
+    kind: ValueKind::Percent(0, 100),
+    default: Some(DEFAULT_RETRY_PERCENT.0 as u64),
+    meaning: "retries and hedged requests, as a share of the requests",
+};
+/// Retries allowed on top of the share.
+pub const RETRY_RATE: OptionSpec = OptionSpec {
+    name: "retry-rate",
+    kind: ValueKind::Rate(0, 10_000),
+    default: Some(DEFAULT_RETRY_RATE.0 as u64),
+    meaning: "retries and hedged requests of one entry that are allowed on top of the share",
+};
+/// Bound of the queue.
+pub const QUEUE: OptionSpec = OptionSpec {
+    name: "queue",
+    kind: ValueKind::Count(0, 65_536),
+    default: Some(DEFAULT_QUEUE as u64),
+    meaning: "requests that may wait for a slot on one entry; further ones are refused at once",
+};
+/// Share of the slots that lookups keep.
+pub const LOOKUP_SHARE: OptionSpec = OptionSpec {
+    name: "lookup-share",
+    kind: ValueKind::Percent(1, 90),
+    default: Some(DEFAULT_LOOKUP_SHARE.0 as u64),
+    meaning: "share of the slots that `idempotent` requests keep while `once` requests wait",
+};
+/// Time allowed for a request.
+pub const TIMEOUT: OptionSpec = OptionSpec {
+    name: "timeout",
+    kind: ValueKind::Duration(10, HOUR_MS),
+    default: Some(DEFAULT_ROUTE_TIMEOUT.0),
+    meaning: "time allowed for a request, counted from its arrival",
+};
+/// Largest response body.
+pub const LARGEST_ANSWER: OptionSpec = OptionSpec {
+    name: "largest-answer",
+    kind: ValueKind::Size(1, 64 << 20),
+    default: Some(DEFAULT_LARGEST_ANSWER.0),
+    meaning: "largest response body that is passed on",
+};
+/// Sustained rate of an account.
+pub const LIMIT: OptionSpec = OptionSpec {
+    name: "limit",
+    kind: ValueKind::Rate(1, 1_000_000),
+    default: None,
+    meaning: "sustained rate of the account's requests on one entry",
+};
+/// Burst of an account.
+pub const BURST: OptionSpec = OptionSpec {
+    name: "burst",
+    kind: ValueKind::Count(1, 1_000_000),
+    default: None,
+    meaning: "requests that may arrive at once after a quiet time",
+};
+
+/// The `service` line.
+pub const SERVICE_LINE: LineSpec = LineSpec {
+    name: "service",
+    parts: &[Part::Argument(&SERVICE)],
+    options: &[
+        &SLOTS_FLOOR,
+        &SLOTS_PER_TARGET,
+        &MOST_TARGETS,
+        &EJECTION,
+        &RETRY_PERCENT,
+        &RETRY_RATE,
+        &QUEUE,
+        &LOOKUP_SHARE,
+    ],
+    key_words: 2,
+    meaning: "declares a service and its limits",
+    example: "service stock slots-floor 24 ejection careful # asked by Meera, ward office",
+};
+/// The `route` line.
+pub const ROUTE_LINE: LineSpec = LineSpec {
+    name: "route",
+    parts: &[
+        Part::Argument(&METHOD),
+        Part::Argument(&PATH),
+        Part::Word("to"),
+        Part::Argument(&SERVICE),
+        Part::Argument(&CLASS),
+    ],
+    options: &[&TIMEOUT, &LARGEST_ANSWER],
+    key_words: 3,
+    meaning: "sends requests to a service",
+    example: "route GET /bins/* to stock idempotent timeout 2s # asked by Meera, ward office",
+};
+/// The `account` line.
+pub const ACCOUNT_LINE: LineSpec = LineSpec {
+    name: "account",
+    parts: &[Part::Argument(&ACCOUNT)],
+    options: &[&LIMIT, &BURST],
+    key_words: 2,
+    meaning: "limits the requests of an account",
+    example: "account default limit 50/s burst 100 # asked by Jonas, operations",
+};
+/// The `keys` line.
+pub const KEYS_LINE: LineSpec = LineSpec {
+    name: "keys",
+    parts: &[Part::Word("remember"), Part::Argument(&RETENTION)],
+    options: &[],
+    key_words: 1,
+    meaning: "sets the retention of idempotency keys",
+    example: "keys remember 24h # asked by Jonas, operations",
+};
+/// The `team` line.
+pub const TEAM_LINE: LineSpec = LineSpec {
+    name: "team",
+    parts: &[
+        Part::Argument(&TEAM),
+        Part::Word("may"),
+        Part::Word("change"),
+        Part::Argument(&TEAM_SCOPE),
+    ],
+    options: &[],
+    key_words: 5,
+    meaning: "lets a team change the lines of a service",
+    example: "team warehouse may change stock # asked by Jonas, operations",
+};
+
+/// Every kind of line.
+pub const LINES: &[&LineSpec] = &[
+    &SERVICE_LINE,
+    &ROUTE_LINE,
+    &ACCOUNT_LINE,
+    &KEYS_LINE,
+    &TEAM_LINE,
+];
--- a/crates/auburnbridge_rules/src/lib.rs
+++ b/crates/auburnbridge_rules/src/lib.rs
@@ -1,1 +1,23 @@
 //! The rules file: grammar, checks, differences and route lookup.
+//!
+//! The file holds one rule a line, and each line ends in a comment that names who asked for it.
+//! [`grammar`] declares every kind of line and every option once; parsing, error messages and the
+//! reference in `docs/rules.md` derive from it. A file is accepted or refused as a whole, and a
+//! refusal lists every error.
+
+mod check;
+mod error;
+pub mod grammar;
+mod line;
+mod model;
+mod nearest;
+mod path;
+mod route_table;
+mod rules;
+mod value;
+
+pub use error::RuleError;
+pub use line::MAX_LINE_BYTES;
+pub use model::{Account, Class, EjectionDial, Method, Percent, Route, Service, Team, TeamScope};
+pub use path::{InvalidPath, PathPattern, normalize};
+pub use rules::{MAX_TEXT_BYTES, Rules};
