Add the HTTP framing guard and the target pool

Cause: the entry and the caller's side need whole messages or a certain failure; the library decoder takes truncated messages for whole ones. Ruled out: repairing ambiguous messages, since the next hop may read them differently; http_types messages, whose headers lose their order. Change: auburnbridge_http reads and encodes whole messages over a buffered connection; auburnbridge_target runs one exchange at a time on pooled connections and tells for certain whether a byte was written.

--- /dev/null
+++ b/crates/auburnbridge_http/src/body.rs
@@ -0,0 +1,174 @@
+//! Bodies in memory and the budget that bounds their total.
+
+use std::fmt;
+use std::ops::Deref;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use auburnbridge_types::ByteSize;
+
+use crate::FramingError;
+
+/// A bound on the bytes of all bodies that share it; clones share one count.
+#[derive(Clone, Debug)]
+pub struct MemoryBudget {
+    shared: Arc<BudgetState>,
+}
+
+#[derive(Debug)]
+struct BudgetState {
+    limit: u64,
+    used: AtomicU64,
+}
+
+impl MemoryBudget {
+    /// Creates a budget of `limit` bytes.
+    pub fn new(limit: ByteSize) -> Self {
+        Self {
+            shared: Arc::new(BudgetState {
+                limit: limit.0,
+                used: AtomicU64::new(0),
+            }),
+        }
+    }
+
+    /// The bytes held by bodies at present.
+    pub fn used(&self) -> ByteSize {
+        ByteSize(self.shared.used.load(Ordering::Relaxed))
+    }
+
+    fn reserve(&self, bytes: u64) -> Result<(), FramingError> {
+        self.shared
+            .used
+            .try_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
+                used.checked_add(bytes)
+                    .filter(|total| *total <= self.shared.limit)
+            })
+            .map(|_| ())
+            .map_err(|_| FramingError::MemoryExhausted)
+    }
+}
+
+/// Part of a budget, given back on drop.
+struct Reservation {
+    budget: MemoryBudget,
+    bytes: u64,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.budget
+            .shared
+            .used
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// The whole body of a message; clones share the bytes and their part of the budget.
+#[derive(Clone, Default)]
+pub struct Body(Option<Arc<BodyBytes>>);
+
+struct BodyBytes {
+    bytes: Vec<u8>,
+    _reservation: Option<Reservation>,
+}
+
+impl From<Vec<u8>> for Body {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self::from_parts(bytes, None)
+    }
+}
+
+impl Body {
+    fn from_parts(bytes: Vec<u8>, reservation: Option<Reservation>) -> Self {
+        if bytes.is_empty() {
+            return Self(None);
+        }
+        Self(Some(Arc::new(BodyBytes {
+            bytes,
+            _reservation: reservation,
+        })))
+    }
+}
+
+impl Deref for Body {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        self.0.as_ref().map_or(&[], |body| &body.bytes)
+    }
+}
+
+impl PartialEq for Body {
+    fn eq(&self, other: &Self) -> bool {
+        **self == **other
+    }
+}
+
+impl Eq for Body {}
+
+impl fmt::Debug for Body {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Body(\"{}\")", self.escape_ascii())
+    }
+}
+
+/// A body that is being read, charged to the budget as its bytes arrive.
+///
+/// Charging the announced length at once would let idle senders use up the budget.
+pub(crate) struct BodyBuilder {
+    bytes: Vec<u8>,
+    reservation: Option<Reservation>,
+}
+
+impl BodyBuilder {
+    pub(crate) fn new(budget: Option<&MemoryBudget>) -> Self {
+        Self {
+            bytes: Vec::new(),
+            reservation: budget.map(|budget| Reservation {
+                budget: budget.clone(),
+                bytes: 0,
+            }),
+        }
+    }
+
+    pub(crate) fn len(&self) -> u64 {
+        self.bytes.len() as u64
+    }
+
+    pub(crate) fn append(&mut self, bytes: &[u8]) -> Result<(), FramingError> {
+        self.charge(bytes.len())?;
+        self.bytes.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// Adds `count` zero bytes for a read to fill.
+    pub(crate) fn extend_zeroed(&mut self, count: usize) -> Result<&mut [u8], FramingError> {
+        self.charge(count)?;
+        let from = self.bytes.len();
+        self.bytes.resize(from + count, 0);
+        Ok(&mut self.bytes[from..])
+    }
+
+    /// Takes back the last `count` bytes, which a read left unfilled.
+    pub(crate) fn shorten(&mut self, count: usize) {
+        self.bytes.truncate(self.bytes.len() - count);
+        if let Some(reservation) = &mut self.reservation {
+            reservation.bytes -= count as u64;
+            let used = &reservation.budget.shared.used;
+            used.fetch_sub(count as u64, Ordering::Relaxed);
+        }
+    }
+
+    pub(crate) fn finish(self) -> Body {
+        Body::from_parts(self.bytes, self.reservation)
+    }
+
+    fn charge(&mut self, count: usize) -> Result<(), FramingError> {
+        if let Some(reservation) = &mut self.reservation {
+            reservation.budget.reserve(count as u64)?;
+            reservation.bytes += count as u64;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_http/src/chunked.rs
@@ -0,0 +1,30 @@
+//! Parsing of chunk-size lines.
+
+use crate::FramingError;
+
+/// Longest size: the hexadecimal digits of the largest 64-bit number.
+const MAX_SIZE_DIGITS: usize = 16;
+
+/// Parses a chunk-size line without its line ending. The extension is checked and dropped.
+pub(crate) fn parse_chunk_size(line: &[u8]) -> Result<u64, FramingError> {
+    let (size, extension) = match line.iter().position(|byte| *byte == b';') {
+        // White space before the extension is "bad white space", which recipients must accept.
+        Some(at) => (line[..at].trim_ascii_end(), &line[at..]),
+        None => (line, &[][..]),
+    };
+    let is_size =
+        (1..=MAX_SIZE_DIGITS).contains(&size.len()) && size.iter().all(u8::is_ascii_hexdigit);
+    if !is_size {
+        return Err(FramingError::ChunkSize);
+    }
+    let has_control = extension
+        .iter()
+        .any(|byte| byte.is_ascii_control() && *byte != b'\t');
+    if has_control {
+        return Err(FramingError::ChunkExtension);
+    }
+    std::str::from_utf8(size)
+        .ok()
+        .and_then(|digits| u64::from_str_radix(digits, 16).ok())
+        .ok_or(FramingError::ChunkSize)
+}
--- /dev/null
+++ b/crates/auburnbridge_http/src/encode.rs
@@ -0,0 +1,96 @@
+//! Encoding of whole messages into one buffer, so that each goes out in one write.
+//!
+//! The encoder of async-h1 is not used: its messages are `http_types` messages, whose headers are
+//! a hash map that loses the order of the headers, and it hands out a message as a stream of reads
+//! rather than as one buffer. A message here has a known length, so encoding is a few appends.
+
+use std::io::Write;
+
+use http_types::StatusCode;
+
+use crate::{Request, RequestInfo, Response, Verdict};
+
+/// The interim response to `Expect: 100-continue`.
+pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Methods whose requests have no body as a rule; `Content-Length: 0` is left out for them.
+const BODILESS_METHODS: [&str; 5] = ["GET", "HEAD", "OPTIONS", "DELETE", "TRACE"];
+
+const START_LINE_BYTES: usize = 64;
+const BYTES_PER_HEADER: usize = 48;
+
+/// Appends the encoded request to `buf`.
+///
+/// A request without `Host`, which only HTTP/1.0 allows, gets an empty one.
+pub fn encode_request(request: &Request, buf: &mut Vec<u8>) {
+    buf.reserve(
+        START_LINE_BYTES
+            + request.path.len()
+            + request.headers.len() * BYTES_PER_HEADER
+            + request.body.len(),
+    );
+    buf.extend_from_slice(request.method.as_bytes());
+    buf.push(b' ');
+    buf.extend_from_slice(request.path.as_bytes());
+    buf.extend_from_slice(b" HTTP/1.1\r\n");
+    encode_headers(request.headers.iter(), buf);
+    if request.headers.get("host").is_none() {
+        buf.extend_from_slice(b"Host: \r\n");
+    }
+    if !request.body.is_empty() || !BODILESS_METHODS.contains(&request.method.as_str()) {
+        encode_length(request.body.len() as u64, buf);
+    }
+    if request.verdict == Verdict::Retire {
+        buf.extend_from_slice(b"Connection: close\r\n");
+    }
+    buf.extend_from_slice(b"\r\n");
+    buf.extend_from_slice(&request.body);
+}
+
+/// Appends the encoded response to the request of `info` to `buf`.
+///
+/// `verdict` is that of the connection which carries the response; the response's own verdict
+/// belongs to the connection it was read from.
+pub fn encode_response(
+    response: &Response,
+    info: RequestInfo,
+    verdict: Verdict,
+    buf: &mut Vec<u8>,
+) {
+    buf.reserve(START_LINE_BYTES + response.headers.len() * BYTES_PER_HEADER + response.body.len());
+    let reason = StatusCode::try_from(response.status)
+        .map(|status| status.canonical_reason())
+        .unwrap_or_default();
+    write!(buf, "HTTP/1.1 {} {reason}\r\n", response.status)
+        .expect("writing to a vector does not fail");
+    encode_headers(response.headers.iter(), buf);
+    let is_bodiless = Response::is_bodiless(response.status, info);
+    let length = if is_bodiless {
+        response.announced_length
+    } else {
+        Some(response.body.len() as u64)
+    };
+    if let Some(length) = length {
+        encode_length(length, buf);
+    }
+    if verdict == Verdict::Retire {
+        buf.extend_from_slice(b"Connection: close\r\n");
+    }
+    buf.extend_from_slice(b"\r\n");
+    if !is_bodiless {
+        buf.extend_from_slice(&response.body);
+    }
+}
+
+fn encode_headers<'a>(headers: impl Iterator<Item = (&'a str, &'a [u8])>, buf: &mut Vec<u8>) {
+    for (name, value) in headers {
+        buf.extend_from_slice(name.as_bytes());
+        buf.extend_from_slice(b": ");
+        buf.extend_from_slice(value);
+        buf.extend_from_slice(b"\r\n");
+    }
+}
+
+fn encode_length(length: u64, buf: &mut Vec<u8>) {
+    write!(buf, "Content-Length: {length}\r\n").expect("writing to a vector does not fail");
+}
--- /dev/null
+++ b/crates/auburnbridge_http/src/limits.rs
@@ -0,0 +1,62 @@
+//! Limits on the size of one message.
+
+use auburnbridge_types::ByteSize;
+
+use crate::MemoryBudget;
+
+const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
+const DEFAULT_BODY_BYTES: u64 = 1024 * 1024;
+const DEFAULT_HEADERS: usize = 96;
+
+/// The most headers that a limit can allow, since the parser's table has a fixed size.
+pub(crate) const MAX_HEADERS: usize = 128;
+
+/// Limits on one message, built by the `with_…` methods from the defaults.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    pub(crate) head_bytes: usize,
+    pub(crate) headers: usize,
+    pub(crate) body_bytes: u64,
+    pub(crate) budget: Option<MemoryBudget>,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: DEFAULT_HEAD_BYTES,
+            headers: DEFAULT_HEADERS,
+            body_bytes: DEFAULT_BODY_BYTES,
+            budget: None,
+        }
+    }
+}
+
+impl Limits {
+    /// Limits the head, and separately the sum of chunk extensions and trailers (default 16 KiB).
+    #[must_use]
+    pub fn with_head_bytes(mut self, limit: ByteSize) -> Self {
+        self.head_bytes = usize::try_from(limit.0).unwrap_or(usize::MAX);
+        self
+    }
+
+    /// Limits the number of headers (default 96, at most 128).
+    #[must_use]
+    pub fn with_headers(mut self, limit: usize) -> Self {
+        self.headers = limit.min(MAX_HEADERS);
+        self
+    }
+
+    /// Limits the body (default 1 MiB).
+    #[must_use]
+    pub fn with_body_bytes(mut self, limit: ByteSize) -> Self {
+        self.body_bytes = limit.0;
+        self
+    }
+
+    /// Charges bodies to a budget that is shared with other messages.
+    #[must_use]
+    pub fn with_budget(mut self, budget: MemoryBudget) -> Self {
+        self.budget = Some(budget);
+        self
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_http/src/message.rs
@@ -0,0 +1,88 @@
+//! Whole messages.
+
+use crate::{Body, Headers};
+
+/// Whether the connection may carry another message after this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The connection stands at the start of the next message.
+    Reuse,
+    /// The connection must be closed.
+    Retire,
+}
+
+/// A whole request with its end-to-end headers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The method.
+    pub method: String,
+    /// Path and query as sent, or `*`.
+    pub path: String,
+    /// End-to-end headers, without those that frame the body.
+    pub headers: Headers,
+    /// The whole body.
+    pub body: Body,
+    /// Whether the caller's connection may carry another request.
+    pub verdict: Verdict,
+}
+
+impl Request {
+    /// Creates a request without headers or body.
+    pub fn new(method: &str, path: &str) -> Self {
+        Self {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            headers: Headers::new(),
+            body: Body::default(),
+            verdict: Verdict::Reuse,
+        }
+    }
+}
+
+/// What the framing of a response depends on in its request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestInfo {
+    /// Whether the method is `HEAD`, whose response has no body.
+    pub is_head: bool,
+}
+
+impl From<&Request> for RequestInfo {
+    fn from(request: &Request) -> Self {
+        Self {
+            is_head: request.method == "HEAD",
+        }
+    }
+}
+
+/// A whole response with its end-to-end headers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// The final status.
+    pub status: u16,
+    /// End-to-end headers, without those that frame the body.
+    pub headers: Headers,
+    /// The whole body.
+    pub body: Body,
+    /// `Content-Length` of a response to `HEAD` or of a 304, which have no body.
+    pub announced_length: Option<u64>,
+    /// Whether the target's connection may carry another request.
+    pub verdict: Verdict,
+}
+
+impl Response {
+    /// Creates a response without headers or body.
+    pub fn new(status: u16) -> Self {
+        Self {
+            status,
+            headers: Headers::new(),
+            body: Body::default(),
+            announced_length: None,
+            verdict: Verdict::Reuse,
+        }
+    }
+
+    /// Whether a response of this status to this request has no body by definition.
+    pub(crate) fn is_bodiless(status: u16, info: RequestInfo) -> bool {
+        info.is_head || status == 204 || status == 304 || status < 200
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_target/src/connect.rs
@@ -0,0 +1,40 @@
+//! Opening a connection to a target.
+
+use std::io;
+use std::net::SocketAddr;
+
+use async_std::net::TcpStream;
+use auburnbridge_http::Connection;
+use auburnbridge_types::{Clock, Millis};
+use futures_lite::future::or;
+
+use crate::NotSent;
+
+/// Connects within `timeout`, with Nagle's algorithm off.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    timeout: Millis,
+    clock: &dyn Clock,
+) -> Result<Connection<TcpStream>, NotSent> {
+    let connecting = async {
+        let stream = TcpStream::connect(address).await.map_err(connect_failure)?;
+        stream.set_nodelay(true).map_err(connect_failure)?;
+        Ok(Connection::new(stream))
+    };
+    let timer = async {
+        clock.sleep(timeout).await;
+        Err(NotSent::ConnectTimeout)
+    };
+    or(connecting, timer).await
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "used as a function for map_err"
+)]
+fn connect_failure(error: io::Error) -> NotSent {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => NotSent::Refused,
+        kind => NotSent::ConnectFailed(kind),
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_target/src/exchange.rs
@@ -0,0 +1,150 @@
+//! One exchange on one connection, and its result.
+
+use std::io;
+use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use async_std::io::WriteExt;
+use async_std::net::TcpStream;
+use auburnbridge_http::{Connection, FramingError, Limits, RequestInfo, Response, Verdict};
+use auburnbridge_types::ErrorKind;
+use futures_lite::future::or;
+
+/// The result of one exchange and how it came about.
+#[derive(Debug)]
+pub struct Exchange {
+    /// What became of the request.
+    pub result: ExchangeResult,
+    /// Whether the request was written on a connection that an earlier exchange had used.
+    pub reused: bool,
+}
+
+/// What became of a request.
+#[derive(Debug)]
+pub enum ExchangeResult {
+    /// The target gave a whole answer.
+    Answered(Response),
+    /// No byte of the request was written: it did not run.
+    NotSent(NotSent),
+    /// At least one byte was written and no whole answer arrived: the request may have run.
+    Unknown {
+        /// What ended the exchange.
+        reason: Unknown,
+        /// Whether any byte of an answer arrived.
+        answer_started: bool,
+    },
+}
+
+/// Why no byte of a request was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotSent {
+    /// The target refused the connection.
+    Refused,
+    /// The connection was not established within the connect timeout.
+    ConnectTimeout,
+    /// Connecting failed in another way.
+    ConnectFailed(io::ErrorKind),
+    /// The target closed the new connection before the first byte.
+    Closed,
+    /// The deadline passed before the first byte.
+    Deadline,
+}
+
+/// Why no whole answer arrived after a byte was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unknown {
+    /// The connection closed or failed, or the answer violates a framing rule or limit.
+    Framing(FramingError),
+    /// The deadline passed.
+    Deadline,
+}
+
+impl NotSent {
+    /// The error kind for the caller when no other target is tried.
+    pub const fn kind(self) -> ErrorKind {
+        match self {
+            Self::Deadline => ErrorKind::DeadlineBeforeDispatch,
+            Self::Refused | Self::ConnectTimeout | Self::ConnectFailed(_) | Self::Closed => {
+                ErrorKind::NoTarget
+            }
+        }
+    }
+}
+
+impl Unknown {
+    /// The error kind for the caller when the request is not resent.
+    pub const fn kind(self) -> ErrorKind {
+        match self {
+            Self::Framing(error) => error.response_kind(),
+            Self::Deadline => ErrorKind::DeadlineAfterDispatch,
+        }
+    }
+}
+
+/// How a run on one connection ended.
+pub(crate) enum Run {
+    /// A whole answer; the verdict tells whether the connection may be used again.
+    Answered(Response, Verdict),
+    /// The connection was closed before a byte was written.
+    Closed,
+    /// A byte was written, then the answer failed.
+    Failed(FramingError),
+}
+
+/// Writes the encoded request and reads the answer at the same time, since a target may answer
+/// before it has read the whole request.
+///
+/// Sets `written` as soon as the kernel has accepted a byte.
+pub(crate) async fn run(
+    connection: &mut Connection<TcpStream>,
+    encoded: &[u8],
+    info: RequestInfo,
+    limits: &Limits,
+    written: &AtomicBool,
+) -> Run {
+    enum Step {
+        Wrote(io::Result<()>),
+        Read(Result<Response, FramingError>),
+    }
+
+    let stream = connection.get_ref().clone();
+    let mut write = pin!(write_all(stream, encoded, written));
+    let mut read = pin!(connection.read_response(info, limits));
+    let step = or(async { Step::Wrote(write.as_mut().await) }, async {
+        Step::Read(read.as_mut().await)
+    })
+    .await;
+    let (answer, is_written_whole) = match step {
+        Step::Wrote(Ok(())) => (read.await, true),
+        Step::Wrote(Err(_)) if !written.load(Ordering::Relaxed) => return Run::Closed,
+        // A target that closes early may have answered first.
+        Step::Wrote(Err(_)) => (read.await, false),
+        Step::Read(answer) => (answer, false),
+    };
+    match answer {
+        // Nothing was asked yet, so these bytes answer no request of ours.
+        _ if !written.load(Ordering::Relaxed) => Run::Closed,
+        Ok(response) if is_written_whole => {
+            let verdict = response.verdict;
+            Run::Answered(response, verdict)
+        }
+        Ok(response) => Run::Answered(response, Verdict::Retire),
+        Err(error) => Run::Failed(error),
+    }
+}
+
+async fn write_all(
+    mut stream: TcpStream,
+    mut bytes: &[u8],
+    written: &AtomicBool,
+) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let count = stream.write(bytes).await?;
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        written.store(true, Ordering::Relaxed);
+        bytes = &bytes[count..];
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/auburnbridge_target/src/pool.rs
@@ -0,0 +1,233 @@
+//! The pool of connections to all targets.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use async_lock::SemaphoreGuardArc;
+use async_std::net::TcpStream;
+use auburnbridge_http::{Connection, Limits, Request, RequestInfo, Verdict, encode_request};
+use auburnbridge_types::{Clock, Millis, Timestamp};
+use futures_lite::future::or;
+use parking_lot::Mutex;
+
+use crate::connect::connect;
+use crate::exchange::{Exchange, ExchangeResult, NotSent, Run, Unknown, run};
+use crate::idle::TargetConnections;
+
+const DEFAULT_CONNECT_TIMEOUT: Millis = Millis(250);
+const DEFAULT_IDLE_TIMEOUT: Millis = Millis(30_000);
+/// A target accepts about 350 connections, shared by all entries; there are 13 to 16 of them.
+const DEFAULT_CONNECTIONS_PER_TARGET: usize = 20;
+
+/// Settings of a [`Pool`].
+pub struct PoolBuilder {
+    clock: Arc<dyn Clock>,
+    connect_timeout: Millis,
+    idle_timeout: Millis,
+    connections_per_target: usize,
+}
+
+impl PoolBuilder {
+    /// Bounds the time to open a connection (default 250 ms).
+    #[must_use]
+    pub fn connect_timeout(mut self, timeout: Millis) -> Self {
+        self.connect_timeout = timeout;
+        self
+    }
+
+    /// Closes connections that have been idle for this long (default 30 s).
+    #[must_use]
+    pub fn idle_timeout(mut self, timeout: Millis) -> Self {
+        self.idle_timeout = timeout;
+        self
+    }
+
+    /// Bounds the connections to one target, and with them its exchanges (default 20).
+    #[must_use]
+    pub fn connections_per_target(mut self, limit: usize) -> Self {
+        self.connections_per_target = limit;
+        self
+    }
+
+    /// Creates the pool.
+    pub fn build(self) -> Pool {
+        Pool {
+            options: self,
+            targets: Mutex::new(HashMap::new()),
+        }
+    }
+}
+
+/// Connections to all targets.
+pub struct Pool {
+    options: PoolBuilder,
+    targets: Mutex<HashMap<SocketAddr, Arc<TargetConnections>>>,
+}
+
+/// A connection in use, with the right to use it.
+struct Lease {
+    connection: Connection<TcpStream>,
+    is_reused: bool,
+    _permit: SemaphoreGuardArc,
+}
+
+impl Pool {
+    /// Starts from the default settings.
+    pub fn builder(clock: Arc<dyn Clock>) -> PoolBuilder {
+        PoolBuilder {
+            clock,
+            connect_timeout: DEFAULT_CONNECT_TIMEOUT,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            connections_per_target: DEFAULT_CONNECTIONS_PER_TARGET,
+        }
+    }
+
+    /// Sends one request to the target at `address` and reads its answer, all before `deadline`.
+    ///
+    /// `limits` bounds the answer. Waiting for a free connection counts towards the deadline.
+    /// Dropping the future closes the connection, which cancels the request at the target.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+        limits: &Limits,
+        deadline: Timestamp,
+    ) -> Exchange {
+        let mut encoded = Vec::new();
+        encode_request(request, &mut encoded);
+        let target = self.target(address);
+        loop {
+            let lease = match self.lease(address, &target, deadline).await {
+                Ok(lease) => lease,
+                Err(reason) => return Exchange::not_sent(reason),
+            };
+            let is_reused = lease.is_reused;
+            let info = RequestInfo::from(request);
+            let exchange = self
+                .run_lease(lease, &target, &encoded, info, limits, deadline)
+                .await;
+            match exchange.result {
+                // The idle connection closed under us; no byte was written, so another will do.
+                ExchangeResult::NotSent(NotSent::Closed) if is_reused => {}
+                _ => return exchange,
+            }
+        }
+    }
+
+    /// Closes the connections that have been idle for too long, and forgets unused targets.
+    ///
+    /// To be called now and then, since a target that left is not asked for again.
+    pub fn close_expired(&self) {
+        let now = self.options.clock.now();
+        self.targets.lock().retain(|_, target| {
+            target.close_expired(now, self.options.idle_timeout);
+            target.idle_count() > 0 || Arc::strong_count(target) > 1
+        });
+    }
+
+    /// The number of idle connections to the target at `address`.
+    pub fn idle_connections(&self, address: SocketAddr) -> usize {
+        let target = self.targets.lock().get(&address).cloned();
+        target.map_or(0, |target| target.idle_count())
+    }
+
+    fn target(&self, address: SocketAddr) -> Arc<TargetConnections> {
+        let limit = self.options.connections_per_target;
+        let mut targets = self.targets.lock();
+        let target = targets
+            .entry(address)
+            .or_insert_with(|| Arc::new(TargetConnections::new(limit)));
+        Arc::clone(target)
+    }
+
+    async fn lease(
+        &self,
+        address: SocketAddr,
+        target: &TargetConnections,
+        deadline: Timestamp,
+    ) -> Result<Lease, NotSent> {
+        let acquiring = async {
+            let permit = target.exchanges.acquire_arc().await;
+            let now = self.options.clock.now();
+            if let Some(connection) = target.take_live(now, self.options.idle_timeout) {
+                return Ok(Lease {
+                    connection,
+                    is_reused: true,
+                    _permit: permit,
+                });
+            }
+            let timeout = self.options.connect_timeout;
+            let connection = connect(address, timeout, &*self.options.clock).await?;
+            Ok(Lease {
+                connection,
+                is_reused: false,
+                _permit: permit,
+            })
+        };
+        or(acquiring, async {
+            self.until(deadline).await;
+            Err(NotSent::Deadline)
+        })
+        .await
+    }
+
+    async fn run_lease(
+        &self,
+        mut lease: Lease,
+        target: &TargetConnections,
+        encoded: &[u8],
+        info: RequestInfo,
+        limits: &Limits,
+        deadline: Timestamp,
+    ) -> Exchange {
+        // The process may have been frozen while it connected.
+        if self.options.clock.now() >= deadline {
+            return Exchange::not_sent(NotSent::Deadline);
+        }
+        let received = lease.connection.received();
+        let written = AtomicBool::new(false);
+        let running = run(&mut lease.connection, encoded, info, limits, &written);
+        let run = or(async { Some(running.await) }, async {
+            self.until(deadline).await;
+            None
+        })
+        .await;
+        let answer_started = lease.connection.received() > received;
+        let unknown = |reason| ExchangeResult::Unknown {
+            reason,
+            answer_started,
+        };
+        let result = match run {
+            Some(Run::Answered(response, verdict)) => {
+                if verdict == Verdict::Reuse {
+                    target.put_back(lease.connection, self.options.clock.now());
+                }
+                ExchangeResult::Answered(response)
+            }
+            Some(Run::Closed) => ExchangeResult::NotSent(NotSent::Closed),
+            Some(Run::Failed(error)) => unknown(Unknown::Framing(error)),
+            None if written.load(Ordering::Relaxed) => unknown(Unknown::Deadline),
+            None => ExchangeResult::NotSent(NotSent::Deadline),
+        };
+        Exchange {
+            result,
+            reused: lease.is_reused,
+        }
+    }
+
+    async fn until(&self, deadline: Timestamp) {
+        let left = deadline.since(self.options.clock.now());
+        self.options.clock.sleep(left).await;
+    }
+}
+
+impl Exchange {
+    fn not_sent(reason: NotSent) -> Self {
+        Self {
+            result: ExchangeResult::NotSent(reason),
+            reused: false,
+        }
+    }
+}
