--- /dev/null
+++ b/crates/auburnbridge_entry/src/fleets.rs
@@ -0,0 +1,198 @@
+//! The targets of all services, shared by the requests in flight.
+//!
+//! Lock order: the table of services, then one fleet. Neither is held over an await.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use auburnbridge_policy::{
+    Action, Choice, Decision, Fleet, Member, Observation, RequestClass, RetryBudget, ServicePolicy,
+    TargetKey, TargetView,
+};
+use auburnbridge_rules::{Rules, Service};
+use auburnbridge_types::{ServiceName, TargetId, Timestamp};
+use log::{debug, info};
+use parking_lot::{Mutex, RwLock};
+
+/// Targets and retry budget of one service.
+#[derive(Debug)]
+pub struct ServiceFleet {
+    name: ServiceName,
+    state: Mutex<ServiceState>,
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    fleet: Fleet,
+    retries: RetryBudget,
+}
+
+/// A target chosen for one request; dropping it without a result counts as no evidence.
+#[derive(Debug)]
+pub struct Assignment {
+    service: Arc<ServiceFleet>,
+    choice: Choice,
+    is_finished: bool,
+}
+
+impl Assignment {
+    /// Handle of the target.
+    pub fn key(&self) -> TargetKey {
+        self.choice.key
+    }
+
+    /// The target's name.
+    pub fn target(&self) -> &TargetId {
+        &self.choice.target
+    }
+
+    /// Where the target accepts requests.
+    pub fn address(&self) -> SocketAddr {
+        self.choice.address
+    }
+
+    /// Figures that decided the choice, for the log.
+    pub fn figures(&self) -> String {
+        format!(
+            "load={:.2} suspicion={:.2} candidates={}",
+            self.choice.load, self.choice.suspicion, self.choice.candidates
+        )
+    }
+
+    /// Ends the request on the target.
+    pub fn finish(mut self, now: Timestamp, observation: Observation) {
+        self.is_finished = true;
+        self.service.finish(now, self.choice.key, observation);
+    }
+}
+
+impl Drop for Assignment {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            let observation = Observation::NotAttributable;
+            // The time matters only for observations that are evidence.
+            self.service.finish(Timestamp(0), self.choice.key, observation);
+        }
+    }
+}
+
+impl ServiceFleet {
+    /// Chooses a target for one request.
+    pub fn choose(
+        self: &Arc<Self>,
+        now: Timestamp,
+        class: RequestClass,
+        exclude: &[TargetKey],
+    ) -> Option<Assignment> {
+        let choice = self
+            .state
+            .lock()
+            .fleet
+            .choose(now, class, exclude, &mut rand::rng())?;
+        Some(Assignment {
+            service: Arc::clone(self),
+            choice,
+            is_finished: false,
+        })
+    }
+
+    /// Counts a first attempt for the retry budget.
+    pub fn record_request(&self, now: Timestamp) {
+        self.state.lock().retries.record_request(now);
+    }
+
+    /// Takes one retry from the budget if it has one.
+    pub fn try_retry(&self, now: Timestamp) -> bool {
+        self.state.lock().retries.try_retry(now)
+    }
+
+    fn finish(&self, now: Timestamp, key: TargetKey, observation: Observation) {
+        let decisions = self.state.lock().fleet.finish(now, key, observation);
+        log_decisions(&self.name, &decisions);
+    }
+}
+
+/// The targets of all services.
+#[derive(Debug, Default)]
+pub struct Fleets {
+    services: RwLock<HashMap<ServiceName, Arc<ServiceFleet>>>,
+}
+
+impl Fleets {
+    /// The fleet of a service.
+    pub fn get(&self, service: &ServiceName) -> Option<Arc<ServiceFleet>> {
+        self.services.read().get(service).cloned()
+    }
+
+    /// Takes over the services of new rules.
+    pub fn apply_rules(&self, now: Timestamp, rules: &Rules) {
+        let mut services = self.services.write();
+        services.retain(|name, _| rules.service(name).is_some());
+        for service in rules.services() {
+            let policy = policy_of(service);
+            let retries =
+                RetryBudget::new(now, service.retry_percent.0, service.retry_rate);
+            match services.get(&service.name) {
+                Some(fleet) => {
+                    let mut state = fleet.state.lock();
+                    let decisions = state.fleet.set_policy(now, policy);
+                    state.retries = retries;
+                    log_decisions(&service.name, &decisions);
+                }
+                None => {
+                    let fleet = ServiceFleet {
+                        name: service.name.clone(),
+                        state: Mutex::new(ServiceState {
+                            fleet: Fleet::new(policy),
+                            retries,
+                        }),
+                    };
+                    services.insert(service.name.clone(), Arc::new(fleet));
+                }
+            }
+        }
+    }
+
+    /// Takes over the members of one service and makes the decisions that are due.
+    pub fn update(&self, now: Timestamp, service: &ServiceName, members: &[Member]) {
+        let Some(fleet) = self.get(service) else {
+            return;
+        };
+        let mut state = fleet.state.lock();
+        let mut decisions = state.fleet.reconcile(now, members);
+        decisions.extend(state.fleet.decide(now));
+        drop(state);
+        log_decisions(service, &decisions);
+    }
+
+    /// Names of the services.
+    pub fn names(&self) -> Vec<ServiceName> {
+        self.services.read().keys().cloned().collect()
+    }
+
+    /// The targets of a service, for status reports.
+    pub fn view(&self, service: &ServiceName) -> Vec<TargetView> {
+        self.get(service)
+            .map(|fleet| fleet.state.lock().fleet.view())
+            .unwrap_or_default()
+    }
+}
+
+fn policy_of(service: &Service) -> ServicePolicy {
+    let dial = service.ejection.0.to_string();
+    ServicePolicy::builder()
+        .floor(service.slots_floor)
+        .dial(dial.parse().expect("the grammar bounds the dial to 100"))
+        .build()
+}
+
+fn log_decisions(service: &ServiceName, decisions: &[Decision]) {
+    for decision in decisions {
+        if decision.action == Action::Keep {
+            debug!("placement service={service} {decision}");
+        } else {
+            info!("placement service={service} {decision}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_entry/src/keyed.rs
@@ -0,0 +1,207 @@
+//! Non-idempotent requests: one dispatch for each key, granted by the ledger before the first byte.
+
+use async_std::io::Cursor;
+use auburnbridge_caller::Problem;
+use auburnbridge_http::{Connection, Limits, RequestInfo, Response, Verdict, encode_response};
+use auburnbridge_ledger::{Command, LedgerKey, Reply, StoredAnswer};
+use auburnbridge_policy::TargetKey;
+use auburnbridge_types::{AttemptId, ErrorKind};
+use log::{info, warn};
+
+use crate::backoff::Backoff;
+use crate::entry::{Attempted, Entry, request_class};
+use crate::request::CallerRequest;
+
+/// Header of an answer that was stored by an earlier attempt.
+const REPLAYED_HEADER: &str = "Auburnbridge-Replayed";
+
+/// Serves a keyed request. It goes on when its caller disconnects, so that a resend gets the answer.
+pub(crate) async fn serve(entry: &Entry, req: &CallerRequest) -> Response {
+    let served = match acquire(entry, req).await {
+        Ok(Grant::Held { key, attempt }) => run_granted(entry, req, key, attempt).await,
+        Ok(Grant::Replay(answer)) => replay(&answer).await,
+        Err(problem) => Err(problem),
+    };
+    match served {
+        Ok(response) => response,
+        Err(problem) => entry.refuse(req, problem),
+    }
+}
+
+enum Grant {
+    /// This attempt may dispatch once.
+    Held { key: LedgerKey, attempt: AttemptId },
+    /// An earlier attempt ran, with this answer.
+    Replay(StoredAnswer),
+}
+
+/// Asks the ledger for the permission to dispatch; waits while another attempt is in progress.
+async fn acquire(entry: &Entry, req: &CallerRequest) -> Result<Grant, Problem> {
+    let clock = &entry.ports.clock;
+    let key = LedgerKey {
+        idempotency_key: req.key.expect("routes of the class `once` need a key"),
+        account: req.account.clone(),
+        service: req.route.service.clone(),
+    };
+    let body_digest = req.digest();
+    let attempt = entry.next_attempt();
+    let mut backoff = Backoff::default();
+    loop {
+        let command = Command::Grant {
+            key: key.clone(),
+            body_digest,
+            attempt: attempt.clone(),
+            deadline: req.deadline,
+        };
+        let reply = entry.ports.ledger.apply(command).await.map_err(|error| {
+            let problem = Problem::new(ErrorKind::LedgerUnavailable, error.to_string());
+            req.refuse_unread(problem)
+        })?;
+        info!("ledger key={} attempt={attempt} reply={reply}", key.idempotency_key);
+        let kind = match reply {
+            Reply::Granted => return Ok(Grant::Held { key, attempt }),
+            Reply::Answered(answer) => return Ok(Grant::Replay(answer)),
+            Reply::InProgress if backoff.wait(clock.as_ref(), req.deadline).await => continue,
+            Reply::InProgress => ErrorKind::KeyInProgress,
+            Reply::Unknown => ErrorKind::KeyOutcomeUnknown,
+            Reply::BodyMismatch => ErrorKind::KeyReused,
+            Reply::Expired => {
+                let detail = "the key is past its retention or lies ahead of log time";
+                let problem = Problem::new(ErrorKind::KeyExpired, detail);
+                return Err(req.refuse_unread(problem));
+            }
+            Reply::NotHolder => ErrorKind::DeadlineBeforeDispatch,
+            Reply::Full => ErrorKind::Overloaded,
+            Reply::Done => ErrorKind::Internal,
+        };
+        return Err(Problem::new(kind, format!("the ledger answered {reply}")));
+    }
+}
+
+/// Dispatches a granted request to one target after the other until one may have run it.
+async fn run_granted(
+    entry: &Entry,
+    req: &CallerRequest,
+    key: LedgerKey,
+    attempt: AttemptId,
+) -> Result<Response, Problem> {
+    match dispatch(entry, req, &attempt).await {
+        Dispatched::Answered(response) => {
+            conclude(entry, req, key, attempt, &response).await;
+            Ok(response)
+        }
+        Dispatched::NotRun(problem) => {
+            // No byte of this attempt was written and none will be, so `not-run` holds whether or
+            // not the ledger hears of it; without it, a resend reads `unknown`.
+            settle(entry, Command::Withdraw { key, attempt }).await;
+            Err(problem)
+        }
+        Dispatched::Unknown(problem) => {
+            settle(entry, Command::Abandon { key, attempt }).await;
+            Err(problem)
+        }
+    }
+}
+
+enum Dispatched {
+    Answered(Response),
+    NotRun(Problem),
+    Unknown(Problem),
+}
+
+async fn dispatch(entry: &Entry, req: &CallerRequest, attempt: &AttemptId) -> Dispatched {
+    let clock = &entry.ports.clock;
+    let no_target = || Problem::new(ErrorKind::NoTarget, "no target of the service is in use");
+    let Some(service) = entry.fleets.get(&req.route.service) else {
+        return Dispatched::NotRun(no_target());
+    };
+    let class = request_class(req.route.class);
+    let mut excluded: Vec<TargetKey> = Vec::new();
+    let mut failure = no_target();
+    let mut backoff = Backoff::default();
+    loop {
+        if clock.now() >= req.deadline {
+            let detail = "the deadline passed before the request was sent";
+            return Dispatched::NotRun(Problem::new(ErrorKind::DeadlineBeforeDispatch, detail));
+        }
+        let Some(assignment) = service.choose(clock.now(), class, &excluded) else {
+            if !backoff.wait(clock.as_ref(), req.deadline).await {
+                return Dispatched::NotRun(failure);
+            }
+            excluded.clear();
+            continue;
+        };
+        excluded.push(assignment.key());
+        let target = assignment.target().clone();
+        match entry.attempt(req, attempt, assignment).await {
+            Attempted::Answered(response) => return Dispatched::Answered(response),
+            Attempted::Shed => {
+                failure = Problem::new(ErrorKind::Overloaded, "every target tried shed the request");
+            }
+            Attempted::NotSent(reason) => {
+                failure = Problem::new(reason.kind(), format!("{target}: {reason:?}"));
+            }
+            Attempted::Unknown { reason, .. } => {
+                let detail = format!("{target}: {reason:?}");
+                return Dispatched::Unknown(Problem::new(reason.kind(), detail));
+            }
+        }
+    }
+}
+
+/// Stores the answer for resends before the caller gets it.
+async fn conclude(
+    entry: &Entry,
+    req: &CallerRequest,
+    key: LedgerKey,
+    attempt: AttemptId,
+    response: &Response,
+) {
+    let mut encoded = Vec::new();
+    let info = RequestInfo::from(&req.message);
+    encode_response(response, info, Verdict::Reuse, &mut encoded);
+    let answer = StoredAnswer::new(&encoded);
+    settle(
+        entry,
+        Command::Conclude {
+            key,
+            attempt,
+            answer,
+        },
+    )
+    .await;
+}
+
+/// Tells the ledger how an attempt ended. If the keepers are away, the key stays in progress and
+/// reads `unknown` after its deadline, which is safe.
+async fn settle(entry: &Entry, command: Command) {
+    let name = command.to_string();
+    match entry.ports.ledger.apply(command).await {
+        Ok(Reply::Done) => {}
+        Ok(reply) => warn!("ledger command={name} reply={reply}"),
+        Err(error) => warn!("ledger command={name} failed: {error}"),
+    }
+}
+
+/// The stored answer of an earlier attempt.
+async fn replay(answer: &StoredAnswer) -> Result<Response, Problem> {
+    let StoredAnswer::Whole(bytes) = answer else {
+        let detail = "the answer was too large to store";
+        return Err(Problem::new(ErrorKind::AnswerNotKept, detail));
+    };
+    let mut connection = Connection::new(Cursor::new(bytes.as_ref()));
+    let limits = Limits::default().with_headers(128);
+    match connection
+        .read_response(RequestInfo::default(), &limits)
+        .await
+    {
+        Ok(mut response) => {
+            response.headers.set(REPLAYED_HEADER, "true");
+            Ok(response)
+        }
+        Err(error) => {
+            let detail = format!("the stored answer can't be read: {error}");
+            Err(Problem::new(ErrorKind::Internal, detail))
+        }
+    }
+}
