--- a/crates/auburnbridge_rules/src/check.rs
+++ b/crates/auburnbridge_rules/src/check.rs
@@ -1,30 +1,46 @@
 //! Checks that compare lines with each other.
 
+use std::cell::OnceCell;
 use std::collections::{HashMap, HashSet};
 
 use auburnbridge_types::ServiceName;
 
 use crate::error::RuleError;
 use crate::grammar::{ROUTE_LINE, SERVICE_LINE};
-use crate::line::{LineText, ParsedLine};
-use crate::model::{Service, TeamScope};
+use crate::line::{LineText, file_lines, parse_line};
+use crate::model::Service;
 use crate::nearest::nearest;
+use crate::rule::Rule;
+use crate::rule_line::{LineKey, rule_lines};
 use crate::rules::Rules;
 
-/// Facts gathered over the lines of one file.
-#[derive(Default)]
+/// Each suggestion compares a name with every service, which would take minutes for a large file
+/// whose routes all name unknown services.
+const MAX_SUGGESTIONS: usize = 100;
+
+/// Checks of one file.
 pub(crate) struct Checks<'a> {
-    first_lines: HashMap<Vec<&'a str>, FirstLine<'a>>,
+    text: &'a str,
     /// Services whose own line is refused; their routes need no second error.
     refused_services: HashSet<&'a str>,
+    numbers: OnceCell<LineNumbers<'a>>,
 }
 
-struct FirstLine<'a> {
-    number: u32,
-    words: Vec<&'a str>,
+/// Where the lines stand; built only for a file with an error.
+struct LineNumbers<'a> {
+    lines: Vec<&'a str>,
+    first_with_key: HashMap<LineKey, u32>,
 }
 
 impl<'a> Checks<'a> {
+    pub(crate) fn new(text: &'a str) -> Self {
+        Self {
+            text,
+            refused_services: HashSet::new(),
+            numbers: OnceCell::new(),
+        }
+    }
+
     /// Notes a line that holds no rule or was refused.
     pub(crate) fn note_refused(&mut self, text: &'a str) {
         if let Some(line) = LineText::split(text)
@@ -35,85 +51,109 @@
         }
     }
 
-    /// Whether the line is the first one with its key; adds an error otherwise.
-    pub(crate) fn observe(
-        &mut self,
-        line: &ParsedLine<'a>,
-        text: &'a str,
-        errors: &mut Vec<RuleError>,
-    ) -> bool {
-        let words = LineText::split(text).map_or_else(Vec::new, |split| split.words);
-        if let Some(first) = self.first_lines.get(&line.key) {
-            errors.push(repeated(line, &words, first));
-            return false;
-        }
-        let first = FirstLine {
-            number: line.number,
-            words,
+    /// The error of a line with the key of an earlier one.
+    pub(crate) fn repeated(&self, number: u32, text: &str) -> RuleError {
+        let key = text.parse::<LineKey>();
+        let key = key.expect("an accepted line has a key");
+        let first = self.numbers().first_with_key[&key];
+        let words = |text| LineText::split(text).map(|line| line.words);
+        let problem = if words(self.numbers().line(first)) == words(text) {
+            format!("the line repeats line {first}")
+        } else if key.as_str().starts_with(ROUTE_LINE.name) {
+            format!("the route conflicts with line {first}, which has the same method and path")
+        } else {
+            format!("the line conflicts with line {first}, which starts with the same words")
         };
-        self.first_lines.insert(line.key.clone(), first);
-        true
+        RuleError::new(number, key.as_str(), problem, "keep one of the two")
     }
 
-    /// Checks references between lines, after the last one was read.
+    /// Checks floors and references between lines, after the last one was read.
     pub(crate) fn finish(&self, rules: &Rules, errors: &mut Vec<RuleError>) {
         for service in rules.services() {
-            errors.extend(unreachable_floor(service));
-        }
-        let route_lines = rules.routes().map(|route| (&route.service, route.line));
-        let team_lines = rules.teams().iter().filter_map(|team| match &team.scope {
-            TeamScope::Service(name) => Some((name, team.line)),
-            TeamScope::Everything => None,
-        });
-        for (name, line) in route_lines.chain(team_lines) {
-            let known =
-                rules.service(name).is_some() || self.refused_services.contains(name.as_str());
-            if !known {
-                errors.push(unknown_service(line, name, rules));
+            if !floor_is_reachable(service) {
+                errors.push(self.unreachable_floor(service));
             }
         }
+        let known = |name: &ServiceName| {
+            rules.service(name).is_some() || self.refused_services.contains(name.as_str())
+        };
+        if !rules.references().all(known) {
+            errors.extend(self.unknown_services(rules, known));
+        }
     }
-}
 
-fn repeated(line: &ParsedLine<'_>, words: &[&str], first: &FirstLine<'_>) -> RuleError {
-    let key = line.key.join(" ");
-    let number = first.number;
-    if words == first.words {
-        let problem = format!("the line repeats line {number}");
-        return RuleError::new(line.number, &key, problem, "remove one of the two");
+    fn unknown_services(
+        &self,
+        rules: &Rules,
+        known: impl Fn(&ServiceName) -> bool,
+    ) -> Vec<RuleError> {
+        let mut errors = Vec::new();
+        // The errors of refused lines are already known.
+        let mut ignored = Vec::new();
+        for (number, text) in (1..).zip(file_lines(self.text)) {
+            let rule = parse_line(number, text, &mut ignored).map(|line| Rule::from(&line));
+            if let Some(name) = rule.as_ref().and_then(Rule::referenced_service)
+                && !known(name)
+            {
+                let names = rules.services().map(|service| service.name.as_str());
+                let suggestion = (errors.len() < MAX_SUGGESTIONS)
+                    .then(|| nearest(name.as_str(), names))
+                    .flatten();
+                errors.push(unknown_service(number, name, suggestion));
+            }
+        }
+        errors
     }
-    let problem = if line.spec.name == ROUTE_LINE.name {
-        format!("the route conflicts with line {number}, which has the same method and path")
-    } else {
-        format!("the line conflicts with line {number}, which starts with the same words")
-    };
-    RuleError::new(line.number, &key, problem, "keep one of the two")
-}
 
-/// A floor above the slots of all expected targets together could never be met.
-fn unreachable_floor(service: &Service) -> Option<RuleError> {
-    let per_target = service.slots_per_target.0;
-    let most = u64::from(service.most_targets) * u64::from(per_target);
-    let floor = u64::from(service.slots_floor.0);
-    (floor > most).then(|| {
-        let problem = format!(
-            "{} targets with {per_target} slots each announce at most {most} slots",
-            service.most_targets
-        );
+    fn unreachable_floor(&self, service: &Service) -> RuleError {
+        let key = format!("{} {}", SERVICE_LINE.name, service.name).parse();
+        let key: LineKey = key.expect("the words of a service line's key");
+        let most = most_slots(service);
         RuleError::new(
-            service.line,
-            &format!("slots-floor {floor}"),
-            problem,
+            self.numbers().first_with_key[&key],
+            &format!("slots-floor {}", service.slots_floor),
+            format!(
+                "{} targets with {} slots each announce at most {most} slots",
+                service.most_targets, service.slots_per_target
+            ),
             format!(
                 "lower the floor to {most} or less, or raise `most-targets` or `slots-per-target`"
             ),
         )
-    })
+    }
+
+    fn numbers(&self) -> &LineNumbers<'a> {
+        self.numbers.get_or_init(|| {
+            let mut first_with_key = HashMap::new();
+            for line in rule_lines(self.text) {
+                first_with_key.entry(line.key).or_insert(line.number);
+            }
+            LineNumbers {
+                lines: file_lines(self.text).collect(),
+                first_with_key,
+            }
+        })
+    }
+}
+
+impl<'a> LineNumbers<'a> {
+    fn line(&self, number: u32) -> &'a str {
+        let index = usize::try_from(number).unwrap_or(usize::MAX);
+        self.lines[index - 1]
+    }
+}
+
+/// Whether the expected targets together can announce the slots of the floor.
+pub(crate) fn floor_is_reachable(service: &Service) -> bool {
+    u64::from(service.slots_floor.0) <= most_slots(service)
+}
+
+fn most_slots(service: &Service) -> u64 {
+    u64::from(service.most_targets) * u64::from(service.slots_per_target.0)
 }
 
-fn unknown_service(line: u32, name: &ServiceName, rules: &Rules) -> RuleError {
-    let names = rules.services().map(|service| service.name.as_str());
-    let fix = match nearest(name.as_str(), names) {
+fn unknown_service(line: u32, name: &ServiceName, suggestion: Option<&str>) -> RuleError {
+    let fix = match suggestion {
         Some(known) => format!("did you mean `{known}`? Otherwise add a `service {name}` line"),
         None => format!("add a `service {name}` line"),
     };
--- a/crates/auburnbridge_rules/src/grammar.rs
+++ b/crates/auburnbridge_rules/src/grammar.rs
@@ -3,6 +3,7 @@
 use auburnbridge_types::{ByteSize, Millis, RatePerSecond, Slots};
 
 use crate::model::{EjectionDial, Percent};
+pub use crate::reference::reference;
 pub use crate::value::ValueKind;
 
 /// Slots expected per target when the service line gives none.
@@ -80,6 +81,8 @@
     pub options: &'static [&'static OptionSpec],
     /// Number of leading words that identify the line; no two lines share them.
     pub key_words: usize,
+    /// Position of the word that names the service to which the line belongs, counted from 0.
+    pub service_word: Option<usize>,
     /// What the line does.
     pub meaning: &'static str,
     /// A valid line.
@@ -227,6 +230,7 @@
         &LOOKUP_SHARE,
     ],
     key_words: 2,
+    service_word: Some(1),
     meaning: "declares a service and its limits",
     example: "service stock slots-floor 24 ejection careful # asked by Meera, ward office",
 };
@@ -242,6 +246,7 @@
     ],
     options: &[&TIMEOUT, &LARGEST_ANSWER],
     key_words: 3,
+    service_word: Some(4),
     meaning: "sends requests to a service",
     example: "route GET /bins/* to stock idempotent timeout 2s # asked by Meera, ward office",
 };
@@ -251,6 +256,7 @@
     parts: &[Part::Argument(&ACCOUNT)],
     options: &[&LIMIT, &BURST],
     key_words: 2,
+    service_word: None,
     meaning: "limits the requests of an account",
     example: "account default limit 50/s burst 100 # asked by Jonas, operations",
 };
@@ -260,6 +266,7 @@
     parts: &[Part::Word("remember"), Part::Argument(&RETENTION)],
     options: &[],
     key_words: 1,
+    service_word: None,
     meaning: "sets the retention of idempotency keys",
     example: "keys remember 24h # asked by Jonas, operations",
 };
@@ -274,6 +281,7 @@
     ],
     options: &[],
     key_words: 5,
+    service_word: None,
     meaning: "lets a team change the lines of a service",
     example: "team warehouse may change stock # asked by Jonas, operations",
 };
--- a/crates/auburnbridge_rules/src/lib.rs
+++ b/crates/auburnbridge_rules/src/lib.rs
@@ -6,18 +6,26 @@
 //! refusal lists every error.
 
 mod check;
+mod difference;
+mod edit;
 mod error;
 pub mod grammar;
 mod line;
 mod model;
 mod nearest;
 mod path;
+mod reference;
 mod route_table;
+mod rule;
+mod rule_line;
 mod rules;
 mod value;
 
+pub use difference::{Change, ChangedLine, difference};
+pub use edit::LineEdit;
 pub use error::RuleError;
 pub use line::MAX_LINE_BYTES;
 pub use model::{Account, Class, EjectionDial, Method, Percent, Route, Service, Team, TeamScope};
 pub use path::{InvalidPath, PathPattern, normalize};
+pub use rule_line::{LineKey, RuleLine, rule_lines};
 pub use rules::{MAX_TEXT_BYTES, Rules};
--- a/crates/auburnbridge_rules/src/line.rs
+++ b/crates/auburnbridge_rules/src/line.rs
@@ -11,10 +11,7 @@
 
 /// A line whose words and values are valid by themselves.
 pub(crate) struct ParsedLine<'a> {
-    pub(crate) number: u32,
     pub(crate) spec: &'static LineSpec,
-    /// First words of the line, which identify it.
-    pub(crate) key: Vec<&'a str>,
     arguments: Vec<(&'a str, u64)>,
     options: Vec<(&'static str, u64)>,
 }
@@ -80,6 +77,12 @@
     }
 }
 
+/// The lines of a file; a carriage return before a line feed stays part of its line.
+pub(crate) fn file_lines(text: &str) -> impl Iterator<Item = &str> {
+    let lines = text.strip_suffix('\n').unwrap_or(text).split('\n');
+    lines.take(if text.is_empty() { 0 } else { usize::MAX })
+}
+
 /// Parses one line; returns `None` when it holds no rule or was added to `errors`.
 pub(crate) fn parse_line<'a>(
     number: u32,
@@ -129,10 +132,8 @@
     };
     let arguments = words.arguments()?;
     let options = words.options();
-    (errors.len() == before).then(|| ParsedLine {
-        number,
+    (errors.len() == before).then_some(ParsedLine {
         spec,
-        key: line.words[..spec.key_words].to_vec(),
         arguments,
         options,
     })
--- a/crates/auburnbridge_rules/src/path.rs
+++ b/crates/auburnbridge_rules/src/path.rs
@@ -7,6 +7,7 @@
 
 use std::borrow::Cow;
 use std::fmt::{self, Write};
+use std::sync::Arc;
 
 /// Reason why a path is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,28 +16,38 @@
 /// Paths that a route matches.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PathPattern {
-    /// The whole path, or for a wildcard the part up to and including the last `/`.
-    pub(crate) stem: Box<str>,
+    /// The whole path, or for a wildcard the part up to and including the last `/`; shared by the
+    /// copies of the rules that successive edits make.
+    pub(crate) stem: Arc<str>,
     pub(crate) wildcard: bool,
 }
 
 impl PathPattern {
     /// Parses a path, which may end in `/*`.
     pub fn parse(text: &str) -> Result<Self, InvalidPath> {
-        let (stem, wildcard) = match text.strip_suffix("/*") {
-            Some(_) => (&text[..text.len() - 1], true),
-            None => (text, false),
-        };
+        Self::check(text)?;
+        Ok(Self::from_checked(text))
+    }
+
+    /// Checks a path without building the pattern.
+    pub(crate) fn check(text: &str) -> Result<(), InvalidPath> {
+        let (stem, _) = split_wildcard(text);
         if stem.contains('*') {
             return Err(InvalidPath("`*` stands only as the last segment"));
         }
         if normalize(stem)? != stem {
             return Err(InvalidPath("an unreserved character is percent-encoded"));
         }
-        Ok(Self {
+        Ok(())
+    }
+
+    /// Builds the pattern of a text that [`Self::check`] accepted.
+    pub(crate) fn from_checked(text: &str) -> Self {
+        let (stem, wildcard) = split_wildcard(text);
+        Self {
             stem: stem.into(),
             wildcard,
-        })
+        }
     }
 
     /// Whether the pattern matches a normalized path.
@@ -56,6 +67,14 @@
     }
 }
 
+fn split_wildcard(text: &str) -> (&str, bool) {
+    if text.ends_with("/*") {
+        (&text[..text.len() - 1], true)
+    } else {
+        (text, false)
+    }
+}
+
 /// The one spelling under which a request's path, without its query, is looked up.
 pub fn normalize(path: &str) -> Result<Cow<'_, str>, InvalidPath> {
     if !path.starts_with('/') {
--- a/crates/auburnbridge_rules/src/route_table.rs
+++ b/crates/auburnbridge_rules/src/route_table.rs
@@ -9,7 +9,7 @@
 use indexmap::{Equivalent, IndexSet};
 
 use crate::model::{Method, Route};
-use crate::path::normalize;
+use crate::path::{PathPattern, normalize};
 
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct RouteTable {
@@ -60,13 +60,22 @@
 }
 
 impl RouteTable {
-    /// Adds a route; its method and path must not be in the table.
-    pub(crate) fn insert(&mut self, route: Route) {
+    /// Adds a route; returns whether its method and path were not in the table yet.
+    pub(crate) fn insert(&mut self, route: Route) -> bool {
         if route.path.wildcard {
             let depth = slashes(&route.path.stem);
             self.deepest_wildcard = self.deepest_wildcard.max(depth);
         }
-        self.routes.insert(StoredRoute(route));
+        self.routes.insert(StoredRoute(route))
+    }
+
+    /// Removes a route. The depth of the deepest wildcard stays as an upper bound.
+    pub(crate) fn remove(&mut self, method: Method, path: &PathPattern) {
+        self.routes.swap_remove(&RouteKey {
+            method,
+            wildcard: path.wildcard,
+            stem: &path.stem,
+        });
     }
 
     pub(crate) fn shrink_to_fit(&mut self) {
--- a/crates/auburnbridge_rules/src/value.rs
+++ b/crates/auburnbridge_rules/src/value.rs
@@ -59,8 +59,8 @@
             Self::NameOrAll => (word == "*" || is_name(word)).then_some(0),
             Self::Method => word.parse::<Method>().ok().map(|_| 0),
             Self::Class => word.parse::<Class>().ok().map(|_| 0),
-            Self::Path => match PathPattern::parse(word) {
-                Ok(_) => Some(0),
+            Self::Path => match PathPattern::check(word) {
+                Ok(()) => Some(0),
                 Err(invalid) => return Err(format!("{self} ({})", invalid.0)),
             },
             Self::Dial => read_dial(word),
@@ -74,7 +74,7 @@
     }
 
     /// Spelling of a number of this kind.
-    pub(crate) fn write(self, number: u64) -> String {
+    pub fn write(self, number: u64) -> String {
         match self {
             Self::Percent(..) => format!("{number}%"),
             Self::Rate(..) => format!("{number}/s"),
--- /dev/null
+++ b/crates/auburnbridge_rules/tests/edits.rs
@@ -0,0 +1,130 @@
+//! Guards edits of single lines and differences between files.
+
+use auburnbridge_rules::{LineEdit, LineKey, Method, Rules, difference, rule_lines};
+use proptest::prelude::*;
+
+const LINES: &[&str] = &[
+    "service stock slots-floor 24 # asked by Meera",
+    "service stock slots-floor 12 # asked by Meera",
+    "service stock slots-floor 12 most-targets 1 # asked by Meera",
+    "service dispatch slots-floor 8 # asked by Meera",
+    "route GET /a/* to stock idempotent # asked by Meera",
+    "route GET /a/* to dispatch idempotent # asked by Meera",
+    "route POST /a to stock once # asked by Meera",
+    "account default limit 50/s burst 100 # asked by Jonas",
+    "account default limit 60/s burst 100 # asked by Jonas",
+    "keys remember 48h # asked by Jonas",
+    "team warehouse may change stock # asked by Jonas",
+    "unknown",
+    "# a comment",
+    "",
+];
+
+fn edit() -> impl Strategy<Value = LineEdit> {
+    let text = || prop::sample::select(LINES).prop_map(str::to_owned);
+    prop_oneof![
+        (1..8u32, text()).prop_map(|(line, text)| LineEdit::Replace { line, text }),
+        (1..8u32, text()).prop_map(|(line, text)| LineEdit::Insert { line, text }),
+        (1..8u32).prop_map(|line| LineEdit::Remove { line }),
+    ]
+}
+
+/// Everything that the rules answer, apart from their text.
+fn meaning(rules: &Rules) -> impl PartialEq + std::fmt::Debug {
+    let mut services: Vec<String> = rules.services().map(|s| format!("{s:?}")).collect();
+    let mut routes: Vec<String> = rules.routes().map(|r| format!("{r:?}")).collect();
+    let mut teams: Vec<String> = rules.teams().map(|t| format!("{t:?}")).collect();
+    services.sort();
+    routes.sort();
+    teams.sort();
+    let account = rules.account(&"anyone".parse().unwrap());
+    let found = rules.route(Method::Get, "/a/b").cloned();
+    (
+        services,
+        routes,
+        teams,
+        account,
+        rules.key_retention(),
+        found,
+    )
+}
+
+proptest! {
+    /// Guards against an edited copy that differs from a parse of the same text, by which an entry
+    /// that follows edits would answer otherwise than one that was restarted.
+    #[test]
+    fn edited_rules_equal_parsed_rules(batches in prop::collection::vec(
+        prop::collection::vec(edit(), 1..4), 1..30,
+    )) {
+        let mut rules = Rules::default();
+        for edits in batches {
+            let Ok(edited) = rules.edited(&edits) else { continue };
+            let parsed = Rules::parse(edited.text()).expect("an accepted edit leaves a valid file");
+            prop_assert_eq!(&edited, &parsed);
+            prop_assert_eq!(meaning(&edited), meaning(&parsed));
+            rules = edited;
+        }
+    }
+
+    /// Guards against a panic on any text, which would stop a process at a bad file.
+    #[test]
+    fn parse_never_panics(text in "(service|route|team|keys|#|[ -~\n\r\té]{0,9}| ){0,40}") {
+        let _ = Rules::parse(&text);
+    }
+}
+
+/// Guards against an edit that is refused without its line, or that smuggles in a second line.
+#[test]
+fn invalid_edits_are_refused() {
+    let rules = Rules::parse(LINES[0]).unwrap();
+    let replace = |line, text: &str| {
+        let text = text.to_owned();
+        let errors = rules
+            .edited(&[LineEdit::Replace { line, text }])
+            .unwrap_err();
+        errors[0].to_string()
+    };
+    insta::assert_snapshot!(
+        [
+            replace(2, LINES[0]),
+            replace(1, "a\nb"),
+            replace(1, LINES[4])
+        ]
+        .join("\n")
+    );
+}
+
+/// Guards against a check that reports moved or respaced lines, or misses a changed one.
+#[test]
+fn difference_lists_changed_rules() {
+    let old = Rules::parse(&[LINES[0], LINES[3], LINES[5], LINES[9]].join("\n")).unwrap();
+    let new = [
+        "keys   remember 48h # asked by Jonas",
+        LINES[1],
+        LINES[3],
+        LINES[4],
+        LINES[7],
+    ];
+    let new = Rules::parse(&new.join("\n")).unwrap();
+    let changes: Vec<String> = difference(&old, &new)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    let removed: Vec<String> = difference(&new, &Rules::default())
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    insta::assert_snapshot!(format!("{}\n\n{}", changes.join("\n"), removed.join("\n")));
+}
+
+/// Guards against a key that names no line or another line.
+#[test]
+fn keys_find_their_lines() {
+    let text = [LINES[12], LINES[0], LINES[4], LINES[9], LINES[10]].join("\n");
+    for line in rule_lines(&text) {
+        assert_eq!(line.key.find(&text), Some(line.number), "{}", line.key);
+        assert_eq!(line.text.parse::<LineKey>(), Ok(line.key));
+    }
+    let key: LineKey = "route GET /a".parse().unwrap();
+    assert_eq!(key.find(&text), None);
+}
