Add the replicated log as a pure state machine

Cause: the keepers need an ordered, replicated log. Ruled out: a library with consensus (the project's own work), one log per purpose. Conclusion: the public types are meant to be final for the keeper's runtime.

--- a/crates/auburnbridge_log/src/lib.rs
+++ b/crates/auburnbridge_log/src/lib.rs
@@ -1,1 +1,38 @@
 //! The replicated log as a pure state machine.
+//!
+//! [`Replica::step`] takes one input (a tick, a message, a proposal, the completion of a write) and
+//! returns outputs (messages to send, state to write, records to apply). It performs no I/O, reads
+//! no clock and draws randomness from a seed, so that a schedule of inputs always has the same
+//! result.
+//!
+//! The protocol is Raft with pre-vote, a leader that steps down without a quorum, group commit,
+//! snapshots, learners and changes of one member at a time. Two rules are added against disks that
+//! lose their memory: a folder has a random [`ReplicaId`], so that an empty one is no member, and a
+//! restarted replica votes and counts only after its peers have confirmed that its boot is new to
+//! them (see [`Boot`]).
+
+mod config;
+mod hard_state;
+mod ids;
+mod input;
+mod member;
+mod message;
+mod output;
+mod record;
+mod record_log;
+mod replica;
+mod snapshot;
+
+pub use config::{Config, ConfigBuilder};
+pub use hard_state::{Boot, HardState, PeerBoot};
+pub use ids::{LogIndex, ReplicaId, Term, Token};
+pub use input::{Input, MemberChange};
+pub use member::{MAX_MEMBERS, Member, MemberRole, Members};
+pub use message::{
+    Body, DecodeError, MAX_APPEND_RECORDS, MAX_MESSAGE_BYTES, MESSAGE_VERSION, Message, Round,
+    SNAPSHOT_CHUNK_BYTES,
+};
+pub use output::{Output, Persist, RejectReason};
+pub use record::{MAX_DATA_BYTES, Payload, Record};
+pub use replica::{Replica, Status};
+pub use snapshot::{MAX_SNAPSHOT_BYTES, Recovered, Snapshot, SnapshotMeta};
--- /dev/null
+++ b/crates/auburnbridge_log/src/member.rs
@@ -0,0 +1,124 @@
+//! Members of the group.
+
+use auburnbridge_types::VmId;
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString, IntoStaticStr};
+
+use crate::ReplicaId;
+
+/// Bound on the member list in records, messages and snapshots.
+pub const MAX_MEMBERS: usize = 16;
+
+/// Whether a member counts towards the quorum.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum MemberRole {
+    /// Votes and counts.
+    Voter,
+    /// Receives the log without voting or counting.
+    Learner,
+}
+
+/// One replica of the group.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// The data folder.
+    pub replica: ReplicaId,
+    /// The VM that holds the folder.
+    pub vm: VmId,
+    /// Whether the member counts.
+    pub role: MemberRole,
+}
+
+/// The member list at some point of the log, ordered by replica id.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Members(Vec<Member>);
+
+impl Members {
+    /// Orders `members`; `None` if a replica appears twice or the list is too long.
+    pub fn new(mut members: Vec<Member>) -> Option<Self> {
+        members.sort_by_key(|member| member.replica);
+        let members = Self(members);
+        members.is_valid().then_some(members)
+    }
+
+    /// Whether the list is bounded, ordered and without duplicates.
+    pub fn is_valid(&self) -> bool {
+        self.0.len() <= MAX_MEMBERS
+            && self
+                .0
+                .windows(2)
+                .all(|pair| pair[0].replica < pair[1].replica)
+    }
+
+    /// All members.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.0.iter()
+    }
+
+    /// The members that vote and count.
+    pub fn voters(&self) -> impl Iterator<Item = &Member> {
+        self.0
+            .iter()
+            .filter(|member| member.role == MemberRole::Voter)
+    }
+
+    /// The member with this replica id.
+    pub fn get(&self, replica: ReplicaId) -> Option<&Member> {
+        self.0.iter().find(|member| member.replica == replica)
+    }
+
+    /// Whether `replica` votes and counts.
+    pub fn is_voter(&self, replica: ReplicaId) -> bool {
+        self.get(replica)
+            .is_some_and(|member| member.role == MemberRole::Voter)
+    }
+
+    /// Whether the list is empty, as in a folder that has joined no group.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Number of voters that make a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Number of confirmations that a restarted `replica` needs: a majority of the other voters.
+    ///
+    /// The replica itself is left out, because an old copy of its folder can't tell that it is one.
+    /// Two majorities of the others share a replica, so that a boot that was confirmed once is
+    /// known to at least one replica that a copy asks.
+    pub fn boot_quorum(&self, replica: ReplicaId) -> usize {
+        let others = self
+            .voters()
+            .filter(|member| member.replica != replica)
+            .count();
+        if others == 0 { 0 } else { others / 2 + 1 }
+    }
+
+    pub(crate) fn with(&self, member: Member) -> Option<Self> {
+        let mut members = self.0.clone();
+        members.retain(|other| other.replica != member.replica);
+        members.push(member);
+        Self::new(members)
+    }
+
+    pub(crate) fn without(&self, replica: ReplicaId) -> Self {
+        let mut members = self.0.clone();
+        members.retain(|member| member.replica != replica);
+        Self(members)
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_log/src/replica/follower.rs
@@ -0,0 +1,99 @@
+//! Records that arrive from the leader.
+
+use auburnbridge_types::VmId;
+
+use super::{Replica, Role};
+use crate::message::Round;
+use crate::{Body, LogIndex, Payload, Record, ReplicaId, Term};
+
+impl Replica {
+    /// Notes a message of the leader of the current term.
+    pub(super) fn hear_leader(&mut self, from: &VmId, sender: ReplicaId) {
+        debug_assert!(!self.is_leader(), "a term has at most one leader");
+        self.role = Role::Follower;
+        self.leader = Some((sender, from.clone()));
+        self.leader_contact = Some(self.now);
+        self.reset_election_deadline();
+    }
+
+    pub(super) fn handle_append(
+        &mut self,
+        from: &VmId,
+        sender: ReplicaId,
+        (prev_index, prev_term): (LogIndex, Term),
+        records: Vec<Record>,
+        commit: LogIndex,
+        round: Round,
+    ) {
+        let end = LogIndex(prev_index.0 + records.len() as u64);
+        let is_heartbeat = records.is_empty();
+        let hint = self.shared_prefix_hint(prev_index, prev_term);
+        let matched = if hint.is_none() {
+            self.store_records(records);
+            self.commit = self.commit.max(commit.min(end));
+            let shared = end.max(self.commit);
+            Some(if is_heartbeat {
+                shared.min(self.writer.synced())
+            } else {
+                shared
+            })
+        } else {
+            None
+        };
+        let reply = Body::AppendReply {
+            matched,
+            hint: hint.unwrap_or(end),
+            counts: self.counts(),
+            round,
+        };
+        if is_heartbeat {
+            return self.send_with_hard_state(from.clone(), sender, reply);
+        }
+        self.send_synced(from.clone(), sender, reply);
+    }
+
+    /// Where the leader should look for the last shared record; `None` if that is `prev_index`.
+    fn shared_prefix_hint(&self, prev_index: LogIndex, prev_term: Term) -> Option<LogIndex> {
+        // Committed records are the same everywhere, and those before the base are gone.
+        if prev_index <= self.commit || self.log.term(prev_index) == Some(prev_term) {
+            return None;
+        }
+        if prev_index > self.log.last_index() {
+            return Some(self.log.last_index());
+        }
+        let conflict = self.log.first_of_term(prev_index);
+        Some(conflict.previous().max(self.commit))
+    }
+
+    /// Appends the records that the log lacks, and replaces those that differ.
+    fn store_records(&mut self, records: Vec<Record>) {
+        for record in records {
+            let index = record.index;
+            if index <= self.commit || self.log.term(index) == Some(record.term) {
+                continue;
+            }
+            if index <= self.log.last_index() {
+                self.truncate_from(index);
+            }
+            self.log.push(record);
+        }
+    }
+
+    fn truncate_from(&mut self, index: LogIndex) {
+        self.log.truncate_from(index);
+        self.writer.mark_truncated(index);
+    }
+
+    /// Adds the record that follows the last one.
+    pub(super) fn push_record(&mut self, term: Term, payload: Payload) -> LogIndex {
+        let index = self.log.last_index().next();
+        let time = self.log.last_time().max(self.now);
+        self.log.push(Record {
+            index,
+            term,
+            time,
+            payload,
+        });
+        index
+    }
+}
