--- a/crates/auburnbridge_caller/src/lifecycle.rs
+++ b/crates/auburnbridge_caller/src/lifecycle.rs
@@ -34,7 +34,9 @@
 
 /// Guard of one request in flight.
 #[derive(Debug)]
-pub struct InFlight(#[expect(dead_code, reason = "dropping it tells that the request ended")] Sender<()>);
+pub struct InFlight(
+    #[expect(dead_code, reason = "dropping it tells that the request ended")] Sender<()>,
+);
 
 impl Default for Lifecycle {
     fn default() -> Self {
@@ -71,7 +73,8 @@
 
     /// Turns the readiness answer off.
     pub fn begin_draining(&self) {
-        self.phase.fetch_max(Phase::Draining as u8, Ordering::SeqCst);
+        self.phase
+            .fetch_max(Phase::Draining as u8, Ordering::SeqCst);
     }
 
     /// Ends the acceptance of connections and requests.
--- a/crates/auburnbridge_caller/src/listener.rs
+++ b/crates/auburnbridge_caller/src/listener.rs
@@ -6,7 +6,9 @@
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use auburnbridge_http::{Connection, FramingError, Limits, Request, RequestInfo, Response, Verdict};
+use auburnbridge_http::{
+    Connection, FramingError, Limits, Request, RequestInfo, Response, Verdict,
+};
 use auburnbridge_types::{BoxFuture, Clock, ErrorKind, Millis, RuntimeClock};
 use futures_lite::FutureExt;
 use log::{debug, warn};
@@ -22,12 +24,12 @@
 /// Handles whole requests.
 pub trait Service: Send + Sync + 'static {
     /// Gives the response to `req`; `disconnect` tells when the caller goes away.
-    fn respond<'a>(
-        &'a self,
+    fn respond(
+        &self,
         req: Request,
         caller: SocketAddr,
         disconnect: Disconnect,
-    ) -> BoxFuture<'a, Response>;
+    ) -> BoxFuture<'_, Response>;
 }
 
 /// Settings of a [`Listener`].
@@ -165,7 +167,9 @@
             if let Err(error) = stream.set_nodelay(true) {
                 debug!("can't set TCP_NODELAY for {caller}: {error}");
             }
-            shared.serve_connection(Connection::new(stream), caller).await;
+            shared
+                .serve_connection(Connection::new(stream), caller)
+                .await;
             shared.connections.fetch_sub(1, Ordering::SeqCst);
         });
     }
@@ -297,7 +301,10 @@
             }
             std::future::pending::<Response>().await
         };
-        self.service.respond(req, caller, disconnect).or(watch).await
+        self.service
+            .respond(req, caller, disconnect)
+            .or(watch)
+            .await
     }
 }
 
--- a/crates/auburnbridge_entry/src/backoff.rs
+++ b/crates/auburnbridge_entry/src/backoff.rs
@@ -1,28 +1,42 @@
-//! Waiting between attempts while every target sheds.
+//! Waiting between attempts.
 
 use auburnbridge_types::{Clock, Millis, Timestamp};
 use rand::Rng;
 
-const FIRST_WAIT: Millis = Millis(4);
-const LAST_WAIT: Millis = Millis(64);
+const SHED_FIRST: Millis = Millis(4);
+const SHED_LAST: Millis = Millis(64);
+/// Asking again for a grant costs a record of the log, so it starts slower.
+const GRANT_FIRST: Millis = Millis(40);
+const GRANT_LAST: Millis = Millis(640);
 
 /// Exponential backoff with jitter, bounded by a deadline.
 #[derive(Debug)]
 pub(crate) struct Backoff {
     next: Millis,
+    last: Millis,
 }
 
-impl Default for Backoff {
-    fn default() -> Self {
-        Self { next: FIRST_WAIT }
+impl Backoff {
+    /// Waits for a slot while every target sheds.
+    pub(crate) fn after_shed() -> Self {
+        Self {
+            next: SHED_FIRST,
+            last: SHED_LAST,
+        }
+    }
+
+    /// Waits for another attempt with the same key to end.
+    pub(crate) fn between_grants() -> Self {
+        Self {
+            next: GRANT_FIRST,
+            last: GRANT_LAST,
+        }
     }
-}
 
-impl Backoff {
     /// Waits before the next attempt; `false` if the deadline would pass meanwhile.
     pub(crate) async fn wait(&mut self, clock: &dyn Clock, deadline: Timestamp) -> bool {
         let wait = Millis(rand::rng().random_range(self.next.0 / 2..=self.next.0));
-        self.next = Millis((self.next.0 * 2).min(LAST_WAIT.0));
+        self.next = Millis((self.next.0 * 2).min(self.last.0));
         if clock.now().after(wait) >= deadline {
             return false;
         }
--- a/crates/auburnbridge_entry/src/entry.rs
+++ b/crates/auburnbridge_entry/src/entry.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwapOption;
 use auburnbridge_caller::{Disconnect, Problem, Service};
-use auburnbridge_http::{Limits, Request, Response};
+use auburnbridge_http::{FramingError, Limits, Request, Response};
 use auburnbridge_policy::{
     AccountLimit, AccountLimiter, CrashReport, Observation, PoisonTable, RequestClass,
 };
@@ -159,12 +159,15 @@
         let req = match CallerRequest::read(message, &rules.rules, now) {
             Ok(req) => req,
             Err(problem) => {
-                info!("request refused kind={} detail={:?}", problem.kind, problem.detail);
+                info!(
+                    "request refused kind={} detail={:?}",
+                    problem.kind, problem.detail
+                );
                 return problem.to_response();
             }
         };
         if let Err(problem) = self.admit(&req, &rules.rules) {
-            return self.refuse(&req, req.refuse_unread(problem));
+            return self.refuse(&req, &req.refuse_unread(problem));
         }
         match req.route.class {
             Class::Idempotent => idempotent::serve(self, &req, &disconnect).await,
@@ -187,7 +190,7 @@
     }
 
     /// Logs a rejection and gives its response.
-    pub(crate) fn refuse(&self, req: &CallerRequest, problem: Problem) -> Response {
+    pub(crate) fn refuse(&self, req: &CallerRequest, problem: &Problem) -> Response {
         let waited = self.ports.clock.now().since(req.arrived);
         info!(
             "request refused service={} account={} method={} path={} kind={} outcome={} after={waited} detail={:?}",
@@ -212,7 +215,10 @@
         let clock = &self.ports.clock;
         let start = clock.now();
         let message = outgoing(req, attempt, start);
-        let limits = self.answer_limits.clone().with_body_bytes(req.route.largest_answer);
+        let limits = self
+            .answer_limits
+            .clone()
+            .with_body_bytes(req.route.largest_answer);
         info!(
             "routing service={} target={} attempt={attempt} class={} {}",
             req.route.service,
@@ -235,7 +241,7 @@
                 reason,
                 answer_started,
             } => {
-                let broke = matches!(reason, Unknown::Framing(error) if error.is_disconnect());
+                let broke = matches!(reason, Unknown::Framing(error) if is_disconnect(error));
                 let crashed = broke
                     && !answer_started
                     && self.ports.targets.refuses_connections(address).await;
@@ -266,12 +272,12 @@
 }
 
 impl Service for Entry {
-    fn respond<'a>(
-        &'a self,
+    fn respond(
+        &self,
         req: Request,
         _caller: SocketAddr,
         disconnect: Disconnect,
-    ) -> BoxFuture<'a, Response> {
+    ) -> BoxFuture<'_, Response> {
         Box::pin(self.handle(req, disconnect))
     }
 }
@@ -293,10 +299,11 @@
             Self::Answered(response) if response.status >= 500 => Observation::ServerError,
             Self::Answered(_) => Observation::Answered(time),
             Self::Shed => Observation::Shed,
-            Self::NotSent(NotSent::Deadline) => Observation::NotAttributable,
+            // A request that crashes targets is no evidence; later refused connections are.
+            Self::NotSent(NotSent::Deadline) | Self::Unknown { crashed: true, .. } => {
+                Observation::NotAttributable
+            }
             Self::NotSent(_) => Observation::ConnectFailed,
-            // The request may be what crashes targets; later refused connections count.
-            Self::Unknown { crashed: true, .. } => Observation::NotAttributable,
             Self::Unknown {
                 reason: Unknown::Deadline,
                 ..
@@ -306,6 +313,13 @@
     }
 }
 
+fn is_disconnect(error: FramingError) -> bool {
+    matches!(
+        error,
+        FramingError::ClosedBetweenMessages | FramingError::ClosedInHead | FramingError::Io(_)
+    )
+}
+
 fn is_shed(response: &Response) -> bool {
     response.status == 503 && response.headers.text(SHED_HEADER) == Some("1")
 }
--- a/crates/auburnbridge_entry/src/fleets.rs
+++ b/crates/auburnbridge_entry/src/fleets.rs
@@ -11,7 +11,7 @@
     TargetKey, TargetView,
 };
 use auburnbridge_rules::{Rules, Service};
-use auburnbridge_types::{ServiceName, TargetId, Timestamp};
+use auburnbridge_types::{Incarnation, ServiceName, TargetId, Timestamp};
 use log::{debug, info};
 use parking_lot::{Mutex, RwLock};
 
@@ -52,6 +52,11 @@
         self.choice.address
     }
 
+    /// Number of the target's life.
+    pub fn incarnation(&self) -> Incarnation {
+        self.choice.incarnation
+    }
+
     /// Figures that decided the choice, for the log.
     pub fn figures(&self) -> String {
         format!(
@@ -72,7 +77,8 @@
         if !self.is_finished {
             let observation = Observation::NotAttributable;
             // The time matters only for observations that are evidence.
-            self.service.finish(Timestamp(0), self.choice.key, observation);
+            self.service
+                .finish(Timestamp(0), self.choice.key, observation);
         }
     }
 }
@@ -131,25 +137,21 @@
         services.retain(|name, _| rules.service(name).is_some());
         for service in rules.services() {
             let policy = policy_of(service);
-            let retries =
-                RetryBudget::new(now, service.retry_percent.0, service.retry_rate);
-            match services.get(&service.name) {
-                Some(fleet) => {
-                    let mut state = fleet.state.lock();
-                    let decisions = state.fleet.set_policy(now, policy);
-                    state.retries = retries;
-                    log_decisions(&service.name, &decisions);
-                }
-                None => {
-                    let fleet = ServiceFleet {
-                        name: service.name.clone(),
-                        state: Mutex::new(ServiceState {
-                            fleet: Fleet::new(policy),
-                            retries,
-                        }),
-                    };
-                    services.insert(service.name.clone(), Arc::new(fleet));
-                }
+            let retries = RetryBudget::new(now, service.retry_percent.0, service.retry_rate);
+            if let Some(fleet) = services.get(&service.name) {
+                let mut state = fleet.state.lock();
+                let decisions = state.fleet.set_policy(now, policy);
+                state.retries = retries;
+                log_decisions(&service.name, &decisions);
+            } else {
+                let fleet = ServiceFleet {
+                    name: service.name.clone(),
+                    state: Mutex::new(ServiceState {
+                        fleet: Fleet::new(policy),
+                        retries,
+                    }),
+                };
+                services.insert(service.name.clone(), Arc::new(fleet));
             }
         }
     }
--- a/crates/auburnbridge_entry/src/idempotent.rs
+++ b/crates/auburnbridge_entry/src/idempotent.rs
@@ -11,20 +11,16 @@
 use crate::request::CallerRequest;
 
 /// Serves a request unless its caller goes away, which cancels the exchange at the target.
-pub(crate) async fn serve(
-    entry: &Entry,
-    req: &CallerRequest,
-    disconnect: &Disconnect,
-) -> Response {
+pub(crate) async fn serve(entry: &Entry, req: &CallerRequest, disconnect: &Disconnect) -> Response {
     let gone = async {
         disconnect.wait().await;
         let detail = "the caller disconnected";
-        entry.refuse(req, Problem::new(ErrorKind::AnswerIncomplete, detail))
+        entry.refuse(req, &Problem::new(ErrorKind::AnswerIncomplete, detail))
     };
     let served = async {
         match serve_with_retries(entry, req).await {
             Ok(response) => response,
-            Err(problem) => entry.refuse(req, problem),
+            Err(problem) => entry.refuse(req, &problem),
         }
     };
     served.or(gone).await
@@ -38,7 +34,7 @@
     service.record_request(req.arrived);
     let mut excluded: Vec<TargetKey> = Vec::new();
     let mut failure = no_target();
-    let mut backoff = Backoff::default();
+    let mut backoff = Backoff::after_shed();
     loop {
         if entry.is_poisoned(&digest) {
             let detail = "it crashed two targets";
@@ -61,7 +57,8 @@
         match entry.attempt(req, &attempt, assignment).await {
             Attempted::Answered(response) => return Ok(response),
             Attempted::Shed => {
-                failure = Problem::new(ErrorKind::Overloaded, "every target tried shed the request");
+                failure =
+                    Problem::new(ErrorKind::Overloaded, "every target tried shed the request");
             }
             Attempted::NotSent(reason) => {
                 failure = Problem::new(reason.kind(), format!("{target}: {reason:?}"));
--- a/crates/auburnbridge_entry/src/keyed.rs
+++ b/crates/auburnbridge_entry/src/keyed.rs
@@ -24,7 +24,7 @@
     };
     match served {
         Ok(response) => response,
-        Err(problem) => entry.refuse(req, problem),
+        Err(problem) => entry.refuse(req, &problem),
     }
 }
 
@@ -45,7 +45,7 @@
     };
     let body_digest = req.digest();
     let attempt = entry.next_attempt();
-    let mut backoff = Backoff::default();
+    let mut backoff = Backoff::between_grants();
     loop {
         let command = Command::Grant {
             key: key.clone(),
@@ -57,7 +57,10 @@
             let problem = Problem::new(ErrorKind::LedgerUnavailable, error.to_string());
             req.refuse_unread(problem)
         })?;
-        info!("ledger key={} attempt={attempt} reply={reply}", key.idempotency_key);
+        info!(
+            "ledger key={} attempt={attempt} reply={reply}",
+            key.idempotency_key
+        );
         let kind = match reply {
             Reply::Granted => return Ok(Grant::Held { key, attempt }),
             Reply::Answered(answer) => return Ok(Grant::Replay(answer)),
@@ -118,7 +121,7 @@
     let class = request_class(req.route.class);
     let mut excluded: Vec<TargetKey> = Vec::new();
     let mut failure = no_target();
-    let mut backoff = Backoff::default();
+    let mut backoff = Backoff::after_shed();
     loop {
         if clock.now() >= req.deadline {
             let detail = "the deadline passed before the request was sent";
@@ -136,7 +139,8 @@
         match entry.attempt(req, attempt, assignment).await {
             Attempted::Answered(response) => return Dispatched::Answered(response),
             Attempted::Shed => {
-                failure = Problem::new(ErrorKind::Overloaded, "every target tried shed the request");
+                failure =
+                    Problem::new(ErrorKind::Overloaded, "every target tried shed the request");
             }
             Attempted::NotSent(reason) => {
                 failure = Problem::new(reason.kind(), format!("{target}: {reason:?}"));
--- a/crates/auburnbridge_entry/src/request.rs
+++ b/crates/auburnbridge_entry/src/request.rs
@@ -3,9 +3,7 @@
 use auburnbridge_caller::Problem;
 use auburnbridge_http::Request;
 use auburnbridge_rules::{Class, Method, Route, Rules};
-use auburnbridge_types::{
-    AccountId, BodyDigest, ErrorKind, IdempotencyKey, Millis, Timestamp,
-};
+use auburnbridge_types::{AccountId, BodyDigest, ErrorKind, IdempotencyKey, Millis, Timestamp};
 use sha2::{Digest, Sha256};
 
 /// Header with the caller's key of a non-idempotent request.
@@ -114,9 +112,8 @@
         .headers
         .text(name)
         .map(|text| {
-            text.parse().map_err(|error| {
-                Problem::new(ErrorKind::HeaderInvalid, format!("{name}: {error}"))
-            })
+            text.parse()
+                .map_err(|error| Problem::new(ErrorKind::HeaderInvalid, format!("{name}: {error}")))
         })
         .transpose()
 }
--- a/crates/auburnbridge_policy/src/fleet.rs
+++ b/crates/auburnbridge_policy/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use auburnbridge_types::{Millis, Slots, TargetId, Timestamp};
+use auburnbridge_types::{Incarnation, Millis, Slots, TargetId, Timestamp};
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 
@@ -39,6 +39,8 @@
     pub target: TargetId,
     /// Where it accepts requests.
     pub address: SocketAddr,
+    /// Number of its life.
+    pub incarnation: Incarnation,
     /// Requests in flight from this entry per slot, with this one.
     pub load: f64,
     /// Evidence against the target, in nats.
@@ -153,6 +155,7 @@
             key,
             target: target.member.id.clone(),
             address: target.member.address,
+            incarnation: target.member.incarnation,
             load: f64::from(target.in_flight) / f64::from(target.member.slots.0.max(1)),
             suspicion: target.health.suspicion(),
             candidates: candidates.len(),
--- a/crates/auburnbridge_standin/src/bin/auburnbridge-standin.rs
+++ b/crates/auburnbridge_standin/src/bin/auburnbridge-standin.rs
@@ -185,6 +185,9 @@
         return ExitCode::FAILURE;
     }
     let report = task::block_on(load::run(&plan));
-    println!("{}", serde_json::to_string_pretty(&report).expect("a report is plain data"));
+    println!(
+        "{}",
+        serde_json::to_string_pretty(&report).expect("a report is plain data")
+    );
     ExitCode::SUCCESS
 }
--- a/crates/auburnbridge_standin/src/load.rs
+++ b/crates/auburnbridge_standin/src/load.rs
@@ -139,13 +139,12 @@
 impl Shared {
     async fn exchange(&self, entry: usize, address: SocketAddr, req: &Request) -> Option<u16> {
         let idle = self.idle[entry].lock().pop();
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => {
-                let stream = TcpStream::connect(address).await.ok()?;
-                stream.set_nodelay(true).ok()?;
-                Connection::new(stream)
-            }
+        let mut connection = if let Some(connection) = idle {
+            connection
+        } else {
+            let stream = TcpStream::connect(address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            Connection::new(stream)
         };
         connection.write_request(req).await.ok()?;
         let response = connection
--- a/crates/auburnbridge_standin/src/send.rs
+++ b/crates/auburnbridge_standin/src/send.rs
@@ -35,11 +35,7 @@
 impl std::error::Error for SendError {}
 
 /// Sends `req` to `address` and reads the whole response.
-pub async fn send(
-    address: SocketAddr,
-    req: &Request,
-    limit: Duration,
-) -> Result<Reply, SendError> {
+pub async fn send(address: SocketAddr, req: &Request, limit: Duration) -> Result<Reply, SendError> {
     let exchange = async {
         let stream = TcpStream::connect(address)
             .await
--- a/crates/auburnbridge_standin/src/target.rs
+++ b/crates/auburnbridge_standin/src/target.rs
@@ -9,10 +9,10 @@
 use async_std::io::WriteExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
-use auburnbridge_http::{Connection, Limits, Request, RequestInfo, Response, Verdict, encode_response};
-use auburnbridge_types::{
-    Clock, DataCentre, Millis, RuntimeClock, ServiceName, Slots, TargetId,
+use auburnbridge_http::{
+    Connection, Limits, Request, RequestInfo, Response, Verdict, encode_response,
 };
+use auburnbridge_types::{Clock, DataCentre, Millis, RuntimeClock, ServiceName, Slots, TargetId};
 use futures_lite::FutureExt;
 use parking_lot::Mutex;
 use serde_json::json;
@@ -253,7 +253,9 @@
         req: &Request,
     ) -> Option<Response> {
         match req.path.as_str() {
-            "/standin/executions" => return Some(json_response(200, &json!(*self.executions.lock()))),
+            "/standin/executions" => {
+                return Some(json_response(200, &json!(*self.executions.lock())));
+            }
             "/standin/fault" => return Some(self.change_fault(req)),
             "/health" => return Some(json_response(200, &json!({"status": "ok"}))),
             _ => {}
