Add typed messages between processes and the keeper's runtime

Cause: the replicated log, its store and the two state machines need one owner. Ruled out: a lock around replica and store, since every event changes both and a write has to finish before its outputs are released. Change: one thread owns them and takes events from a bounded queue; proposals that arrive during a write share the next sync. Formation founds a group only when every keeper of the settings is in none; an empty folder joins as a learner. Measured: nothing yet. Conclusion: not wired into a process yet.

--- /dev/null
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -0,0 +1,372 @@
+//! The thread that owns a keeper's replica, its store and its state machines.
+//!
+//! All work on them happens here, one event after the other, so they need no lock. Writes block this
+//! thread: proposals that arrive meanwhile wait in the queue and share the next sync (group commit).
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender};
+use std::time::Duration;
+
+use async_channel::Sender;
+use auburnbridge_config::{Delta, HistoryEntry};
+use auburnbridge_log::{
+    Input, LogIndex, Member, MemberChange, MemberRole, Members, Message, Output, Persist,
+    RejectReason, Replica, ReplicaId, Status, Token,
+};
+use auburnbridge_store::{Store, StoreError};
+use auburnbridge_types::{Clock, Revision, Timestamp, VmId};
+use log::{error, info, warn};
+
+use crate::state::{KeeperState, StateCommand, StateReply};
+
+/// Interval of the replica's ticks while nothing else happens.
+const TICK: Duration = Duration::from_millis(15);
+/// Events that are handled before the writes that they caused.
+const BATCH: usize = 512;
+/// Events that may wait; senders beyond it are told that the keeper is busy.
+pub const QUEUE: usize = 8_192;
+
+/// Work for the thread.
+#[derive(Debug)]
+pub enum Event {
+    /// A message of the log.
+    Message {
+        /// The VM that sent it, from its certificate.
+        from: VmId,
+        /// The message.
+        message: Message,
+    },
+    /// A command for the state machines.
+    Propose {
+        /// The command.
+        command: StateCommand,
+        /// Receives the result.
+        reply: Sender<Result<StateReply, RejectReason>>,
+    },
+    /// A request for the rules after a revision.
+    Rules {
+        /// The revision that the asker has.
+        have: Revision,
+        /// Receives the rules.
+        reply: Sender<Delta>,
+    },
+    /// A request for the last accepted edits.
+    History {
+        /// Receives the edits, oldest first.
+        reply: Sender<Vec<HistoryEntry>>,
+    },
+    /// A request for the state of the keeper.
+    Report {
+        /// Receives the state.
+        reply: Sender<Report>,
+    },
+    /// The group's first list of members.
+    Bootstrap(Members),
+    /// A keeper without a group asks to replace the one of its VM.
+    Join {
+        /// Its VM.
+        vm: VmId,
+        /// Its data folder.
+        replica: ReplicaId,
+        /// Receives the result of the next step.
+        reply: Sender<Result<(), RejectReason>>,
+    },
+    /// End of the thread.
+    Stop,
+}
+
+/// State of a keeper for other threads.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// State of the replica.
+    pub status: Status,
+    /// The members of its group.
+    pub members: Vec<Member>,
+    /// Revision of the rules.
+    pub revision: Revision,
+    /// Number of keys in the ledger.
+    pub keys: usize,
+}
+
+/// Sends messages of the log to other keepers.
+pub trait LogTransport: Send {
+    /// Queues a message without waiting; it may be lost.
+    fn send(&self, to: &VmId, message: Message);
+}
+
+/// What a request that is waiting for the log wants to hear.
+enum Waiter {
+    Proposal(Sender<Result<StateReply, RejectReason>>),
+    Change(Sender<Result<(), RejectReason>>),
+}
+
+/// A keeper's replica with everything that it needs.
+pub struct Core {
+    replica: Replica,
+    store: Store,
+    state: KeeperState,
+    transport: Box<dyn LogTransport>,
+    clock: Arc<dyn Clock>,
+    waiters: HashMap<Token, Waiter>,
+    next_token: u64,
+    commits: CommitCounts,
+}
+
+/// Counts of syncs and of the records that they carried, for the metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CommitCounts {
+    /// Writes that were synced.
+    pub syncs: u64,
+    /// Records that they carried.
+    pub records: u64,
+}
+
+impl Core {
+    /// Starts from a recovered replica; `outputs` are those of its recovery.
+    pub fn new(
+        (replica, outputs): (Replica, Vec<Output>),
+        store: Store,
+        transport: Box<dyn LogTransport>,
+        clock: Arc<dyn Clock>,
+    ) -> Result<Self, StoreError> {
+        let mut core = Self {
+            replica,
+            store,
+            state: KeeperState::default(),
+            transport,
+            clock,
+            waiters: HashMap::new(),
+            next_token: 0,
+            commits: CommitCounts::default(),
+        };
+        core.handle(outputs)?;
+        Ok(core)
+    }
+
+    /// Handles events until [`Event::Stop`] or the end of the queue; a failed write ends it too,
+    /// since the replica may have promised what the disk doesn't hold.
+    pub fn run(mut self, events: &Receiver<Event>) -> Result<CommitCounts, StoreError> {
+        loop {
+            let first = match events.recv_timeout(TICK) {
+                Ok(event) => Some(event),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return Ok(self.commits),
+            };
+            let mut outputs = Vec::new();
+            for event in first.into_iter().chain(events.try_iter().take(BATCH)) {
+                if matches!(event, Event::Stop) {
+                    return Ok(self.commits);
+                }
+                outputs.extend(self.take(event));
+            }
+            outputs.extend(self.step(Input::Tick));
+            self.handle(outputs)?;
+        }
+    }
+
+    fn take(&mut self, event: Event) -> Vec<Output> {
+        match event {
+            Event::Message { from, message } => self.step(Input::Message { from, message }),
+            Event::Propose { command, reply } => {
+                let data = postcard::to_stdvec(&command).expect("commands can be encoded");
+                let token = self.wait_for(Waiter::Proposal(reply));
+                self.step(Input::Propose {
+                    token,
+                    data: data.into(),
+                })
+            }
+            Event::Rules { have, reply } => {
+                let _ = reply.try_send(self.state.config.delta_since(have));
+                Vec::new()
+            }
+            Event::History { reply } => {
+                let _ = reply.try_send(self.state.config.history().cloned().collect());
+                Vec::new()
+            }
+            Event::Report { reply } => {
+                let _ = reply.try_send(self.report());
+                Vec::new()
+            }
+            Event::Bootstrap(members) => {
+                info!("keeper group formed members={}", members.iter().count());
+                self.step(Input::Bootstrap { members })
+            }
+            Event::Join { vm, replica, reply } => self.join(vm, replica, reply),
+            Event::Stop => Vec::new(),
+        }
+    }
+
+    fn step(&mut self, input: Input) -> Vec<Output> {
+        self.replica.step(self.clock.now(), input)
+    }
+
+    fn wait_for(&mut self, waiter: Waiter) -> Token {
+        self.next_token += 1;
+        let token = Token(self.next_token);
+        self.waiters.insert(token, waiter);
+        token
+    }
+
+    /// Takes the next step of replacing the member of `vm` by the new folder `replica`: add it as a
+    /// learner, remove the lost folder once the learner has caught up, and promote it.
+    fn join(
+        &mut self,
+        vm: VmId,
+        replica: ReplicaId,
+        reply: Sender<Result<(), RejectReason>>,
+    ) -> Vec<Output> {
+        let members = self.replica.members();
+        let lost = members
+            .iter()
+            .find(|member| member.vm == vm && member.replica != replica)
+            .map(|member| member.replica);
+        let change = match (members.get(replica).map(|member| member.role), lost) {
+            (Some(MemberRole::Voter), None) => {
+                let _ = reply.try_send(Ok(()));
+                return Vec::new();
+            }
+            (None, None) => {
+                warn!("keeper join refused vm={vm}: no member of the group is on this VM");
+                let _ = reply.try_send(Err(RejectReason::InvalidChange));
+                return Vec::new();
+            }
+            (None, Some(_)) => MemberChange::AddLearner(Member {
+                replica,
+                vm,
+                role: MemberRole::Learner,
+            }),
+            (Some(MemberRole::Learner), _) => MemberChange::Promote(replica),
+            (Some(MemberRole::Voter), Some(lost)) => MemberChange::Remove(lost),
+        };
+        info!("keeper membership change={change:?}");
+        let token = self.wait_for(Waiter::Change(reply));
+        self.step(Input::ChangeMembers { token, change })
+    }
+
+    fn handle(&mut self, outputs: Vec<Output>) -> Result<(), StoreError> {
+        let mut queue = VecDeque::from(outputs);
+        while let Some(output) = queue.pop_front() {
+            queue.extend(self.handle_one(output)?);
+        }
+        Ok(())
+    }
+
+    fn handle_one(&mut self, output: Output) -> Result<Vec<Output>, StoreError> {
+        match output {
+            Output::Send { to, message } => self.transport.send(&to, message),
+            Output::Persist(persist) => return self.persist(&persist),
+            Output::Apply {
+                index,
+                time,
+                data,
+                token,
+            } => self.apply(index, time, &data, token),
+            Output::MembersCommitted { members, token, .. } => {
+                let names: Vec<String> = members
+                    .iter()
+                    .map(|member| format!("{}:{}", member.vm, member.role))
+                    .collect();
+                info!("keeper members={}", names.join(","));
+                if let Some(Waiter::Change(reply)) = self.take_waiter(token) {
+                    let _ = reply.try_send(Ok(()));
+                }
+            }
+            Output::Reject { token, reason } => self.reject(token, reason),
+            // Reads of the rules are answered from the applied state: a revision only rises, and an
+            // entry refuses a lower one.
+            Output::ReadReady { .. } => {}
+            Output::InstallSnapshot { meta, data } => {
+                match KeeperState::restore(&data) {
+                    Ok(state) => self.state = state,
+                    // The store has checked the bytes, so another program version wrote them.
+                    Err(error) => panic!("snapshot at {}: {error}", meta.index),
+                }
+                info!("keeper snapshot installed index={}", meta.index);
+            }
+            Output::SnapshotWanted { index } => {
+                let data = self.state.snapshot().into();
+                return Ok(self.step(Input::SnapshotTaken { index, data }));
+            }
+            Output::BecameLeader { term } => info!("keeper role=leader term={term}"),
+            Output::SteppedDown { term } => info!("keeper role=follower left_term={term}"),
+            Output::BootConfirmed => info!("keeper start confirmed by its peers"),
+            Output::FolderSuperseded => error!(
+                "the data folder is an old copy; stop this keeper and start it with an empty folder"
+            ),
+        }
+        Ok(Vec::new())
+    }
+
+    fn persist(&mut self, persist: &Persist) -> Result<Vec<Output>, StoreError> {
+        self.store.persist(persist)?;
+        self.commits.syncs += 1;
+        self.commits.records += persist.records.len() as u64;
+        Ok(self.step(Input::Persisted {
+            sequence: persist.sequence,
+        }))
+    }
+
+    fn apply(&mut self, index: LogIndex, time: Timestamp, data: &[u8], token: Option<Token>) {
+        let command = match postcard::from_bytes(data) {
+            Ok(command) => command,
+            // Skipping a record that other replicas apply would make the states differ.
+            Err(error) => panic!("record {index} can't be decoded, upgrade this keeper: {error}"),
+        };
+        let reply = self.state.apply(time, command);
+        if let Some(Waiter::Proposal(waiter)) = self.take_waiter(token) {
+            let _ = waiter.try_send(Ok(reply));
+        }
+    }
+
+    fn reject(&mut self, token: Token, reason: RejectReason) {
+        match self.take_waiter(Some(token)) {
+            Some(Waiter::Proposal(reply)) => {
+                let _ = reply.try_send(Err(reason));
+            }
+            Some(Waiter::Change(reply)) => {
+                let _ = reply.try_send(Err(reason));
+            }
+            None => {}
+        }
+    }
+
+    fn take_waiter(&mut self, token: Option<Token>) -> Option<Waiter> {
+        self.waiters.remove(&token?)
+    }
+
+    fn report(&self) -> Report {
+        Report {
+            status: self.replica.status(),
+            members: self.replica.members().iter().cloned().collect(),
+            revision: self.state.config.revision(),
+            keys: self.state.ledger.len(),
+        }
+    }
+}
+
+/// Sends events to a [`Core`].
+#[derive(Clone, Debug)]
+pub struct CoreHandle(SyncSender<Event>);
+
+impl CoreHandle {
+    /// Creates a handle and the queue that [`Core::run`] reads.
+    pub fn new() -> (Self, Receiver<Event>) {
+        let (tx, rx) = std::sync::mpsc::sync_channel(QUEUE);
+        (Self(tx), rx)
+    }
+
+    /// Queues an event; `false` if the queue is full or the thread has ended.
+    pub fn send(&self, event: Event) -> bool {
+        self.0.try_send(event).is_ok()
+    }
+
+    /// Queues an event that has a reply and waits for it; `None` if it was not taken.
+    pub async fn ask<T>(&self, event: impl FnOnce(Sender<T>) -> Event) -> Option<T> {
+        let (tx, rx) = async_channel::bounded(1);
+        if !self.send(event(tx)) {
+            return None;
+        }
+        rx.recv().await.ok()
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_keeper/src/formation.rs
@@ -0,0 +1,155 @@
+//! How a keeper finds its group: founding a new one, taking over a list, or joining as a replacement.
+//!
+//! The keeper that stands first in the settings founds the group, and only if every other one says
+//! that it is in none; the others take the list over from any member that lists their folder. An
+//! empty folder on the VM of a member is therefore never taken for the member: it is not in the
+//! list, and asks the leader to be added as a learner.
+
+use std::sync::Arc;
+
+use auburnbridge_log::{Member, MemberRole, Members, ReplicaId};
+use auburnbridge_messages::{KeeperHello, Reply, Request};
+use auburnbridge_peer::{PeerAddress, Transport};
+use auburnbridge_types::{Clock, Millis, VmId};
+use log::{debug, info, warn};
+
+use crate::core::{CoreHandle, Event};
+
+const RETRY: Millis = Millis(200);
+const CALL_TIMEOUT: Millis = Millis(1_000);
+
+/// Brings a keeper into its group.
+pub(crate) struct Formation {
+    pub(crate) vm: VmId,
+    pub(crate) replica: ReplicaId,
+    /// The keepers of the settings, this one included, in their order.
+    pub(crate) keepers: Vec<PeerAddress>,
+    pub(crate) transport: Arc<dyn Transport>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) core: CoreHandle,
+}
+
+enum Step {
+    Done,
+    Wait,
+}
+
+impl Formation {
+    /// Repeats until this keeper is a voting member.
+    pub(crate) async fn run(self) {
+        while let Step::Wait = self.step().await {
+            self.clock.sleep(RETRY).await;
+        }
+        info!("keeper vm={} replica={} is a voter", self.vm, self.replica);
+    }
+
+    async fn step(&self) -> Step {
+        let Some(report) = self.core.ask(|reply| Event::Report { reply }).await else {
+            return Step::Wait;
+        };
+        let own_role = report
+            .members
+            .iter()
+            .find(|member| member.replica == self.replica)
+            .map(|member| member.role);
+        if own_role == Some(MemberRole::Voter) {
+            return Step::Done;
+        }
+        let hellos = self.greet_others(report.members.clone()).await;
+        if own_role.is_none() {
+            if let Some(members) = self.listed_by(&hellos).or_else(|| self.found(&hellos)) {
+                self.core.send(Event::Bootstrap(members));
+                return Step::Wait;
+            }
+        }
+        if hellos
+            .iter()
+            .flatten()
+            .any(|hello| !hello.members.is_empty())
+        {
+            self.ask_to_join().await;
+        }
+        Step::Wait
+    }
+
+    /// Asks every other keeper for its folder and group; `None` for one that doesn't answer.
+    async fn greet_others(&self, members: Vec<Member>) -> Vec<Option<KeeperHello>> {
+        let hello = KeeperHello {
+            replica: self.replica,
+            members,
+        };
+        let mut hellos = Vec::new();
+        for keeper in self.keepers.iter().filter(|keeper| keeper.vm != self.vm) {
+            hellos.push(match self.call(keeper, &Request::Hello(hello.clone())).await {
+                Some(Reply::Hello(hello)) => Some(hello),
+                _ => None,
+            });
+        }
+        hellos
+    }
+
+    /// The list of a group that already names this folder.
+    fn listed_by(&self, hellos: &[Option<KeeperHello>]) -> Option<Members> {
+        hellos
+            .iter()
+            .flatten()
+            .find(|hello| {
+                hello
+                    .members
+                    .iter()
+                    .any(|member| member.replica == self.replica)
+            })
+            .and_then(|hello| Members::new(hello.members.clone()))
+    }
+
+    /// The list of a new group, if this keeper is to found it.
+    fn found(&self, hellos: &[Option<KeeperHello>]) -> Option<Members> {
+        if self.keepers.first()?.vm != self.vm {
+            return None;
+        }
+        let mut members = vec![self.voter(self.vm.clone(), self.replica)];
+        let others = self.keepers.iter().filter(|keeper| keeper.vm != self.vm);
+        for (keeper, hello) in others.zip(hellos) {
+            let hello = hello.as_ref()?;
+            if !hello.members.is_empty() {
+                return None;
+            }
+            members.push(self.voter(keeper.vm.clone(), hello.replica));
+        }
+        Members::new(members)
+    }
+
+    #[expect(clippy::unused_self, reason = "reads as part of the list that it builds")]
+    fn voter(&self, vm: VmId, replica: ReplicaId) -> Member {
+        Member {
+            replica,
+            vm,
+            role: MemberRole::Voter,
+        }
+    }
+
+    async fn ask_to_join(&self) {
+        let request = Request::Join {
+            replica: self.replica,
+        };
+        for keeper in self.keepers.iter().filter(|keeper| keeper.vm != self.vm) {
+            if let Some(Reply::Done) = self.call(keeper, &request).await {
+                debug!("keeper {} took a step of the join", keeper.vm);
+                return;
+            }
+        }
+    }
+
+    async fn call(&self, keeper: &PeerAddress, request: &Request) -> Option<Reply> {
+        let body = request.encode().expect("a request to join is small");
+        let reply = self
+            .transport
+            .call(keeper, body, CALL_TIMEOUT)
+            .await
+            .inspect_err(|error| debug!("keeper {} did not answer: {error}", keeper.vm))
+            .ok()?;
+        Reply::decode(&reply)
+            .inspect_err(|error| warn!("keeper {} sent no valid reply: {error}", keeper.vm))
+            .ok()
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_keeper/src/server.rs
@@ -0,0 +1,173 @@
+//! Answers the requests of other processes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use auburnbridge_log::RejectReason;
+use auburnbridge_messages::{EntryRevision, KeeperHello, KeeperStatus, Reply, Request};
+use auburnbridge_peer::{Handler, PeerIdentity, Role};
+use auburnbridge_types::{BoxFuture, Clock, Millis, Revision, Timestamp, VmId};
+use log::warn;
+use parking_lot::Mutex;
+
+use crate::core::{CoreHandle, Event};
+use crate::state::{StateCommand, StateReply};
+
+/// Entries that are listed in the status; design scale has 5,300.
+const ENTRY_LIMIT: usize = 8_192;
+/// Time after which an entry that fetches no rules is no longer listed.
+const ENTRY_FORGET: Millis = Millis(10 * 60 * 1000);
+
+/// A keeper towards the other processes.
+pub struct KeeperServer {
+    vm: VmId,
+    core: CoreHandle,
+    clock: Arc<dyn Clock>,
+    /// The revision in force on each entry, and when it said so.
+    entries: Mutex<BTreeMap<VmId, (Revision, Timestamp)>>,
+}
+
+impl KeeperServer {
+    /// Creates the server of the keeper on `vm`.
+    pub fn new(vm: VmId, core: CoreHandle, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            vm,
+            core,
+            clock,
+            entries: Mutex::default(),
+        }
+    }
+
+    /// Answers one request of a process with the role in its certificate.
+    pub async fn answer(&self, from: &PeerIdentity, request: Request) -> Reply {
+        match (request, from.role) {
+            (Request::Ledger(command), Role::Entry) => {
+                self.propose(StateCommand::Ledger(command)).await
+            }
+            (Request::Edit(edit), _) => self.propose(StateCommand::Edit(edit)).await,
+            (Request::FetchRules { have }, role) => {
+                if role == Role::Entry {
+                    self.note_entry(&from.vm, have);
+                }
+                match self.core.ask(|reply| Event::Rules { have, reply }).await {
+                    Some(delta) => Reply::Rules(delta),
+                    None => Reply::Busy,
+                }
+            }
+            (Request::Status, _) => self.status().await,
+            (Request::History, _) => match self.core.ask(|reply| Event::History { reply }).await {
+                Some(entries) => Reply::History(entries),
+                None => Reply::Busy,
+            },
+            (Request::Hello(_), Role::Keeper) => self.hello().await,
+            (Request::Join { replica }, Role::Keeper) => {
+                let vm = from.vm.clone();
+                let joined = self
+                    .core
+                    .ask(|reply| Event::Join { vm, replica, reply })
+                    .await;
+                match joined {
+                    Some(Ok(())) => Reply::Done,
+                    Some(Err(reason)) => rejection(reason),
+                    None => Reply::Busy,
+                }
+            }
+            (Request::Log(message), Role::Keeper) => {
+                self.core.send(Event::Message {
+                    from: from.vm.clone(),
+                    message: *message,
+                });
+                Reply::Done
+            }
+            (request, role) => {
+                let name: &'static str = (&request).into();
+                warn!("refused request={name} from={} role={role}", from.vm);
+                Reply::Refused
+            }
+        }
+    }
+
+    /// Puts a command through the log.
+    pub async fn propose(&self, command: StateCommand) -> Reply {
+        match self
+            .core
+            .ask(|reply| Event::Propose { command, reply })
+            .await
+        {
+            Some(Ok(StateReply::Ledger(reply))) => Reply::Ledger(reply),
+            Some(Ok(StateReply::Edit(reply))) => Reply::Edit(reply),
+            Some(Err(reason)) => rejection(reason),
+            None => Reply::Busy,
+        }
+    }
+
+    fn note_entry(&self, vm: &VmId, have: Revision) {
+        let now = self.clock.now();
+        let mut entries = self.entries.lock();
+        entries.insert(vm.clone(), (have, now));
+        if entries.len() > ENTRY_LIMIT {
+            entries.retain(|_, (_, seen)| now.since(*seen) < ENTRY_FORGET);
+        }
+    }
+
+    async fn hello(&self) -> Reply {
+        match self.core.ask(|reply| Event::Report { reply }).await {
+            Some(report) => Reply::Hello(KeeperHello {
+                replica: report.status.replica,
+                members: report.members,
+            }),
+            None => Reply::Busy,
+        }
+    }
+
+    /// The state of this keeper and of the entries that it hears from.
+    pub async fn status(&self) -> Reply {
+        let Some(report) = self.core.ask(|reply| Event::Report { reply }).await else {
+            return Reply::Busy;
+        };
+        let keys = report.keys as u64;
+        let mut status =
+            KeeperStatus::new(self.vm.clone(), &report.status, report.revision, keys);
+        let now = self.clock.now();
+        status.entries = self
+            .entries
+            .lock()
+            .iter()
+            .filter(|(_, (_, seen))| now.since(*seen) < ENTRY_FORGET)
+            .map(|(vm, (revision, seen))| EntryRevision {
+                vm: vm.clone(),
+                revision: *revision,
+                age_ms: now.since(*seen).0,
+            })
+            .collect();
+        Reply::Status(status)
+    }
+}
+
+fn rejection(reason: RejectReason) -> Reply {
+    match reason {
+        RejectReason::NotLeader { leader } => Reply::NotLeader { leader },
+        RejectReason::LeadershipLost => Reply::LeadershipLost,
+        RejectReason::Busy
+        | RejectReason::TooLarge
+        | RejectReason::ChangeInProgress
+        | RejectReason::NotCaughtUp
+        | RejectReason::InvalidChange => Reply::Busy,
+    }
+}
+
+impl Handler for KeeperServer {
+    fn handle(&self, from: &PeerIdentity, body: Vec<u8>) -> BoxFuture<'_, Option<Vec<u8>>> {
+        let from = from.clone();
+        Box::pin(async move {
+            let reply = match Request::decode(&body) {
+                Ok(request) => self.answer(&from, request).await,
+                Err(error) => {
+                    warn!("refused a message from {}: {error}", from.vm);
+                    Reply::Refused
+                }
+            };
+            reply.encode().ok()
+        })
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_messages/src/lib.rs
@@ -0,0 +1,173 @@
+//! Typed messages between the system's own processes.
+//!
+//! The transport carries opaque bodies; this crate gives them their one type for each direction and
+//! encodes them with the transport's codec, which puts a format version first and bounds the size.
+//! Who may send what is decided by the receiver from the certificate's role.
+
+use auburnbridge_config::{Delta, Edit, EditReply, HistoryEntry};
+use auburnbridge_ledger::{Command, Reply as LedgerReply};
+use auburnbridge_log::{Member, Message, ReplicaId, Status};
+use auburnbridge_membership::{Announcement, EntryAnnouncement, SyncMessage};
+use auburnbridge_peer::codec::{self, CodecError};
+use auburnbridge_policy::CrashReport;
+use auburnbridge_types::{ByteSize, Revision, VmId};
+use serde::{Deserialize, Serialize};
+use strum::IntoStaticStr;
+
+/// Longest message: the whole rules text at design scale, or one message of the log.
+pub const MESSAGE_LIMIT: ByteSize = ByteSize(48 << 20);
+
+/// A call or one-way message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Request {
+    /// To a keeper: apply a command to the ledger.
+    Ledger(Command),
+    /// To a keeper: apply an edit to the rules.
+    Edit(Edit),
+    /// To a keeper or entry: the rules after a revision. Keepers note what the sender has in force.
+    FetchRules {
+        /// The revision that the sender has in force.
+        have: Revision,
+    },
+    /// To a keeper: which VM has which revision in force, and the state of the log.
+    Status,
+    /// To a keeper: the last accepted edits.
+    History,
+    /// To a keeper: the sender's replica and the group that it is in, and the same in return.
+    Hello(KeeperHello),
+    /// To a keeper that leads: a keeper without a group asks to replace the one of its VM.
+    Join {
+        /// The data folder of the sender.
+        replica: ReplicaId,
+    },
+    /// Between keepers, one way: a message of the log.
+    Log(Box<Message>),
+    /// Between entries: a target crashed while it ran a request.
+    Crash(CrashReport),
+    /// Between entries, one way: announcements that are new to the sender.
+    Rumours {
+        /// Targets.
+        targets: Vec<Announcement>,
+        /// Entries.
+        entries: Vec<EntryAnnouncement>,
+    },
+    /// Between entries: one step of the comparison of targets.
+    SyncTargets(SyncMessage<Announcement>),
+    /// Between entries: one step of the comparison of entries.
+    SyncEntries(SyncMessage<EntryAnnouncement>),
+}
+
+/// Reply to a [`Request`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Reply {
+    /// The ledger's reply, after a quorum synced the command.
+    Ledger(LedgerReply),
+    /// The reply to an edit, after a quorum synced it.
+    Edit(EditReply),
+    /// The command was not taken; the keeper does not lead.
+    NotLeader {
+        /// The leader that the keeper knows.
+        leader: Option<VmId>,
+    },
+    /// The command was not taken; too many are pending.
+    Busy,
+    /// The keeper lost the leadership; the command may still take effect.
+    LeadershipLost,
+    /// The rules after the sender's revision.
+    Rules(Delta),
+    /// State of a keeper.
+    Status(KeeperStatus),
+    /// The last accepted edits, oldest first.
+    History(Vec<HistoryEntry>),
+    /// The keeper's replica and group.
+    Hello(KeeperHello),
+    /// Next step of a comparison of targets.
+    SyncTargets(Option<SyncMessage<Announcement>>),
+    /// Next step of a comparison of entries.
+    SyncEntries(Option<SyncMessage<EntryAnnouncement>>),
+    /// Taken; nothing to say.
+    Done,
+    /// The sender's role may not send this, or the receiver does not serve it.
+    Refused,
+}
+
+/// A keeper's data folder and the group that it is in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeeperHello {
+    /// The data folder.
+    pub replica: ReplicaId,
+    /// Members of its group; empty if it is in none.
+    pub members: Vec<Member>,
+}
+
+/// What a keeper knows of itself and of the entries that fetch rules from it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeeperStatus {
+    /// The keeper.
+    pub vm: VmId,
+    /// Role in the group.
+    pub role: String,
+    /// Term of the log.
+    pub term: u64,
+    /// The leader that it knows.
+    pub leader: Option<VmId>,
+    /// Last record known to be committed.
+    pub commit: u64,
+    /// Last record applied.
+    pub applied: u64,
+    /// Revision of the rules.
+    pub revision: Revision,
+    /// Keys in the ledger.
+    pub keys: u64,
+    /// Entries that fetched rules lately, with the revision that each has in force.
+    pub entries: Vec<EntryRevision>,
+}
+
+/// The revision that an entry has in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRevision {
+    /// The entry.
+    pub vm: VmId,
+    /// The revision.
+    pub revision: Revision,
+    /// Time since it last fetched rules, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl KeeperStatus {
+    /// Describes a keeper by the state of its replica.
+    pub fn new(vm: VmId, status: &Status, revision: Revision, keys: u64) -> Self {
+        Self {
+            vm,
+            role: status.role.to_owned(),
+            term: status.term.0,
+            leader: status.leader.clone(),
+            commit: status.commit.0,
+            applied: status.applied.0,
+            revision,
+            keys,
+            entries: Vec::new(),
+        }
+    }
+}
+
+macro_rules! coded {
+    ($type:ty) => {
+        impl $type {
+            /// Encodes the message for the transport.
+            pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
+                codec::encode(self, MESSAGE_LIMIT)
+            }
+
+            /// Decodes a message of the transport.
+            pub fn decode(body: &[u8]) -> Result<Self, CodecError> {
+                codec::decode(body, MESSAGE_LIMIT)
+            }
+        }
+    };
+}
+
+coded!(Request);
+coded!(Reply);
