Add the transport between our own processes

Cause: entries, keepers and relays need calls and one-way messages that are authenticated on both sides and bounded.

Change: QUIC (quinn) with mutual TLS. A bidirectional stream per call; one-way messages share a unidirectional stream, in order, behind a bounded queue that drops its oldest message. Connections open on demand, with backoff, during which calls fail at once. Each error states what is certain about the arrival of the call. The server greets a client after it has accepted the client's certificate, because the client's side of the handshake ends earlier. Frames carry their length: quinn finishes a dropped stream, so a cancelled call could otherwise arrive as a shorter, complete one. The keys module creates, issues, loads and reloads PEM files; sessions are not resumed, so that certificates are always checked. rustls-webpki, which rustls already uses, reads the URI names.

Ruled out: checking the VM before the greeting; the closed connection then left the server waiting for its idle timeout (3 s in the test of the backoff).

The idle timeout on a silent or one-way cut link was not tested.

--- /dev/null
+++ b/crates/auburnbridge_peer/src/client.rs
@@ -0,0 +1,517 @@
+//! The sending side: one link per peer, which connects on demand.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use async_channel::{Receiver, Sender};
+use async_std::task;
+use auburnbridge_types::{BoxFuture, ByteSize, Millis, Timestamp};
+use futures_lite::future;
+use log::{debug, warn};
+use parking_lot::Mutex;
+use quinn::{
+    AsyncStdRuntime, ClientConfig, Connection, ConnectionError, Endpoint, EndpointConfig,
+    SendStream, WriteError,
+};
+
+use crate::keys::{FLEET_NAME, KeyRing, Keys};
+use crate::options::Options;
+use crate::queue::SendQueue;
+use crate::wire::{self, FrameError};
+use crate::{PeerAddress, PeerError, PeerIdentity, Transport, tls};
+
+/// Time without use after which a link may be dropped.
+const LINK_IDLE: Millis = Millis(60_000);
+
+/// Transport over QUIC. Dropping it ends its connections.
+pub struct PeerTransport {
+    connector: Arc<Connector>,
+    /// Lock order: this table before a link's own locks.
+    links: Mutex<HashMap<PeerAddress, LinkHandle>>,
+}
+
+struct LinkHandle {
+    link: Arc<Link>,
+    /// Wakes the link's sending task, which ends when this is dropped.
+    wake: Sender<()>,
+    used_at: Timestamp,
+}
+
+impl PeerTransport {
+    /// Creates a transport that presents `keys`; it connects with the first call or message.
+    pub fn new(keys: Arc<KeyRing>, options: Options) -> Self {
+        Self {
+            connector: Arc::new(Connector {
+                keys,
+                options,
+                config: Mutex::new(None),
+                endpoints: Mutex::default(),
+            }),
+            links: Mutex::default(),
+        }
+    }
+
+    /// Closes all connections and waits until the other sides were told.
+    pub async fn close(&self) {
+        self.links.lock().clear();
+        for endpoint in self.connector.close() {
+            endpoint.wait_idle().await;
+        }
+    }
+
+    /// The link to a peer, created on its first use.
+    fn link(&self, to: &PeerAddress) -> (Arc<Link>, Sender<()>) {
+        let now = self.connector.options.clock.now();
+        let mut links = self.links.lock();
+        if let Some(handle) = links.get_mut(to) {
+            handle.used_at = now;
+            return (Arc::clone(&handle.link), handle.wake.clone());
+        }
+        // Addresses change as VMs are replaced, so links that nobody uses are dropped here.
+        links.retain(|_, handle| now.since(handle.used_at) < LINK_IDLE);
+        let link = Arc::new(Link::new(to.clone(), Arc::clone(&self.connector)));
+        let (wake, woken) = async_channel::bounded(1);
+        task::spawn(send_messages(Arc::clone(&link), woken));
+        links.insert(
+            to.clone(),
+            LinkHandle {
+                link: Arc::clone(&link),
+                wake: wake.clone(),
+                used_at: now,
+            },
+        );
+        (link, wake)
+    }
+}
+
+impl Transport for PeerTransport {
+    fn call(
+        &self,
+        to: &PeerAddress,
+        body: Vec<u8>,
+        timeout: Millis,
+    ) -> BoxFuture<'_, Result<Vec<u8>, PeerError>> {
+        let to = to.clone();
+        Box::pin(async move {
+            let options = &self.connector.options;
+            let size = ByteSize(body.len() as u64);
+            if size > options.message_limit {
+                return Err(PeerError::TooLarge { size });
+            }
+            let phase = CallPhase::default();
+            let deadline = options.clock.sleep(timeout);
+            let (link, _wake) = self.link(&to);
+            future::or(link.call(&body, &phase), async {
+                deadline.await;
+                Err(phase.timeout_error())
+            })
+            .await
+        })
+    }
+
+    fn send(&self, to: &PeerAddress, body: Vec<u8>) {
+        let size = ByteSize(body.len() as u64);
+        if size > self.connector.options.message_limit {
+            warn!("dropped a message of {size} to {to}: over the limit");
+            return;
+        }
+        let (link, wake) = self.link(to);
+        if let Some(Err(error)) = link.known_state() {
+            debug!("dropped a message to {to}: {error}");
+            return;
+        }
+        let dropped = link.queue.lock().push(body);
+        if dropped > 0 {
+            debug!("dropped {dropped} queued messages to {to}: the queue is full");
+        }
+        // A full channel holds a wake-up that the sending task has not taken yet.
+        let _ = wake.try_send(());
+    }
+}
+
+/// How far a call has come, which decides what its timeout means.
+#[derive(Default)]
+struct CallPhase(AtomicU8);
+
+impl CallPhase {
+    const WAITING_FOR_STREAM: u8 = 1;
+    const SENT: u8 = 2;
+
+    fn enter(&self, phase: u8) {
+        self.0.store(phase, Ordering::Relaxed);
+    }
+
+    fn timeout_error(&self) -> PeerError {
+        match self.0.load(Ordering::Relaxed) {
+            Self::SENT => PeerError::TimedOut,
+            Self::WAITING_FOR_STREAM => PeerError::Busy,
+            _ => PeerError::Unreachable {
+                reason: "no connection within the timeout".to_owned(),
+            },
+        }
+    }
+}
+
+/// Opens connections with the keys in force.
+struct Connector {
+    keys: Arc<KeyRing>,
+    options: Options,
+    /// TLS configuration made from these keys.
+    config: Mutex<Option<(Arc<Keys>, ClientConfig)>>,
+    endpoints: Mutex<Endpoints>,
+}
+
+/// Sockets of outgoing connections, one per address family.
+#[derive(Default)]
+struct Endpoints {
+    ipv4: Option<Endpoint>,
+    ipv6: Option<Endpoint>,
+    closed: bool,
+}
+
+/// An open connection and the keys that it was opened with.
+#[derive(Clone)]
+struct OpenConnection {
+    connection: Connection,
+    keys: Arc<Keys>,
+}
+
+impl Connector {
+    async fn connect(&self, to: &PeerAddress) -> Result<OpenConnection, PeerError> {
+        let (keys, config) = self.current_config()?;
+        let connection = self
+            .endpoint(to.address)?
+            .connect_with(config, to.address, FLEET_NAME)
+            .map_err(unreachable)?
+            .await
+            .map_err(|error| connect_error(&error))?;
+        await_greeting(&connection).await?;
+        // Closing the connection before the server has finished its handshake would leave the
+        // server waiting for its idle timeout.
+        verify_vm(&connection, to)?;
+        Ok(OpenConnection { connection, keys })
+    }
+
+    fn current_config(&self) -> Result<(Arc<Keys>, ClientConfig), PeerError> {
+        let current = self.keys.current();
+        let mut config = self.config.lock();
+        match &*config {
+            Some((keys, made)) if Arc::ptr_eq(keys, &current) => Ok((current, made.clone())),
+            _ => {
+                let made = tls::client_config(&current, &self.options)
+                    .map_err(|reason| PeerError::Rejected { reason })?;
+                *config = Some((Arc::clone(&current), made.clone()));
+                Ok((current, made))
+            }
+        }
+    }
+
+    fn endpoint(&self, to: SocketAddr) -> Result<Endpoint, PeerError> {
+        let mut endpoints = self.endpoints.lock();
+        if endpoints.closed {
+            return Err(PeerError::Closed);
+        }
+        let (slot, any): (_, SocketAddr) = if to.is_ipv4() {
+            (&mut endpoints.ipv4, (Ipv4Addr::UNSPECIFIED, 0).into())
+        } else {
+            (&mut endpoints.ipv6, (Ipv6Addr::UNSPECIFIED, 0).into())
+        };
+        if let Some(endpoint) = slot {
+            return Ok(endpoint.clone());
+        }
+        let socket = UdpSocket::bind(any).map_err(unreachable)?;
+        let config = EndpointConfig::default();
+        let endpoint =
+            Endpoint::new(config, None, socket, Arc::new(AsyncStdRuntime)).map_err(unreachable)?;
+        *slot = Some(endpoint.clone());
+        Ok(endpoint)
+    }
+
+    fn close(&self) -> Vec<Endpoint> {
+        let mut endpoints = self.endpoints.lock();
+        endpoints.closed = true;
+        let open: Vec<Endpoint> = [endpoints.ipv4.take(), endpoints.ipv6.take()]
+            .into_iter()
+            .flatten()
+            .collect();
+        for endpoint in &open {
+            endpoint.close(wire::CLOSING, b"the process stops");
+        }
+        open
+    }
+}
+
+/// Refuses a process whose certificate is for another VM than the expected one.
+fn verify_vm(connection: &Connection, to: &PeerAddress) -> Result<(), PeerError> {
+    let found = tls::peer_chain(connection)
+        .first()
+        .ok_or_else(|| "no certificate".to_owned())
+        .and_then(PeerIdentity::from_certificate);
+    let error = match found {
+        Ok(identity) if identity.vm == to.vm => return Ok(()),
+        Ok(identity) => PeerError::WrongPeer {
+            found: identity.to_string(),
+        },
+        Err(reason) => PeerError::Rejected { reason },
+    };
+    connection.close(wire::NOT_ACCEPTED, error.to_string().as_bytes());
+    Err(error)
+}
+
+/// Waits until the server has accepted the certificate of this process.
+///
+/// The handshake ends earlier for the client than for the server. Without this wait, a call could
+/// go out on a connection that the server then refuses, and its outcome would be unknown.
+async fn await_greeting(connection: &Connection) -> Result<(), PeerError> {
+    let mut stream = connection
+        .accept_uni()
+        .await
+        .map_err(|error| connect_error(&error))?;
+    let greeting = stream
+        .read_to_end(wire::GREETING.len())
+        .await
+        .map_err(unreachable)?;
+    if greeting != wire::GREETING {
+        return Err(PeerError::Rejected {
+            reason: format!("the peer speaks another version: {greeting:?}"),
+        });
+    }
+    Ok(())
+}
+
+fn unreachable(error: impl std::fmt::Display) -> PeerError {
+    PeerError::Unreachable {
+        reason: error.to_string(),
+    }
+}
+
+/// Tells a refused certificate from an address where nothing answers.
+fn connect_error(error: &ConnectionError) -> PeerError {
+    // RFC 9001 section 4.8: TLS alerts are transport error codes from 0x100 to 0x1ff.
+    const CRYPTO_ERRORS: std::ops::RangeInclusive<u64> = 0x100..=0x1ff;
+    let rejected = match error {
+        ConnectionError::TransportError(error) => CRYPTO_ERRORS.contains(&error.code.into()),
+        ConnectionError::ConnectionClosed(close) => {
+            CRYPTO_ERRORS.contains(&close.error_code.into())
+        }
+        ConnectionError::ApplicationClosed(close) => close.error_code == wire::NOT_ACCEPTED,
+        ConnectionError::VersionMismatch => true,
+        ConnectionError::Reset
+        | ConnectionError::TimedOut
+        | ConnectionError::LocallyClosed
+        | ConnectionError::CidsExhausted => false,
+    };
+    let reason = error.to_string();
+    if rejected {
+        PeerError::Rejected { reason }
+    } else {
+        PeerError::Unreachable { reason }
+    }
+}
+
+/// The way to one peer.
+struct Link {
+    to: PeerAddress,
+    connector: Arc<Connector>,
+    state: Mutex<LinkState>,
+    /// Held during an attempt to connect, so that there is one at a time.
+    connecting: async_lock::Mutex<()>,
+    queue: Mutex<SendQueue>,
+}
+
+enum LinkState {
+    Idle,
+    Open(OpenConnection),
+    Failed {
+        error: PeerError,
+        at: Timestamp,
+        backoff: Millis,
+    },
+}
+
+impl Link {
+    fn new(to: PeerAddress, connector: Arc<Connector>) -> Self {
+        let options = &connector.options;
+        let queue = SendQueue::new(options.queued_messages, options.queued_bytes);
+        Self {
+            to,
+            connector,
+            state: Mutex::new(LinkState::Idle),
+            connecting: async_lock::Mutex::new(()),
+            queue: Mutex::new(queue),
+        }
+    }
+
+    /// The open connection, the error of a recent attempt, or `None` when it is time to connect.
+    fn known_state(&self) -> Option<Result<Connection, PeerError>> {
+        match &*self.state.lock() {
+            LinkState::Open(open) => {
+                let keys = self.connector.keys.current();
+                let usable =
+                    open.connection.close_reason().is_none() && Arc::ptr_eq(&open.keys, &keys);
+                usable.then(|| Ok(open.connection.clone()))
+            }
+            LinkState::Failed { error, at, backoff } => {
+                let now = self.connector.options.clock.now();
+                // A clock that was set back must not prolong the wait.
+                let waits = now >= *at && now.since(*at) < *backoff;
+                waits.then(|| Err(error.clone()))
+            }
+            LinkState::Idle => None,
+        }
+    }
+
+    /// The open connection, or a new one.
+    ///
+    /// The attempt to connect runs in a task of its own, so that a caller with a short timeout
+    /// doesn't cut it off for the others.
+    async fn connection(self: &Arc<Self>) -> Result<Connection, PeerError> {
+        if let Some(known) = self.known_state() {
+            return known;
+        }
+        task::spawn(Arc::clone(self).connect()).await
+    }
+
+    async fn connect(self: Arc<Self>) -> Result<Connection, PeerError> {
+        let _turn = self.connecting.lock().await;
+        if let Some(known) = self.known_state() {
+            return known;
+        }
+        let options = &self.connector.options;
+        let timeout = options.clock.sleep(options.connect_timeout);
+        let attempt = future::or(self.connector.connect(&self.to), async {
+            timeout.await;
+            Err(unreachable("the attempt to connect timed out"))
+        });
+        match attempt.await {
+            Ok(open) => {
+                debug!("connected to {}", self.to);
+                let connection = open.connection.clone();
+                *self.state.lock() = LinkState::Open(open);
+                Ok(connection)
+            }
+            Err(error) => {
+                self.record_failure(&error);
+                Err(error)
+            }
+        }
+    }
+
+    fn record_failure(&self, error: &PeerError) {
+        let options = &self.connector.options;
+        let mut state = self.state.lock();
+        let backoff = match &*state {
+            LinkState::Failed { backoff, .. } => {
+                Millis(backoff.0.saturating_mul(2)).min(options.last_backoff)
+            }
+            LinkState::Idle | LinkState::Open(_) => options.first_backoff,
+        };
+        warn!(
+            "can't connect to {}: {error}; next attempt after {backoff}",
+            self.to
+        );
+        *state = LinkState::Failed {
+            error: error.clone(),
+            at: options.clock.now(),
+            backoff,
+        };
+    }
+
+    async fn call(self: &Arc<Self>, body: &[u8], phase: &CallPhase) -> Result<Vec<u8>, PeerError> {
+        let mut connection = self.connection().await?;
+        phase.enter(CallPhase::WAITING_FOR_STREAM);
+        let opened = if let Ok(opened) = connection.open_bi().await {
+            opened
+        } else {
+            // The connection broke before anything was sent, so another attempt is safe.
+            connection = self.connection().await?;
+            connection.open_bi().await.map_err(unreachable)?
+        };
+        phase.enter(CallPhase::SENT);
+        let (mut send, mut recv) = opened;
+        write_call(&mut send, body).await?;
+        let limit = self.connector.options.message_limit;
+        wire::read_single_frame(&mut recv, limit)
+            .await
+            .map_err(|error| reply_error(error, body))
+    }
+
+    fn next_message(&self) -> Option<Vec<u8>> {
+        self.queue.lock().pop()
+    }
+
+    /// Writes a message to the stream of one-way messages, which is opened on each new connection.
+    async fn send_message(
+        self: &Arc<Self>,
+        stream: &mut Option<(usize, SendStream)>,
+        message: &[u8],
+    ) -> Result<(), PeerError> {
+        let connection = self.connection().await?;
+        let current = match stream.take() {
+            Some((id, current)) if id == connection.stable_id() => current,
+            _ => connection.open_uni().await.map_err(unreachable)?,
+        };
+        let (_, current) = stream.insert((connection.stable_id(), current));
+        wire::write_frame(current, message)
+            .await
+            .map_err(connection_lost)
+    }
+}
+
+async fn write_call(send: &mut SendStream, body: &[u8]) -> Result<(), PeerError> {
+    let error = match wire::write_frame(send, body).await {
+        Ok(()) => {
+            // It fails only for a stream that was finished or reset, which this one was not.
+            let _ = send.finish();
+            return Ok(());
+        }
+        Err(error) => error,
+    };
+    match error {
+        WriteError::Stopped(wire::TOO_LARGE) => Err(too_large(body)),
+        // The peer has answered or refused without reading to the end; the reply tells which.
+        WriteError::Stopped(_) => Ok(()),
+        other => Err(connection_lost(other)),
+    }
+}
+
+fn reply_error(error: FrameError, body: &[u8]) -> PeerError {
+    match error {
+        FrameError::TooLarge | FrameError::Reset(wire::REPLY_TOO_LARGE) => PeerError::ReplyTooLarge,
+        FrameError::Reset(wire::NO_REPLY) => PeerError::NoReply,
+        FrameError::Reset(wire::TOO_LARGE) => too_large(body),
+        FrameError::Reset(code) => connection_lost(format!("the reply was reset, code {code}")),
+        FrameError::Incomplete => connection_lost("the reply broke off"),
+        FrameError::Lost(error) => connection_lost(error),
+    }
+}
+
+fn too_large(body: &[u8]) -> PeerError {
+    PeerError::TooLarge {
+        size: ByteSize(body.len() as u64),
+    }
+}
+
+fn connection_lost(error: impl std::fmt::Display) -> PeerError {
+    PeerError::ConnectionLost {
+        reason: error.to_string(),
+    }
+}
+
+/// Sends the queued messages of a link until its handle is dropped.
+async fn send_messages(link: Arc<Link>, woken: Receiver<()>) {
+    let mut stream = None;
+    while woken.recv().await.is_ok() {
+        while let Some(message) = link.next_message() {
+            let Err(error) = link.send_message(&mut stream, &message).await else {
+                continue;
+            };
+            stream = None;
+            // What has waited during the failed attempt is stale by now.
+            let dropped = 1 + link.queue.lock().clear();
+            debug!("dropped {dropped} messages to {}: {error}", link.to);
+        }
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_peer/src/error.rs
@@ -0,0 +1,92 @@
+//! The closed list of reasons why a call failed.
+
+use auburnbridge_types::ByteSize;
+use strum::{Display, IntoStaticStr};
+
+/// What is certain about the arrival of a failed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Delivery {
+    /// The peer's handler did not get the call and will not get it.
+    NotReceived,
+    /// The peer's handler may have got the call.
+    Unknown,
+    /// The peer's handler got the call.
+    Received,
+}
+
+/// Reason why a call failed.
+#[derive(Clone, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PeerError {
+    /// There is no connection, or a recent attempt to connect failed.
+    Unreachable {
+        /// Why connecting failed.
+        reason: String,
+    },
+    /// A certificate was refused, by this process or by the peer.
+    Rejected {
+        /// Why the handshake failed.
+        reason: String,
+    },
+    /// The process at the address has a valid certificate for another VM.
+    WrongPeer {
+        /// Identity in the certificate.
+        found: String,
+    },
+    /// All streams of the connection were in use until the timeout.
+    Busy,
+    /// The body is longer than the limit of this process or of the peer.
+    TooLarge {
+        /// Size of the body.
+        size: ByteSize,
+    },
+    /// This transport was closed.
+    Closed,
+    /// The reply did not arrive in time.
+    TimedOut,
+    /// The connection broke, or the reply broke off, after the call was sent.
+    ConnectionLost {
+        /// Why the connection broke.
+        reason: String,
+    },
+    /// The peer handled the call and gave no reply.
+    NoReply,
+    /// The reply is longer than the limit.
+    ReplyTooLarge,
+}
+
+impl PeerError {
+    /// What is certain about the arrival of the call.
+    pub const fn delivery(&self) -> Delivery {
+        match self {
+            Self::Unreachable { .. }
+            | Self::Rejected { .. }
+            | Self::WrongPeer { .. }
+            | Self::Busy
+            | Self::TooLarge { .. }
+            | Self::Closed => Delivery::NotReceived,
+            Self::TimedOut | Self::ConnectionLost { .. } => Delivery::Unknown,
+            Self::NoReply | Self::ReplyTooLarge => Delivery::Received,
+        }
+    }
+}
+
+impl std::fmt::Display for PeerError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unreachable { reason } => write!(f, "the peer is unreachable: {reason}"),
+            Self::Rejected { reason } => write!(f, "the handshake was rejected: {reason}"),
+            Self::WrongPeer { found } => write!(f, "the address belongs to {found}"),
+            Self::Busy => f.write_str("all streams to the peer are in use"),
+            Self::TooLarge { size } => write!(f, "the body of {size} is over the limit"),
+            Self::Closed => f.write_str("the transport is closed"),
+            Self::TimedOut => f.write_str("no reply arrived in time"),
+            Self::ConnectionLost { reason } => write!(f, "the connection was lost: {reason}"),
+            Self::NoReply => f.write_str("the peer gave no reply"),
+            Self::ReplyTooLarge => f.write_str("the reply is over the limit"),
+        }
+    }
+}
+
+impl std::error::Error for PeerError {}
--- /dev/null
+++ b/crates/auburnbridge_peer/src/identity.rs
@@ -0,0 +1,89 @@
+//! Identity of a process, as its certificate states it.
+//!
+//! A certificate of the fleet has two URI names: `auburnbridge:vm:NAME` and `auburnbridge:role:ROLE`.
+//! URIs are used because a VM name may hold characters that a DNS name can't.
+
+use std::net::SocketAddr;
+
+use auburnbridge_types::VmId;
+use rustls::pki_types::CertificateDer;
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+const VM_PREFIX: &str = "auburnbridge:vm:";
+const ROLE_PREFIX: &str = "auburnbridge:role:";
+
+/// What a process does in the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// Serves callers.
+    Entry,
+    /// Holds the replicated state.
+    Keeper,
+    /// Distributes rules.
+    Relay,
+}
+
+/// The process on the other side of a connection.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PeerIdentity {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its role.
+    pub role: Role,
+}
+
+impl std::fmt::Display for PeerIdentity {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} ({})", self.vm, self.role)
+    }
+}
+
+/// Where a process is expected.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PeerAddress {
+    /// The VM whose certificate must be presented.
+    pub vm: VmId,
+    /// Where its peer server listens.
+    pub address: SocketAddr,
+}
+
+impl std::fmt::Display for PeerAddress {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} at {}", self.vm, self.address)
+    }
+}
+
+impl PeerIdentity {
+    /// The URI names that a certificate for this identity has.
+    pub(crate) fn uri_names(&self) -> [String; 2] {
+        [
+            format!("{VM_PREFIX}{}", self.vm),
+            format!("{ROLE_PREFIX}{}", self.role),
+        ]
+    }
+
+    /// Reads the identity from a certificate, which must state each part exactly once.
+    pub(crate) fn from_certificate(certificate: &CertificateDer<'_>) -> Result<Self, String> {
+        let certificate = webpki::EndEntityCert::try_from(certificate)
+            .map_err(|error| format!("the certificate can't be parsed: {error}"))?;
+        let names: Vec<&str> = certificate.valid_uri_names().collect();
+        let vm = single_name(&names, VM_PREFIX)?
+            .parse()
+            .map_err(|error| format!("the certificate's VM is invalid: {error}"))?;
+        let role_name = single_name(&names, ROLE_PREFIX)?;
+        let role = role_name
+            .parse()
+            .map_err(|_| format!("the certificate's role `{role_name}` is unknown"))?;
+        Ok(Self { vm, role })
+    }
+}
+
+fn single_name<'a>(names: &[&'a str], prefix: &str) -> Result<&'a str, String> {
+    let mut found = names.iter().filter_map(|name| name.strip_prefix(prefix));
+    match (found.next(), found.next()) {
+        (Some(name), None) => Ok(name),
+        (None, _) => Err(format!("the certificate has no `{prefix}` name")),
+        (Some(_), Some(_)) => Err(format!("the certificate has several `{prefix}` names")),
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_peer/src/tls.rs
@@ -0,0 +1,101 @@
+//! TLS and QUIC configuration of both sides.
+
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use auburnbridge_types::{Millis, Timestamp};
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{ClientConfig, Connection, IdleTimeout, ServerConfig, TransportConfig, VarInt};
+use rustls::client::Resumption;
+use rustls::crypto::CryptoProvider;
+use rustls::pki_types::CertificateDer;
+use rustls::server::{NoServerSessionStorage, WebPkiClientVerifier};
+
+use crate::keys::Keys;
+use crate::options::Options;
+
+/// Protocol name in the handshake; its number changes with the layout of the streams.
+const PROTOCOL: &[u8] = b"auburnbridge-peer/1";
+
+/// Interval at which a server checks again that a connected client's certificate is valid.
+pub(crate) const VERIFY_INTERVAL: Millis = Millis(60_000);
+
+pub(crate) fn provider() -> &'static Arc<CryptoProvider> {
+    static PROVIDER: OnceLock<Arc<CryptoProvider>> = OnceLock::new();
+    PROVIDER.get_or_init(|| Arc::new(rustls::crypto::ring::default_provider()))
+}
+
+/// Configuration of outgoing connections.
+///
+/// Sessions are never resumed, because a resumed session skips the check of the certificates.
+pub(crate) fn client_config(keys: &Keys, options: &Options) -> Result<ClientConfig, String> {
+    let mut tls = rustls::ClientConfig::builder_with_provider(Arc::clone(provider()))
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|error| error.to_string())?
+        .with_root_certificates(Arc::clone(&keys.authorities))
+        .with_client_auth_cert(keys.chain.clone(), keys.key.clone_key())
+        .map_err(|error| error.to_string())?;
+    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    tls.resumption = Resumption::disabled();
+    let crypto = QuicClientConfig::try_from(tls).map_err(|error| error.to_string())?;
+    let mut transport = transport_config(options);
+    transport
+        .max_concurrent_bidi_streams(VarInt::from_u32(0))
+        .keep_alive_interval(Some(Duration::from_millis(options.keep_alive.0)));
+    let mut config = ClientConfig::new(Arc::new(crypto));
+    config.transport_config(Arc::new(transport));
+    Ok(config)
+}
+
+/// Configuration of incoming connections.
+pub(crate) fn server_config(keys: &Keys, options: &Options) -> Result<ServerConfig, String> {
+    let verifier = WebPkiClientVerifier::builder_with_provider(
+        Arc::clone(&keys.authorities),
+        Arc::clone(provider()),
+    )
+    .build()
+    .map_err(|error| error.to_string())?;
+    let mut tls = rustls::ServerConfig::builder_with_provider(Arc::clone(provider()))
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|error| error.to_string())?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(keys.chain.clone(), keys.key.clone_key())
+        .map_err(|error| error.to_string())?;
+    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    tls.session_storage = Arc::new(NoServerSessionStorage {});
+    tls.send_tls13_tickets = 0;
+    let crypto = QuicServerConfig::try_from(tls).map_err(|error| error.to_string())?;
+    let mut transport = transport_config(options);
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(options.concurrent_calls));
+    let mut config = ServerConfig::with_crypto(Arc::new(crypto));
+    config
+        .transport_config(Arc::new(transport))
+        .migration(false);
+    Ok(config)
+}
+
+fn transport_config(options: &Options) -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    let idle_timeout = VarInt::from_u64(options.idle_timeout.0).unwrap_or(VarInt::MAX);
+    transport
+        // A client needs one stream for its one-way messages, and one more while it reopens it; a
+        // server needs one for its greeting.
+        .max_concurrent_uni_streams(VarInt::from_u32(2))
+        .max_idle_timeout(Some(IdleTimeout::from(idle_timeout)))
+        .datagram_receive_buffer_size(None);
+    transport
+}
+
+/// Certificates that the other side presented.
+pub(crate) fn peer_chain(connection: &Connection) -> Vec<CertificateDer<'static>> {
+    connection
+        .peer_identity()
+        .and_then(|identity| identity.downcast::<Vec<CertificateDer<'static>>>().ok())
+        .map(|chain| *chain)
+        .unwrap_or_default()
+}
+
+/// Whether `checked_at` is so long ago, or lies so oddly ahead, that a new check is due.
+pub(crate) fn check_is_due(checked_at: Timestamp, now: Timestamp) -> bool {
+    now < checked_at || now.since(checked_at) >= VERIFY_INTERVAL
+}
--- /dev/null
+++ b/crates/auburnbridge_peer/tests/codec.rs
@@ -0,0 +1,93 @@
+//! Guards the encoding of messages and the queue of one-way messages.
+
+use auburnbridge_peer::SendQueue;
+use auburnbridge_peer::codec::{CodecError, FORMAT_VERSION, decode, encode};
+use auburnbridge_types::{ByteSize, Millis, VmId};
+use proptest::prelude::*;
+use serde::{Deserialize, Serialize};
+
+const LIMIT: ByteSize = ByteSize(1_000);
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Message {
+    Empty,
+    Fields {
+        vm: VmId,
+        wait: Millis,
+        bodies: Vec<Vec<u8>>,
+    },
+    Text(Option<String>),
+}
+
+/// Guards against messages of another version or length that decode to something else.
+#[test]
+fn unreadable_messages_are_refused() {
+    let good = encode(&Message::Text(Some("text".to_owned())), LIMIT).unwrap();
+    let size = ByteSize(good.len() as u64);
+    let limit = ByteSize(size.0 - 1);
+    let mut newer = good.clone();
+    newer[0] = FORMAT_VERSION + 1;
+    let longer = [&good[..], b"x"].concat();
+    let cases = [
+        (vec![], LIMIT, CodecError::Empty),
+        (
+            newer,
+            LIMIT,
+            CodecError::Version {
+                found: FORMAT_VERSION + 1,
+            },
+        ),
+        (longer, LIMIT, CodecError::TrailingBytes { count: 1 }),
+        (good, limit, CodecError::TooLarge { size, limit }),
+    ];
+    for (message, limit, expected) in cases {
+        assert_eq!(decode::<Message>(&message, limit), Err(expected));
+    }
+    let long = Message::Text(Some("x".repeat(1_000)));
+    assert!(matches!(
+        encode(&long, LIMIT),
+        Err(CodecError::TooLarge { .. })
+    ));
+}
+
+proptest! {
+    /// Guards against a panic, or an allocation by a length that the input only claims.
+    #[test]
+    fn any_bytes_decode_or_fail(mut bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        if let Some(version) = bytes.first_mut() {
+            *version = FORMAT_VERSION;
+        }
+        if let Ok(message) = decode::<Message>(&bytes, LIMIT) {
+            let again = encode(&message, LIMIT).unwrap();
+            prop_assert_eq!(decode::<Message>(&again, LIMIT), Ok(message));
+        }
+    }
+
+    /// Guards against a queue that outgrows its bounds, reorders messages or drops the newest.
+    #[test]
+    fn queue_keeps_the_newest_messages_in_order(
+        sizes in proptest::collection::vec(0_usize..40, 0..60),
+        message_limit in 1_usize..10,
+    ) {
+        let byte_limit = ByteSize(100);
+        let mut queue = SendQueue::new(message_limit, byte_limit);
+        let messages: Vec<Vec<u8>> = sizes
+            .iter()
+            .enumerate()
+            .map(|(number, size)| vec![u8::try_from(number).unwrap(); *size])
+            .collect();
+        let mut kept: Vec<Vec<u8>> = Vec::new();
+        for message in messages {
+            kept.push(message.clone());
+            let dropped = queue.push(message);
+            let within = |kept: &[Vec<u8>]| {
+                kept.len() <= message_limit && kept.concat().len() as u64 <= byte_limit.0
+            };
+            prop_assert!(dropped == 0 || !within(&kept[dropped - 1..]));
+            kept.drain(..dropped);
+            prop_assert!(within(&kept));
+        }
+        let left: Vec<Vec<u8>> = std::iter::from_fn(|| queue.pop()).collect();
+        prop_assert_eq!(left, kept);
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_peer/tests/transport.rs
@@ -0,0 +1,307 @@
+//! Guards the transport between our own processes, over loopback.
+
+mod fleet;
+
+use std::net::UdpSocket;
+use std::sync::Arc;
+
+use async_std::task;
+use auburnbridge_peer::keys::KeyRing;
+use auburnbridge_peer::{
+    Delivery, Options, PeerAddress, PeerError, PeerServer, PeerTransport, Transport,
+};
+use auburnbridge_types::{ByteSize, Clock, Millis};
+use fleet::{DAY, Fleet, LONG, Recorder, address, loopback, rebind};
+use futures_lite::future;
+
+/// Guards against a lost or altered reply, and a server that doesn't know who calls.
+#[async_std::test]
+async fn call_gets_its_reply() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, fleet.options()).unwrap();
+    let transport = fleet.transport(fleet.keys("authority", "a:1_A"));
+    let to = address("b", &server);
+    for body in ["one", "", "three"] {
+        let reply = transport.call(&to, body.into(), LONG).await;
+        assert_eq!(reply, Ok(body.as_bytes().to_vec()));
+        assert_eq!(seen.recv().await.unwrap(), format!("a:1_A (entry): {body}"));
+    }
+}
+
+/// Guards against a stranger, an impostor or an expired certificate on either side of a call, and
+/// against an error that leaves open whether the call was received.
+#[async_std::test]
+async fn unacceptable_certificates_are_refused() {
+    let fleet = Fleet::new();
+    fleet.add_authority("other");
+    let good = |vm| fleet.keys("authority", vm);
+    let cases = [
+        (
+            "strange client",
+            "rejected",
+            fleet.keys("other", "s1"),
+            good("b1"),
+        ),
+        (
+            "strange server",
+            "rejected",
+            good("a2"),
+            fleet.keys("other", "b2"),
+        ),
+        ("wrong VM", "wrong-peer", good("a3"), good("c3")),
+        (
+            "expired client",
+            "rejected",
+            fleet.expired_keys("a4"),
+            good("b4"),
+        ),
+        (
+            "expired server",
+            "rejected",
+            good("a5"),
+            fleet.expired_keys("b5"),
+        ),
+    ];
+    for (case, expected, client_keys, server_keys) in cases {
+        let (recorder, seen) = Recorder::new();
+        let name = server_keys.current().identity().vm.to_string();
+        let server = PeerServer::bind(loopback(), server_keys, recorder, fleet.options()).unwrap();
+        let to = address(&name.replace('c', "b"), &server);
+        let transport = fleet.transport(client_keys);
+        let error = transport.call(&to, b"x".into(), LONG).await.unwrap_err();
+        assert_eq!(<&str>::from(&error), expected, "{case}: {error}");
+        assert_eq!(error.delivery(), Delivery::NotReceived, "{case}");
+        assert!(seen.is_empty(), "{case}: the handler was called");
+    }
+}
+
+/// Guards against bodies that exhaust memory, and against a wrong statement about their delivery.
+#[async_std::test]
+async fn bodies_over_the_limit_are_refused() {
+    let fleet = Fleet::new();
+    let limited = |limit| {
+        let clock = Arc::new(fleet.clock.clone());
+        Options::builder()
+            .clock(clock)
+            .message_limit(ByteSize(limit))
+            .build()
+    };
+    let cases: [(&str, u64, u64, Vec<u8>, Delivery); 4] = [
+        (
+            "own limit",
+            99,
+            9_999,
+            vec![b'x'; 100],
+            Delivery::NotReceived,
+        ),
+        (
+            "limit of the server",
+            9_999,
+            99,
+            vec![b'x'; 100],
+            Delivery::NotReceived,
+        ),
+        (
+            "own limit of the reply",
+            99,
+            99_999,
+            b"big".into(),
+            Delivery::Received,
+        ),
+        (
+            "limit of the server's reply",
+            99_999,
+            99,
+            b"big".into(),
+            Delivery::Received,
+        ),
+    ];
+    let (client_keys, server_keys) = (fleet.keys("authority", "a"), fleet.keys("authority", "b"));
+    for (case, client_limit, server_limit, body, delivery) in cases {
+        let (recorder, seen) = Recorder::new();
+        let keys = Arc::clone(&server_keys);
+        let server = PeerServer::bind(loopback(), keys, recorder, limited(server_limit)).unwrap();
+        let transport = PeerTransport::new(Arc::clone(&client_keys), limited(client_limit));
+        let to = address("b", &server);
+        let error = transport.call(&to, body, LONG).await.unwrap_err();
+        assert_eq!(error.delivery(), delivery, "{case}: {error}");
+        assert_eq!(
+            seen.len(),
+            usize::from(delivery == Delivery::Received),
+            "{case}"
+        );
+    }
+}
+
+/// Guards against a missing reply that reads as an empty one.
+#[async_std::test]
+async fn missing_reply_is_an_error() {
+    let fleet = Fleet::new();
+    let (recorder, _seen) = Recorder::new();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, fleet.options()).unwrap();
+    let transport = fleet.transport(fleet.keys("authority", "a"));
+    let reply = transport
+        .call(&address("b", &server), b"none".into(), LONG)
+        .await;
+    assert_eq!(reply, Err(PeerError::NoReply));
+}
+
+/// Guards against a client that stays on a dead connection after its peer restarted.
+#[async_std::test]
+async fn reconnects_after_a_restart_of_the_server() {
+    let fleet = Fleet::new();
+    let (recorder, _seen) = Recorder::new();
+    let keys = fleet.keys("authority", "b");
+    let bind = |address| {
+        rebind(
+            address,
+            Arc::clone(&keys),
+            recorder.clone(),
+            fleet.options(),
+        )
+    };
+    let server = bind(loopback()).await;
+    let to = address("b", &server);
+    let transport = fleet.transport(fleet.keys("authority", "a"));
+    transport.call(&to, b"before".into(), LONG).await.unwrap();
+    server.close().await;
+    let _server = bind(to.address).await;
+    // The call may find the old connection before the client has processed its end.
+    while let Err(error) = transport.call(&to, b"after".into(), LONG).await {
+        assert_eq!(error.delivery(), Delivery::Unknown, "{error}");
+    }
+}
+
+/// Guards against a storm of attempts to connect: within the backoff, a call fails at once.
+#[async_std::test]
+async fn fails_at_once_during_the_backoff() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let server = PeerServer::bind(
+        loopback(),
+        fleet.keys("authority", "impostor"),
+        recorder.clone(),
+        fleet.options(),
+    )
+    .unwrap();
+    let to = address("b", &server);
+    let transport = fleet.transport(fleet.keys("authority", "a"));
+    let wrong = transport.call(&to, b"x".into(), LONG).await.unwrap_err();
+    server.close().await;
+    let keys = fleet.keys("authority", "b");
+    let _server = rebind(to.address, keys, recorder, fleet.options()).await;
+    fleet.clock.advance(Millis(49));
+    assert_eq!(transport.call(&to, b"x".into(), LONG).await, Err(wrong));
+    transport.send(&to, b"dropped".into());
+    fleet.clock.advance(Millis(1));
+    assert_eq!(
+        transport.call(&to, b"x".into(), LONG).await,
+        Ok(b"x".into())
+    );
+    assert_eq!(seen.len(), 1);
+}
+
+/// Guards against a call that outlives its timeout, and against a wrong statement about its
+/// delivery: nothing went to a silent address, but a slow handler has the call.
+#[async_std::test]
+async fn timeout_tells_whether_the_call_was_sent() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, fleet.options()).unwrap();
+    let transport = fleet.transport(fleet.keys("authority", "a"));
+
+    let silent = UdpSocket::bind(loopback()).unwrap();
+    let to_silent = PeerAddress {
+        vm: "b".parse().unwrap(),
+        address: silent.local_addr().unwrap(),
+    };
+    let mut call = transport.call(&to_silent, b"x".into(), Millis(100));
+    assert!(future::poll_once(&mut call).await.is_none());
+    fleet.clock.advance(Millis(100));
+    assert_eq!(call.await.unwrap_err().delivery(), Delivery::NotReceived);
+
+    let to = address("b", &server);
+    let call = transport.call(&to, b"wait".into(), Millis(100));
+    let (reply, ()) = future::zip(call, async {
+        seen.recv().await.unwrap();
+        fleet.clock.advance(Millis(100));
+    })
+    .await;
+    assert_eq!(reply, Err(PeerError::TimedOut));
+}
+
+/// Guards against heartbeats that wait behind a slow call, and against reordered messages.
+#[async_std::test]
+async fn one_way_messages_pass_a_slow_call_in_order() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, fleet.options()).unwrap();
+    let transport = fleet.transport(fleet.keys("authority", "a"));
+    let to = address("b", &server);
+    let slow = transport.call(&to, b"wait".into(), LONG);
+    let (reply, ()) = future::zip(slow, async {
+        assert_eq!(seen.recv().await.unwrap(), "a (entry): wait");
+        let bodies: Vec<String> = (0..100).map(|number| number.to_string()).collect();
+        for body in &bodies {
+            transport.send(&to, body.clone().into_bytes());
+        }
+        transport.send(&to, b"release".into());
+        for body in &bodies {
+            assert_eq!(seen.recv().await.unwrap(), format!("a (entry): {body}"));
+        }
+    })
+    .await;
+    assert_eq!(reply, Ok(b"wait".into()));
+}
+
+/// Guards against a connection that outlives its certificate or the trust in its authority, and
+/// against keys that are only replaced by a restart.
+#[async_std::test]
+async fn replaced_keys_take_effect_without_a_restart() {
+    let fleet = Fleet::new();
+    fleet.add_authority("new");
+    let (recorder, seen) = Recorder::new();
+    let server_keys = fleet.keys("authority", "b");
+    let client_keys = fleet.keys("authority", "a");
+    let keys = Arc::clone(&server_keys);
+    let server = PeerServer::bind(loopback(), keys, recorder, fleet.options()).unwrap();
+    let to = address("b", &server);
+    let transport = fleet.transport(Arc::clone(&client_keys));
+    let reload = |vm, keys: &KeyRing| {
+        fleet.issue("new", vm, fleet.valid());
+        keys.reload(fleet.clock.now()).unwrap();
+    };
+    assert!(transport.call(&to, b"1".into(), LONG).await.is_ok());
+
+    reload("b", &server_keys);
+    assert!(transport.call(&to, b"2".into(), LONG).await.is_err());
+    reload("a", &client_keys);
+    assert!(transport.call(&to, b"3".into(), LONG).await.is_ok());
+
+    fleet.clock.advance(DAY);
+    fleet.clock.advance(Millis(1_000));
+    assert!(transport.call(&to, b"4".into(), LONG).await.is_err());
+    let bodies: Vec<String> = std::iter::from_fn(|| seen.try_recv().ok()).collect();
+    assert_eq!(bodies, ["a (entry): 1", "a (entry): 3"]);
+}
+
+/// Guards against calls that hang on a transport that was closed.
+#[async_std::test]
+async fn closed_transport_refuses_calls() {
+    let fleet = Fleet::new();
+    let (recorder, _seen) = Recorder::new();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, fleet.options()).unwrap();
+    let transport = fleet.transport(fleet.keys("authority", "a"));
+    let to = address("b", &server);
+    transport.call(&to, b"x".into(), LONG).await.unwrap();
+    transport.close().await;
+    task::yield_now().await;
+    let reply = transport.call(&to, b"x".into(), LONG).await;
+    assert_eq!(reply, Err(PeerError::Closed));
+}
