Test the target pool against raw targets at every step of an exchange

Cause: the pool's certainty about written bytes was not tested, and a deadline that passed while this process was delayed could be reported as the target's connect timeout. Ruled out: dropping a waiting request's permit after the deadline without a reason of its own; health evidence must not blame the target for it. Change: NotSent::AllInUse for a deadline that passes while all connections are in use; a passed deadline takes precedence over a connect timeout; Pool::close_idle for a target that is leaving; 14 tests with raw listeners. Conclusion: each result is certain in the tested cases.

--- a/crates/auburnbridge_target/src/exchange.rs
+++ b/crates/auburnbridge_target/src/exchange.rs
@@ -46,6 +46,8 @@
     ConnectFailed(io::ErrorKind),
     /// The target closed the new connection before the first byte.
     Closed,
+    /// The deadline passed while all connections to the target were in use.
+    AllInUse,
     /// The deadline passed before the first byte.
     Deadline,
 }
@@ -63,7 +65,7 @@
     /// The error kind for the caller when no other target is tried.
     pub const fn kind(self) -> ErrorKind {
         match self {
-            Self::Deadline => ErrorKind::DeadlineBeforeDispatch,
+            Self::AllInUse | Self::Deadline => ErrorKind::DeadlineBeforeDispatch,
             Self::Refused | Self::ConnectTimeout | Self::ConnectFailed(_) | Self::Closed => {
                 ErrorKind::NoTarget
             }
--- a/crates/auburnbridge_target/src/idle.rs
+++ b/crates/auburnbridge_target/src/idle.rs
@@ -61,6 +61,10 @@
             .retain(|idle| now.since(idle.since) < timeout);
     }
 
+    pub(crate) fn close_idle(&self) {
+        self.idle.lock().clear();
+    }
+
     pub(crate) fn idle_count(&self) -> usize {
         self.idle.lock().len()
     }
--- a/crates/auburnbridge_target/src/pool.rs
+++ b/crates/auburnbridge_target/src/pool.rs
@@ -127,6 +127,14 @@
         });
     }
 
+    /// Closes the idle connections to the target at `address`, such as one that is leaving.
+    pub fn close_idle(&self, address: SocketAddr) {
+        let target = self.targets.lock().get(&address).cloned();
+        if let Some(target) = target {
+            target.close_idle();
+        }
+    }
+
     /// The number of idle connections to the target at `address`.
     pub fn idle_connections(&self, address: SocketAddr) -> usize {
         let target = self.targets.lock().get(&address).cloned();
@@ -148,29 +156,40 @@
         target: &TargetConnections,
         deadline: Timestamp,
     ) -> Result<Lease, NotSent> {
-        let acquiring = async {
-            let permit = target.exchanges.acquire_arc().await;
-            let now = self.options.clock.now();
-            if let Some(connection) = target.take_live(now, self.options.idle_timeout) {
-                return Ok(Lease {
-                    connection,
-                    is_reused: true,
-                    _permit: permit,
-                });
-            }
-            let timeout = self.options.connect_timeout;
-            let connection = connect(address, timeout, &*self.options.clock).await?;
-            Ok(Lease {
+        if self.options.clock.now() >= deadline {
+            return Err(NotSent::Deadline);
+        }
+        let acquiring = async { Ok(target.exchanges.acquire_arc().await) };
+        let permit = or(acquiring, self.expire(deadline, NotSent::AllInUse)).await?;
+        let now = self.options.clock.now();
+        if now >= deadline {
+            return Err(NotSent::AllInUse);
+        }
+        if let Some(connection) = target.take_live(now, self.options.idle_timeout) {
+            return Ok(Lease {
                 connection,
-                is_reused: false,
+                is_reused: true,
                 _permit: permit,
-            })
-        };
-        or(acquiring, async {
-            self.until(deadline).await;
-            Err(NotSent::Deadline)
+            });
+        }
+        let connecting = connect(address, self.options.connect_timeout, &*self.options.clock);
+        let connection = or(connecting, self.expire(deadline, NotSent::Deadline))
+            .await
+            .map_err(|reason| self.attribute(reason, deadline))?;
+        Ok(Lease {
+            connection,
+            is_reused: false,
+            _permit: permit,
         })
-        .await
+    }
+
+    /// Keeps a delay of this process, which lets both timers fire at once, from counting as a
+    /// connect timeout of the target.
+    fn attribute(&self, reason: NotSent, deadline: Timestamp) -> NotSent {
+        if reason == NotSent::ConnectTimeout && self.options.clock.now() >= deadline {
+            return NotSent::Deadline;
+        }
+        reason
     }
 
     async fn run_lease(
@@ -217,6 +236,11 @@
         }
     }
 
+    async fn expire<T>(&self, deadline: Timestamp, reason: NotSent) -> Result<T, NotSent> {
+        self.until(deadline).await;
+        Err(reason)
+    }
+
     async fn until(&self, deadline: Timestamp) {
         let left = deadline.since(self.options.clock.now());
         self.options.clock.sleep(left).await;
--- a/crates/auburnbridge_target/tests/exchange.rs
+++ b/crates/auburnbridge_target/tests/exchange.rs
@@ -1,63 +1,34 @@
 //! Guards the certainty of exchange results against targets that fail at any step.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-
-use async_std::io::WriteExt;
-use async_std::net::{TcpListener, TcpStream};
-use auburnbridge_http::{Connection, Limits, Request};
-use auburnbridge_target::{ExchangeResult, Pool};
-use auburnbridge_types::{PausedClock, Timestamp};
-
-const START: Timestamp = Timestamp(1_000_000);
-const DEADLINE: Timestamp = Timestamp(1_001_000);
-
-async fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    (listener, address)
-}
-
-fn pool(clock: &PausedClock) -> Pool {
-    Pool::builder(Arc::new(clock.clone())).build()
-}
+mod support;
 
-async fn exchange(pool: &Pool, address: SocketAddr) -> (String, bool) {
-    let request = Request::new("GET", "/bins/7");
-    let exchange = pool
-        .exchange(address, &request, &Limits::default(), DEADLINE)
-        .await;
-    let result = match exchange.result {
-        ExchangeResult::Answered(response) => {
-            format!("{} {}", response.status, response.body.escape_ascii())
-        }
-        ExchangeResult::NotSent(reason) => format!("not sent: {reason:?}"),
-        ExchangeResult::Unknown {
-            reason,
-            answer_started,
-        } => format!("unknown: {reason:?}, answer started: {answer_started}"),
-    };
-    (result, exchange.reused)
-}
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::Arc;
 
-async fn accept(listener: &TcpListener) -> Connection<TcpStream> {
-    Connection::new(listener.accept().await.unwrap().0)
-}
-
-async fn answer(connection: &mut Connection<TcpStream>, raw: &[u8]) {
-    connection.read_request(&Limits::default()).await.unwrap();
-    connection.get_mut().write_all(raw).await.unwrap();
-}
+use async_std::io::{ReadExt, WriteExt};
+use auburnbridge_http::{Body, FramingError, Limits, Request};
+use auburnbridge_target::{NotSent, Pool, Unknown};
+use auburnbridge_types::{BoxFuture, Clock, Millis, Outcome, PausedClock, Timestamp};
+use futures_lite::future::{or, poll_once, zip};
+use socket2::{Domain, SockAddr, Socket, Type};
+use support::{
+    Fixture, OK, START, TIME_LIMIT, answer, answered, describe, pool, send, wait_for_socket,
+};
 
 /// Guards against an answer that is accepted although the target ended it early or broke framing,
-/// and against a failure after the write that claims that nothing was sent.
+/// against a failure after the write that claims that nothing was sent, and against a connection
+/// that is kept in an uncertain state.
 #[async_std::test]
-async fn answers_that_end_the_connection() {
-    let cases: [(&[u8], &str); 5] = [
+async fn answers_that_retire_the_connection() {
+    let cases: [(&[u8], &str); 8] = [
         (
             b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
             "200 ok",
         ),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok and more",
+            "200 ok",
+        ),
         (
             b"",
             "unknown: Framing(ClosedBetweenMessages), answer started: false",
@@ -74,15 +45,173 @@
             b"HTTP/1.1 200 OK\r\n\r\nall until the end",
             "unknown: Framing(LengthMissing), answer started: true",
         ),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n",
+            "unknown: Framing(BodyTooLarge), answer started: true",
+        ),
+        (
+            b"220 smtp ready\r\n\r\n",
+            "unknown: Framing(Version), answer started: true",
+        ),
     ];
-    let (listener, address) = listen().await;
-    let pool = pool(&PausedClock::new(START));
+    let target = Fixture::new(1).await;
     for (raw, expected) in cases {
-        let target = async {
-            answer(&mut accept(&listener).await, raw).await;
+        let answering = async {
+            answer(&mut target.accept().await, raw).await;
         };
-        let (result, ()) = futures_lite::future::zip(exchange(&pool, address), target).await;
+        let (result, ()) = zip(target.exchange(), answering).await;
         assert_eq!(result, (expected.to_owned(), false));
-        assert_eq!(pool.idle_connections(address), 0);
+        assert_eq!(target.pool.idle_connections(target.address), 0);
+    }
+}
+
+/// Guards against a request that is reported as possibly run although no connection existed.
+#[async_std::test]
+async fn a_refused_connection_is_not_sent() {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    socket.bind(&SockAddr::from(any_port)).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let clock = PausedClock::new(START);
+    let exchange = send(&pool(&clock, 1), &clock, address, &Request::new("GET", "/")).await;
+    assert_eq!(describe(exchange), ("not sent: Refused".to_owned(), false));
+}
+
+/// Guards against waiting for a connection beyond the connect timeout or the deadline.
+#[async_std::test]
+async fn a_connection_that_is_not_established_is_not_sent() {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    socket.bind(&SockAddr::from(any_port)).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    // One connection that is not accepted fills the backlog; the kernel ignores further ones.
+    let _waiting = TcpStream::connect(address).unwrap();
+    wait_for_socket(address, |state| state.received_bytes == 1);
+
+    let cases = [
+        (Millis(250), "not sent: ConnectTimeout"),
+        (TIME_LIMIT, "not sent: Deadline"),
+    ];
+    for (advance, expected) in cases {
+        let clock = PausedClock::new(START);
+        let pool = pool(&clock, 1);
+        let request = Request::new("GET", "/");
+        let mut exchange = Box::pin(send(&pool, &clock, address, &request));
+        assert!(poll_once(&mut exchange).await.is_none());
+        clock.advance(advance);
+        let result = describe(exchange.await);
+        assert_eq!(result, (expected.to_owned(), false));
+    }
+}
+
+/// A clock whose timers fire late, as they do after the process was frozen.
+struct LateTimers(PausedClock);
+
+impl Clock for LateTimers {
+    fn now(&self) -> Timestamp {
+        self.0.now()
+    }
+
+    fn sleep(&self, _: Millis) -> BoxFuture<'static, ()> {
+        Box::pin(std::future::pending())
+    }
+}
+
+/// Guards against dispatching after the deadline, as a process that was frozen might do.
+#[async_std::test]
+async fn a_passed_deadline_is_not_sent() {
+    let target = Fixture::new(1).await;
+    let clock = &target.clock;
+    let pool = Pool::builder(Arc::new(LateTimers(clock.clone()))).build();
+    let request = Request::new("GET", "/");
+    let mut exchange = Box::pin(send(&pool, clock, target.address, &request));
+    // The connection is on its way when the process freezes.
+    assert!(poll_once(&mut exchange).await.is_none());
+    let mut accepted = target.accept().await;
+    clock.advance(TIME_LIMIT);
+    let (result, received) = zip(exchange, accepted.wait_for_bytes()).await;
+    assert_eq!(describe(result), ("not sent: Deadline".to_owned(), false));
+    assert_eq!(received, Ok(false), "a byte was written after the deadline");
+}
+
+/// Guards against a caller that waits for ever, and a target that is not told of the cancellation.
+#[async_std::test]
+async fn a_target_that_never_answers_is_unknown_at_the_deadline() {
+    let target = Fixture::new(1).await;
+    let silent = async {
+        let mut connection = target.accept().await;
+        connection.read_request(&Limits::default()).await.unwrap();
+        target.clock.advance(TIME_LIMIT);
+        connection.wait_for_bytes().await
+    };
+    let (result, at_target) = zip(target.exchange(), silent).await;
+    let expected = "unknown: Deadline, answer started: false";
+    assert_eq!(result, (expected.to_owned(), false));
+    assert_eq!(at_target, Ok(false));
+}
+
+/// Guards against a late answer to a cancelled exchange that reaches the next request.
+#[async_std::test]
+async fn a_late_answer_does_not_reach_the_next_request() {
+    let target = Fixture::new(1).await;
+    let mut cancelled = Box::pin(target.exchange());
+    assert!(poll_once(&mut cancelled).await.is_none());
+    let mut late = target.accept().await;
+    let received = async { late.read_request(&Limits::default()).await.map(|_| ()) };
+    let first = async { Err(cancelled.as_mut().await) };
+    assert_eq!(or(async { Ok(received.await) }, first).await, Ok(Ok(())));
+    drop(cancelled);
+    assert_eq!(late.wait_for_bytes().await, Ok(false));
+    // The pool's end is closed, so this may fail.
+    let _ = late.get_mut().write_all(OK).await;
+
+    let second = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+    let answering = async {
+        answer(&mut target.accept().await, second).await;
+    };
+    let (result, ()) = zip(target.exchange(), answering).await;
+    assert_eq!(result, answered("second", false));
+}
+
+/// Guards against an early answer that is lost, or whose connection is used again in the middle of
+/// a request.
+#[async_std::test]
+async fn an_early_answer_counts_and_retires_the_connection() {
+    let target = Fixture::new(1).await;
+    let mut request = Request::new("POST", "/slips");
+    request.body = Body::from(vec![b'x'; 32 * 1024 * 1024]);
+    let early = async {
+        let mut connection = target.accept().await;
+        let mut first = [0];
+        connection.get_mut().read_exact(&mut first).await.unwrap();
+        connection.get_mut().write_all(OK).await.unwrap();
+        connection
+    };
+    let (result, _connection) = zip(target.send(&request), early).await;
+    assert_eq!(result, answered("ok", false));
+    assert_eq!(target.pool.idle_connections(target.address), 0);
+}
+
+/// Guards against a caller that is told `not-run` for a result that is not certain, or the reverse.
+#[test]
+fn error_kinds_agree_with_certainty() {
+    let not_sent = [
+        NotSent::Refused,
+        NotSent::ConnectTimeout,
+        NotSent::ConnectFailed(std::io::ErrorKind::Other),
+        NotSent::Closed,
+        NotSent::AllInUse,
+        NotSent::Deadline,
+    ];
+    for reason in not_sent {
+        assert_eq!(reason.kind().answer().outcome, Outcome::NotRun);
+    }
+    for reason in [
+        Unknown::Deadline,
+        Unknown::Framing(FramingError::ClosedInBody),
+        Unknown::Framing(FramingError::BodyTooLarge),
+    ] {
+        assert_eq!(reason.kind().answer().outcome, Outcome::Unknown);
     }
 }
--- /dev/null
+++ b/crates/auburnbridge_target/tests/reuse.rs
@@ -0,0 +1,132 @@
+//! Guards the reuse of connections: which are kept, which are closed, and how many there are.
+
+mod support;
+
+use async_std::io::WriteExt;
+use async_std::net::TcpStream;
+use auburnbridge_http::{Connection, Limits};
+use auburnbridge_types::Millis;
+use futures_lite::future::{poll_once, zip};
+use support::{CLOSE_WAIT, Fixture, OK, TIME_LIMIT, answer, answered, wait_for_socket};
+
+const IDLE_TIMEOUT: Millis = Millis(30_000);
+
+/// Runs one exchange on a new connection and gives the target's end of it.
+async fn connect(target: &Fixture) -> Connection<TcpStream> {
+    let answering = async {
+        let mut connection = target.accept().await;
+        answer(&mut connection, OK).await;
+        connection
+    };
+    let (result, connection) = zip(target.exchange(), answering).await;
+    assert_eq!(result, answered("ok", false));
+    assert_eq!(target.pool.idle_connections(target.address), 1);
+    connection
+}
+
+/// Guards against a connection for each request.
+#[async_std::test]
+async fn a_connection_is_reused_after_a_whole_exchange() {
+    let target = Fixture::new(1).await;
+    let mut connection = connect(&target).await;
+    target.clock.advance(Millis(IDLE_TIMEOUT.0 - 1));
+    let (result, ()) = zip(target.exchange(), answer(&mut connection, OK)).await;
+    assert_eq!(result, answered("ok", true));
+}
+
+/// Guards against a request that goes out on a connection which is closed, expired, or holds bytes
+/// that would be read as its answer.
+#[async_std::test]
+async fn an_idle_connection_that_is_not_usable_is_replaced() {
+    let events = ["closed", "unasked bytes", "expired", "closed by the pool"];
+    for event in events {
+        let target = Fixture::new(1).await;
+        let mut old = connect(&target).await;
+        let pool_end = old.get_ref().peer_addr().unwrap();
+        let mut kept = None;
+        match event {
+            "closed" => {
+                drop(old);
+                wait_for_socket(pool_end, |state| state.code == CLOSE_WAIT);
+            }
+            "unasked bytes" => {
+                old.get_mut().write_all(OK).await.unwrap();
+                wait_for_socket(pool_end, |state| state.received_bytes > 0);
+                kept = Some(old);
+            }
+            "expired" => {
+                target.clock.advance(IDLE_TIMEOUT);
+                kept = Some(old);
+            }
+            _ => {
+                target.pool.close_idle(target.address);
+                kept = Some(old);
+            }
+        }
+        let second = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+        let answering = async {
+            answer(&mut target.accept().await, second).await;
+        };
+        let (result, ()) = zip(target.exchange(), answering).await;
+        assert_eq!(result, answered("second", false), "{event}");
+        drop(kept);
+    }
+}
+
+/// Guards against a resend, or a claim of `not-run`, when a reused connection dies after the write.
+#[async_std::test]
+async fn a_reused_connection_that_dies_after_the_write_is_unknown() {
+    let target = Fixture::new(1).await;
+    let mut connection = connect(&target).await;
+    let dying = async {
+        connection.read_request(&Limits::default()).await.unwrap();
+        drop(connection);
+    };
+    let (result, ()) = zip(target.exchange(), dying).await;
+    let expected = "unknown: Framing(ClosedBetweenMessages), answer started: false";
+    assert_eq!(result, (expected.to_owned(), true));
+    assert!(poll_once(target.listener.accept()).await.is_none());
+}
+
+/// Guards against more connections than a target accepts, and a waiting request that is stuck.
+#[async_std::test]
+async fn connections_are_bounded_and_handed_on() {
+    let target = Fixture::new(1).await;
+    let serving = async {
+        let mut connection = target.accept().await;
+        answer(&mut connection, OK).await;
+        answer(&mut connection, OK).await;
+    };
+    let both = zip(target.exchange(), target.exchange());
+    let ((first, second), ()) = zip(both, serving).await;
+    assert_eq!(first, answered("ok", false));
+    assert_eq!(second, answered("ok", true));
+    assert!(poll_once(target.listener.accept()).await.is_none());
+}
+
+/// Guards against a request that waits for a connection beyond its deadline.
+#[async_std::test]
+async fn a_request_without_a_free_connection_is_not_sent() {
+    let target = Fixture::new(1).await;
+    let holding = async {
+        let mut connection = target.accept().await;
+        connection.read_request(&Limits::default()).await.unwrap();
+        target.clock.advance(TIME_LIMIT);
+    };
+    let both = zip(target.exchange(), target.exchange());
+    let ((_, waiting), ()) = zip(both, holding).await;
+    assert_eq!(waiting, ("not sent: AllInUse".to_owned(), false));
+}
+
+/// Guards against connections to departed targets that stay open.
+#[async_std::test]
+async fn expired_connections_are_closed_without_a_request() {
+    let target = Fixture::new(1).await;
+    let mut connection = connect(&target).await;
+    target.clock.advance(Millis(IDLE_TIMEOUT.0 - 1));
+    target.pool.close_expired();
+    assert_eq!(target.pool.idle_connections(target.address), 1);
+    target.clock.advance(Millis(1));
+    target.pool.close_expired();
+    assert_eq!(connection.wait_for_bytes().await, Ok(false));
+}
