--- /dev/null
+++ b/crates/auburnbridge_config/src/change.rs
@@ -0,0 +1,167 @@
+//! Changes of the rules and their effect on a text.
+
+use auburnbridge_rules::{LineEdit, LineKey, RuleError, Rules, difference, file_lines};
+use serde::{Deserialize, Serialize};
+
+use crate::edit::EditReply;
+use crate::line_difference::line_edits;
+
+/// What an edit changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// Puts another file in place of the whole one.
+    ReplaceAll(String),
+    /// Sets one line.
+    SetLine {
+        /// The line to replace; without it, the line with the same key is replaced, or the new
+        /// line is appended when there is none.
+        replaces: Option<LineSelector>,
+        /// The new line, without a line feed.
+        text: String,
+    },
+    /// Removes one line.
+    RemoveLine {
+        /// The line to remove.
+        line: LineSelector,
+    },
+}
+
+/// How an edit names a line.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LineSelector {
+    /// By its first words, whatever the rest of it says.
+    Key(LineKey),
+    /// By its whole text, apart from the spaces around it.
+    Text(String),
+}
+
+impl LineSelector {
+    /// Number of the first line that matches, counted from 1.
+    fn find(&self, text: &str) -> Option<u32> {
+        match self {
+            Self::Key(key) => key.find(text),
+            Self::Text(wanted) => (1..)
+                .zip(file_lines(text))
+                .find(|(_, line)| line.trim() == wanted.trim())
+                .map(|(number, _)| number),
+        }
+    }
+}
+
+/// Result of a change.
+#[derive(Clone, Debug)]
+pub struct ChangedRules {
+    /// The new rules.
+    pub rules: Rules,
+    /// The edits that lead there from the old text; `None` when they would be too many.
+    pub edits: Option<Vec<LineEdit>>,
+}
+
+/// Reason why a change can't be applied.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangeRefusal {
+    /// The rules would not be valid.
+    Invalid(Vec<RuleError>),
+    /// No line matches.
+    NoSuchLine,
+}
+
+impl From<ChangeRefusal> for EditReply {
+    fn from(refusal: ChangeRefusal) -> Self {
+        match refusal {
+            ChangeRefusal::Invalid(errors) => Self::invalid(errors),
+            ChangeRefusal::NoSuchLine => Self::NoSuchLine,
+        }
+    }
+}
+
+impl Change {
+    /// Applies the change to `rules`, which stay as they are.
+    pub fn apply_to(&self, rules: &Rules) -> Result<ChangedRules, ChangeRefusal> {
+        let edits = match self {
+            Self::ReplaceAll(text) => return replace_all(rules, text),
+            Self::SetLine { replaces, text } => vec![set_line(rules, replaces.as_ref(), text)?],
+            Self::RemoveLine { line } => {
+                let line = line.find(rules.text()).ok_or(ChangeRefusal::NoSuchLine)?;
+                vec![LineEdit::Remove { line }]
+            }
+        };
+        let edited = rules.edited(&edits).map_err(ChangeRefusal::Invalid)?;
+        Ok(ChangedRules {
+            rules: edited,
+            edits: Some(edits),
+        })
+    }
+
+    /// One line for the history.
+    pub(crate) fn summary(&self, old: &Rules, new: &Rules) -> String {
+        match self {
+            Self::ReplaceAll(_) => replacement_summary(old, new),
+            Self::SetLine { text, .. } => match text.parse::<LineKey>() {
+                Ok(key) => format!("set `{key}`"),
+                Err(_) => "set a line without a rule".to_owned(),
+            },
+            Self::RemoveLine { line } => match line {
+                LineSelector::Key(key) => format!("removed `{key}`"),
+                LineSelector::Text(text) => match text.parse::<LineKey>() {
+                    Ok(key) => format!("removed `{key}`"),
+                    Err(_) => "removed a line without a rule".to_owned(),
+                },
+            },
+        }
+    }
+}
+
+/// A text in force ends in a line feed, as line edits leave it; a missing one is added.
+fn replace_all(rules: &Rules, text: &str) -> Result<ChangedRules, ChangeRefusal> {
+    let mut text = text.to_owned();
+    if !text.is_empty() && !text.ends_with('\n') {
+        text.push('\n');
+    }
+    let edits = line_edits(rules.text(), &text);
+    let rules = Rules::parse(&text).map_err(ChangeRefusal::Invalid)?;
+    Ok(ChangedRules { rules, edits })
+}
+
+fn set_line(
+    rules: &Rules,
+    replaces: Option<&LineSelector>,
+    text: &str,
+) -> Result<LineEdit, ChangeRefusal> {
+    let found = match replaces {
+        Some(selector) => Some(
+            selector
+                .find(rules.text())
+                .ok_or(ChangeRefusal::NoSuchLine)?,
+        ),
+        None => text
+            .parse::<LineKey>()
+            .ok()
+            .and_then(|key| key.find(rules.text())),
+    };
+    let text = text.to_owned();
+    Ok(match found {
+        Some(line) => LineEdit::Replace { line, text },
+        None => LineEdit::Insert {
+            line: after_last_line(rules.text()),
+            text,
+        },
+    })
+}
+
+fn after_last_line(text: &str) -> u32 {
+    let lines = u32::try_from(file_lines(text).count());
+    lines.expect("the size of a file bounds its lines") + 1
+}
+
+fn replacement_summary(old: &Rules, new: &Rules) -> String {
+    let (mut added, mut removed, mut changed) = (0, 0, 0);
+    for change in difference(old, new) {
+        match (change.before, change.after) {
+            (None, _) => added += 1,
+            (_, None) => removed += 1,
+            _ => changed += 1,
+        }
+    }
+    format!("replaced the file: {added} lines added, {removed} removed, {changed} changed")
+}
--- /dev/null
+++ b/crates/auburnbridge_config/src/config.rs
@@ -0,0 +1,110 @@
+//! The state machine.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use auburnbridge_rules::Rules;
+use auburnbridge_types::{Revision, Timestamp};
+
+use crate::delta::Delta;
+use crate::digest::TextDigest;
+use crate::edit::{Edit, EditReply};
+use crate::edit_ids::{EditIds, SeenEdit};
+use crate::history::{HistoryEntry, MAX_HISTORY};
+use crate::rules_copy::RulesCopy;
+
+/// Rules, revision, edit ids and history; the same on every keeper after the same log entries.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    pub(crate) copy: RulesCopy,
+    pub(crate) ids: EditIds,
+    pub(crate) history: VecDeque<HistoryEntry>,
+}
+
+impl Config {
+    /// Applies an edit at `now`, the time of its log entry.
+    pub fn apply(&mut self, now: Timestamp, edit: Edit) -> EditReply {
+        let digest = digest_of(&edit);
+        if let Some(seen) = self.ids.get(edit.id) {
+            return if seen.digest == digest {
+                EditReply::Repeated(Box::new(seen.reply.clone()))
+            } else {
+                EditReply::IdReused
+            };
+        }
+        if !EditIds::is_new(now, edit.id) {
+            return EditReply::IdExpired;
+        }
+        if !self.ids.make_room(now) {
+            return EditReply::TooManyEdits;
+        }
+        let id = edit.id;
+        let reply = self.apply_new(now, edit);
+        let seen = SeenEdit {
+            time: now,
+            digest,
+            reply: reply.clone(),
+        };
+        self.ids.insert(id, seen);
+        reply
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> Revision {
+        self.copy.revision()
+    }
+
+    /// Digest of the text in force.
+    pub fn digest(&self) -> TextDigest {
+        self.copy.digest()
+    }
+
+    /// The rules in force.
+    pub fn rules(&self) -> &Arc<Rules> {
+        self.copy.rules()
+    }
+
+    /// The accepted edits, oldest first.
+    pub fn history(&self) -> impl ExactSizeIterator<Item = &HistoryEntry> {
+        self.history.iter()
+    }
+
+    /// What an entry at `revision` needs.
+    pub fn delta_since(&self, revision: Revision) -> Delta {
+        self.copy.delta_since(revision)
+    }
+
+    /// The whole text, for an entry that refused a delta because of a digest.
+    pub fn whole(&self) -> Delta {
+        self.copy.whole()
+    }
+
+    fn apply_new(&mut self, now: Timestamp, edit: Edit) -> EditReply {
+        let current = self.revision();
+        if edit.expected.is_some_and(|expected| expected != current) {
+            return EditReply::Stale { current };
+        }
+        let changed = match edit.change.apply_to(self.rules()) {
+            Ok(changed) => changed,
+            Err(refusal) => return refusal.into(),
+        };
+        let summary = edit.change.summary(self.rules(), &changed.rules);
+        let revision = self.copy.accept(changed.rules, changed.edits);
+        if self.history.len() == MAX_HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back(HistoryEntry {
+            revision,
+            time: now,
+            author: edit.author,
+            summary,
+        });
+        EditReply::Accepted { revision }
+    }
+}
+
+/// Digest by which an id that comes with another edit is recognized.
+fn digest_of(edit: &Edit) -> TextDigest {
+    let bytes = postcard::to_stdvec(edit).expect("an edit can be encoded");
+    TextDigest::of_bytes(&bytes)
+}
--- /dev/null
+++ b/crates/auburnbridge_config/src/rules_copy.rs
@@ -0,0 +1,232 @@
+//! The rules on an entry.
+
+use std::fmt;
+use std::sync::Arc;
+
+use auburnbridge_rules::{LineEdit, RuleError, Rules};
+use auburnbridge_types::Revision;
+
+use crate::delta::{Delta, DeltaLog};
+use crate::digest::TextDigest;
+
+/// Rules at one revision, with the recent steps that led there.
+///
+/// A copy only moves to higher revisions. It can serve deltas itself, so that entries learn the
+/// rules from each other while the keepers are unavailable.
+#[derive(Clone, Debug)]
+pub struct RulesCopy {
+    revision: Revision,
+    digest: TextDigest,
+    rules: Arc<Rules>,
+    deltas: DeltaLog,
+}
+
+/// Reason why a delta is refused; the copy stays as it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DeltaError {
+    /// The delta leads to a lower revision.
+    Lower {
+        /// The copy's revision.
+        current: Revision,
+        /// The delta's revision.
+        offered: Revision,
+    },
+    /// The delta starts from another revision or another text.
+    BaseMismatch {
+        /// The copy's revision.
+        current: Revision,
+        /// The revision from which the delta starts.
+        base: Revision,
+    },
+    /// The text does not have the digest that the delta states for this revision.
+    DigestMismatch {
+        /// The delta's revision.
+        revision: Revision,
+    },
+    /// The resulting rules are not valid for this program.
+    Invalid(Vec<RuleError>),
+}
+
+impl fmt::Display for DeltaError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Lower { current, offered } => {
+                write!(f, "revision {offered} is below revision {current} in force")
+            }
+            Self::BaseMismatch { current, base } => write!(
+                f,
+                "the delta starts from another text of revision {base}; revision {current} is in force"
+            ),
+            Self::DigestMismatch { revision } => {
+                write!(
+                    f,
+                    "the text of revision {revision} does not match its digest"
+                )
+            }
+            Self::Invalid(errors) => {
+                write!(f, "the delta leads to rules that are not valid")?;
+                errors
+                    .first()
+                    .map_or(Ok(()), |error| write!(f, ": {error}"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for DeltaError {}
+
+impl Default for RulesCopy {
+    /// The empty rules of revision 0, from which every fleet starts.
+    fn default() -> Self {
+        Self {
+            revision: Revision(0),
+            digest: TextDigest::of(""),
+            rules: Arc::default(),
+            deltas: DeltaLog::default(),
+        }
+    }
+}
+
+impl RulesCopy {
+    /// The revision in force.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Digest of the text in force.
+    pub fn digest(&self) -> TextDigest {
+        self.digest
+    }
+
+    /// The rules in force.
+    pub fn rules(&self) -> &Arc<Rules> {
+        &self.rules
+    }
+
+    /// What a follower at `revision` needs; a follower at a higher revision needs nothing.
+    pub fn delta_since(&self, revision: Revision) -> Delta {
+        if revision >= self.revision {
+            return Delta::Current {
+                revision: self.revision,
+            };
+        }
+        match self.deltas.since(revision) {
+            Some((base_digest, edits)) => Delta::Lines {
+                base: revision,
+                base_digest,
+                revision: self.revision,
+                digest: self.digest,
+                edits,
+            },
+            None => self.whole(),
+        }
+    }
+
+    /// The whole text, for a follower whose text does not match.
+    pub fn whole(&self) -> Delta {
+        Delta::Whole {
+            revision: self.revision,
+            digest: self.digest,
+            text: Arc::clone(self.rules.text()),
+        }
+    }
+
+    /// Applies a delta; returns whether the revision changed.
+    pub fn apply_delta(&mut self, delta: &Delta) -> Result<bool, DeltaError> {
+        let offered = delta.revision();
+        match delta {
+            Delta::Current { .. } => Ok(false),
+            _ if offered < self.revision => Err(DeltaError::Lower {
+                current: self.revision,
+                offered,
+            }),
+            Delta::Lines { digest, .. } | Delta::Whole { digest, .. }
+                if offered == self.revision =>
+            {
+                self.confirm(*digest)
+            }
+            Delta::Lines {
+                base,
+                base_digest,
+                revision,
+                digest,
+                edits,
+            } => {
+                if *base != self.revision || *base_digest != self.digest {
+                    return Err(DeltaError::BaseMismatch {
+                        current: self.revision,
+                        base: *base,
+                    });
+                }
+                let rules = self.rules.edited(edits).map_err(DeltaError::Invalid)?;
+                self.advance(*revision, *digest, rules, Some(edits.clone()))
+            }
+            Delta::Whole {
+                revision,
+                digest,
+                text,
+            } => {
+                let rules = Rules::parse(text).map_err(DeltaError::Invalid)?;
+                self.advance(*revision, *digest, rules, None)
+            }
+        }
+    }
+
+    /// Moves to the next revision after an accepted edit.
+    pub(crate) fn accept(&mut self, rules: Rules, edits: Option<Vec<LineEdit>>) -> Revision {
+        let digest = TextDigest::of(rules.text());
+        self.put(self.revision.next(), digest, rules, edits);
+        self.revision
+    }
+
+    pub(crate) fn from_parts(revision: Revision, rules: Rules, deltas: DeltaLog) -> Self {
+        Self {
+            revision,
+            digest: TextDigest::of(rules.text()),
+            rules: Arc::new(rules),
+            deltas,
+        }
+    }
+
+    pub(crate) fn deltas(&self) -> &DeltaLog {
+        &self.deltas
+    }
+
+    fn advance(
+        &mut self,
+        revision: Revision,
+        digest: TextDigest,
+        rules: Rules,
+        edits: Option<Vec<LineEdit>>,
+    ) -> Result<bool, DeltaError> {
+        if TextDigest::of(rules.text()) != digest {
+            return Err(DeltaError::DigestMismatch { revision });
+        }
+        self.put(revision, digest, rules, edits);
+        Ok(true)
+    }
+
+    fn put(
+        &mut self,
+        revision: Revision,
+        digest: TextDigest,
+        rules: Rules,
+        edits: Option<Vec<LineEdit>>,
+    ) {
+        self.deltas.push(self.revision, self.digest, edits);
+        self.revision = revision;
+        self.digest = digest;
+        self.rules = Arc::new(rules);
+    }
+
+    /// Two texts under one revision show that the log's order was broken.
+    fn confirm(&self, digest: TextDigest) -> Result<bool, DeltaError> {
+        if digest == self.digest {
+            Ok(false)
+        } else {
+            Err(DeltaError::DigestMismatch {
+                revision: self.revision,
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_config/tests/edits.rs
@@ -0,0 +1,175 @@
+//! Guards the replies to edits and their order.
+
+mod common;
+
+use auburnbridge_config::{
+    Change, Config, EDIT_ID_RETENTION, Edit, EditReply, LineSelector, MAX_EDIT_IDS,
+};
+use auburnbridge_types::{Millis, Revision, Timestamp};
+use common::{SERVICE, START, edit, id, remove, set};
+
+fn text_selector(text: &str) -> LineSelector {
+    LineSelector::Text(text.to_owned())
+}
+
+/// Guards against a reply that tells an operator something else than what happened.
+#[test]
+fn replies_and_texts() {
+    let route = "route GET /a/* to stock idempotent # asked by Meera";
+    let moved = "route GET /b/* to stock idempotent # asked by Meera";
+    let steps = [
+        edit(1, Some(0), Change::ReplaceAll(SERVICE.to_owned())),
+        edit(1, Some(0), Change::ReplaceAll(SERVICE.to_owned())),
+        edit(1, Some(0), set(route)),
+        edit(2, Some(0), set(route)),
+        edit(3, Some(1), set(route)),
+        edit(4, None, set("service stock slots-floor 12 # asked by Ana")),
+        edit(5, None, remove("service stock")),
+        edit(6, None, remove("service dispatch")),
+        edit(7, None, set("route GET /a/*")),
+        edit(
+            8,
+            None,
+            Change::SetLine {
+                replaces: Some(text_selector(route)),
+                text: moved.to_owned(),
+            },
+        ),
+        edit(
+            9,
+            None,
+            Change::SetLine {
+                replaces: Some(text_selector(route)),
+                text: moved.to_owned(),
+            },
+        ),
+        edit(
+            10,
+            None,
+            Change::RemoveLine {
+                line: text_selector(moved),
+            },
+        ),
+        edit(5, None, remove("service stock")),
+        edit(11, None, set("# a comment")),
+        edit(12, None, set("two\nlines")),
+    ];
+    let mut config = Config::default();
+    let mut lines = Vec::new();
+    for step in steps {
+        lines.push(format!("{:?}", config.apply(START, step)));
+    }
+    lines.push(config.rules().text().to_string());
+    lines.extend(
+        config
+            .history()
+            .map(|entry| format!("{} {} {}", entry.revision, entry.author, entry.summary)),
+    );
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against a race in which the operator with more edits wins over the one who was first.
+#[test]
+fn log_order_decides_between_racing_operators() {
+    let mut config = Config::default();
+    let accepted = config.apply(START, edit(1, Some(0), set(SERVICE)));
+    assert_eq!(
+        accepted,
+        EditReply::Accepted {
+            revision: Revision(1)
+        }
+    );
+    for number in 2..5 {
+        let reply = config.apply(
+            START,
+            edit(number, Some(0), set("keys remember 48h # asked by Ana")),
+        );
+        assert_eq!(
+            reply,
+            EditReply::Stale {
+                current: Revision(1)
+            }
+        );
+    }
+}
+
+/// Guards against an edit that is applied a second time after its id was forgotten, and against
+/// unbounded memory.
+#[test]
+fn ids_are_bounded_and_never_run_twice() {
+    let mut config = Config::default();
+    let refused = |number| edit(number, Some(7), set(SERVICE));
+    let stale = EditReply::Stale {
+        current: Revision(0),
+    };
+    let count = u32::try_from(MAX_EDIT_IDS).unwrap();
+    for number in 0..count {
+        assert_eq!(config.apply(START, refused(number)), stale);
+    }
+    assert_eq!(config.apply(START, refused(count)), EditReply::TooManyEdits);
+    assert_eq!(
+        config.apply(START, refused(0)),
+        EditReply::Repeated(Box::new(stale.clone()))
+    );
+
+    let later = START.after(EDIT_ID_RETENTION).after(Millis(5 * 60_000));
+    let fresh = |number| Edit {
+        id: id(later, number),
+        ..refused(number)
+    };
+    assert_eq!(config.apply(later, fresh(count)), stale);
+    // The first id made room; it is past its retention, so its resend can't be taken for new.
+    assert_eq!(config.apply(later, refused(0)), EditReply::IdExpired);
+    assert_eq!(
+        config.apply(later, refused(1)),
+        EditReply::Repeated(Box::new(stale))
+    );
+}
+
+/// Guards against ids from a clock that runs far ahead, which would outlive their memory.
+#[test]
+fn ids_outside_the_window_are_refused() {
+    let cases = [
+        (START.0, true),
+        (START.0 + 5 * 60_000, true),
+        (START.0 + 5 * 60_000 + 1, false),
+        (START.0 - EDIT_ID_RETENTION.0 + 1, true),
+        (START.0 - EDIT_ID_RETENTION.0, false),
+    ];
+    for (created, accepted) in cases {
+        let id = id(Timestamp(created), 1);
+        let reply = Config::default().apply(
+            START,
+            Edit {
+                id,
+                ..edit(1, None, set(SERVICE))
+            },
+        );
+        assert_eq!(reply == EditReply::IdExpired, !accepted, "{created}");
+    }
+}
+
+/// Guards against refused edits that fill the memory with their errors.
+#[test]
+fn kept_errors_are_bounded() {
+    let mut config = Config::default();
+    let invalid = || Change::ReplaceAll("wrong line\n".repeat(2_000));
+    for number in 0..40 {
+        let reply = config.apply(START, edit(number, None, invalid()));
+        let EditReply::Invalid { errors, omitted } = reply else {
+            panic!("edit {number} was not refused as invalid")
+        };
+        assert_eq!((errors.len(), omitted), (1_000, 3_000));
+    }
+    assert!(config.snapshot().len() < 5 << 20);
+    let EditReply::Repeated(first) = config.apply(START, edit(0, None, invalid())) else {
+        panic!("the first id is remembered");
+    };
+    assert_eq!(
+        *first,
+        EditReply::Invalid {
+            errors: Vec::new(),
+            omitted: 4_000
+        }
+    );
+}
--- /dev/null
+++ b/crates/auburnbridge_config/tests/replication.rs
@@ -0,0 +1,215 @@
+//! Guards the agreement of keepers with each other and with the entries that follow them.
+
+mod common;
+
+use auburnbridge_config::{
+    Change, Config, Delta, DeltaError, Edit, EditReply, RulesCopy, SnapshotError, TextDigest,
+};
+use auburnbridge_rules::LineEdit;
+use auburnbridge_types::{Millis, Revision};
+use common::{SERVICE, START, edit, remove, set};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const LINES: &[&str] = &[
+    SERVICE,
+    "service stock slots-floor 12 # asked by Meera",
+    "service dispatch slots-floor 8 # asked by Meera",
+    "route GET /a/* to stock idempotent # asked by Meera",
+    "route GET /a/* to dispatch idempotent # asked by Meera",
+    "route POST /a to stock once # asked by Meera",
+    "account default limit 50/s burst 100 # asked by Jonas",
+    "# a comment",
+    "nonsense",
+];
+const KEYS: &[&str] = &[
+    "service stock",
+    "service dispatch",
+    "route GET /a/*",
+    "keys",
+];
+
+fn change() -> impl Strategy<Value = Change> {
+    let line = || prop::sample::select(LINES);
+    prop_oneof![
+        6 => line().prop_map(set),
+        3 => prop::sample::select(KEYS).prop_map(remove),
+        1 => prop::collection::vec(line(), 0..6).prop_map(|lines| Change::ReplaceAll(lines.join("\n"))),
+        1 => (0..400usize).prop_map(|count| Change::ReplaceAll("# filler\n".repeat(count))),
+    ]
+}
+
+/// Ids repeat now and then, and so do expected revisions that are stale.
+fn edits(count: usize) -> impl Strategy<Value = Vec<Edit>> {
+    let one = (
+        any::<bool>(),
+        0..40u32,
+        prop::option::weighted(0.2, 0..20u64),
+        change(),
+    );
+    prop::collection::vec(one, count).prop_map(|drawn| {
+        let numbered = drawn.into_iter().zip(1_000..);
+        numbered
+            .map(|((fresh, number, expected, change), next)| {
+                edit(if fresh { next } else { number }, expected, change)
+            })
+            .collect()
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 12,
+        // A fixed seed gives the same verdict in every run.
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a restarted keeper that continues from another state than the one it had.
+    #[test]
+    fn restored_state_is_identical(edits in edits(1_000), restart in 0..1_000usize) {
+        let mut steady = Config::default();
+        let mut restarted = Config::default();
+        for (step, edit) in edits.into_iter().enumerate() {
+            if step == restart {
+                restarted = Config::restore(&restarted.snapshot()).unwrap();
+            }
+            let now = START.after(Millis(step as u64));
+            let replies = (steady.apply(now, edit.clone()), restarted.apply(now, edit));
+            prop_assert_eq!(replies.0, replies.1);
+        }
+        let snapshot = steady.snapshot();
+        prop_assert!(steady.revision() > Revision(10));
+        prop_assert_eq!(&snapshot, &restarted.snapshot());
+        prop_assert_eq!(&snapshot, &Config::restore(&snapshot).unwrap().snapshot());
+    }
+
+    /// Guards against an entry that reaches another text than the keepers, directly or through
+    /// another entry, and against one that goes back.
+    #[test]
+    fn followers_reach_the_same_text(
+        edits in edits(60),
+        fetches in prop::collection::vec((any::<bool>(), any::<bool>()), 60),
+    ) {
+        let mut config = Config::default();
+        let (mut near, mut far) = (RulesCopy::default(), RulesCopy::default());
+        for (edit, (near_fetches, far_fetches)) in edits.into_iter().zip(fetches) {
+            config.apply(START, edit);
+            if near_fetches {
+                near.apply_delta(&config.delta_since(near.revision())).unwrap();
+                prop_assert_eq!(near.revision(), config.revision());
+                prop_assert_eq!(near.rules(), config.rules());
+            }
+            if far_fetches {
+                far.apply_delta(&near.delta_since(far.revision())).unwrap();
+                prop_assert_eq!(far.rules(), near.rules());
+            }
+        }
+    }
+}
+
+fn followed() -> (Config, RulesCopy) {
+    let mut config = Config::default();
+    config.apply(START, edit(1, None, set(SERVICE)));
+    let mut copy = RulesCopy::default();
+    copy.apply_delta(&config.delta_since(Revision(0))).unwrap();
+    (config, copy)
+}
+
+/// Guards against an entry that reverts, or that takes a damaged or foreign delta.
+#[test]
+fn wrong_deltas_are_refused() {
+    let (config, copy) = followed();
+    let (revision, digest) = (Revision(2), TextDigest::of(""));
+    let edits = vec![LineEdit::Remove { line: 1 }];
+    let base_digest = config.digest();
+    let lines = |base, base_digest, digest, edits: &[LineEdit]| Delta::Lines {
+        base,
+        base_digest,
+        revision,
+        digest,
+        edits: edits.to_vec(),
+    };
+    let whole = |revision, text: &str| Delta::Whole {
+        revision,
+        digest,
+        text: text.into(),
+    };
+    let base = Revision(1);
+    let refused = [
+        whole(Revision(0), ""),
+        whole(Revision(1), ""),
+        whole(Revision(2), "# another text\n"),
+        whole(Revision(2), "nonsense"),
+        lines(Revision(0), base_digest, digest, &edits),
+        lines(base, digest, digest, &edits),
+        lines(base, base_digest, base_digest, &edits),
+        lines(base, base_digest, digest, &[LineEdit::Remove { line: 2 }]),
+    ];
+    let mut messages = Vec::new();
+    for delta in refused {
+        let mut copy = copy.clone();
+        messages.push(copy.apply_delta(&delta).unwrap_err().to_string());
+        assert_eq!(copy.rules().text(), config.rules().text());
+        assert_eq!(copy.revision(), base);
+    }
+    insta::assert_snapshot!(messages.join("\n"));
+    for accepted in [
+        lines(base, base_digest, digest, &edits),
+        whole(Revision(9), ""),
+    ] {
+        assert_eq!(copy.clone().apply_delta(&accepted), Ok(true));
+    }
+    assert_eq!(copy.clone().apply_delta(&config.whole()), Ok(false));
+    let ahead = config.delta_since(Revision(5));
+    assert_eq!(ahead, Delta::Current { revision: base });
+    assert!(matches!(copy.clone().apply_delta(&ahead), Ok(false)));
+    let lower = copy.clone().apply_delta(&whole(Revision(0), ""));
+    assert!(matches!(lower, Err(DeltaError::Lower { .. })));
+}
+
+/// Guards against an edit of one line that makes every entry fetch the whole file.
+#[test]
+fn small_changes_travel_as_lines() {
+    let (mut config, _) = followed();
+    let mut text = config.rules().text().to_string();
+    text.push_str("keys remember 48h # asked by Jonas\n");
+    let reply = config.apply(START, edit(2, None, Change::ReplaceAll(text)));
+    assert_eq!(
+        reply,
+        EditReply::Accepted {
+            revision: Revision(2)
+        }
+    );
+    for (since, count) in [(0, 2), (1, 1)] {
+        let Delta::Lines { edits, .. } = config.delta_since(Revision(since)) else {
+            panic!("revision {since} gets the whole file");
+        };
+        assert_eq!(edits.len(), count);
+    }
+}
+
+/// Guards against a damaged or newer snapshot that is taken for a state.
+#[test]
+fn wrong_snapshots_are_refused() {
+    let (config, _) = followed();
+    let snapshot = config.snapshot();
+    let mut newer = snapshot.clone();
+    newer[0] += 1;
+    assert_eq!(
+        Config::restore(&newer).unwrap_err(),
+        SnapshotError::NewerVersion(2)
+    );
+    for end in 0..snapshot.len() {
+        assert!(
+            Config::restore(&snapshot[..end]).is_err(),
+            "accepted {end} bytes"
+        );
+    }
+    let mut longer = snapshot;
+    longer.push(0);
+    assert_eq!(
+        Config::restore(&longer).unwrap_err(),
+        SnapshotError::Malformed
+    );
+}
--- a/crates/auburnbridge_rules/src/edit.rs
+++ b/crates/auburnbridge_rules/src/edit.rs
@@ -103,8 +103,8 @@
             RuleError::new(
                 edit.line(),
                 &edit.line().to_string(),
-                format!("the file has {count} lines"),
-                "name one of them",
+                format!("the number of the last line is {count}"),
+                "name a line of the file",
             )
         })
 }
--- a/crates/auburnbridge_rules/src/lib.rs
+++ b/crates/auburnbridge_rules/src/lib.rs
@@ -24,7 +24,7 @@
 pub use difference::{Change, ChangedLine, difference};
 pub use edit::LineEdit;
 pub use error::RuleError;
-pub use line::MAX_LINE_BYTES;
+pub use line::{MAX_LINE_BYTES, file_lines};
 pub use model::{Account, Class, EjectionDial, Method, Percent, Route, Service, Team, TeamScope};
 pub use path::{InvalidPath, PathPattern, normalize};
 pub use rule_line::{LineKey, RuleLine, rule_lines};
--- a/crates/auburnbridge_rules/src/line.rs
+++ b/crates/auburnbridge_rules/src/line.rs
@@ -78,7 +78,7 @@
 }
 
 /// The lines of a file; a carriage return before a line feed stays part of its line.
-pub(crate) fn file_lines(text: &str) -> impl Iterator<Item = &str> {
+pub fn file_lines(text: &str) -> impl Iterator<Item = &str> {
     let lines = text.strip_suffix('\n').unwrap_or(text).split('\n');
     lines.take(if text.is_empty() { 0 } else { usize::MAX })
 }
--- a/crates/auburnbridge_rules/tests/edits.rs
+++ b/crates/auburnbridge_rules/tests/edits.rs
@@ -2,6 +2,7 @@
 
 use auburnbridge_rules::{LineEdit, LineKey, Method, Rules, difference, rule_lines};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const LINES: &[&str] = &[
     "service stock slots-floor 24 # asked by Meera",
@@ -50,6 +51,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        // A fixed seed gives the same verdict in every run.
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
     /// Guards against an edited copy that differs from a parse of the same text, by which an entry
     /// that follows edits would answer otherwise than one that was restarted.
     #[test]
