--- a/crates/auburnbridge_caller/src/lib.rs
+++ b/crates/auburnbridge_caller/src/lib.rs
@@ -8,8 +8,10 @@
 mod lifecycle;
 mod listener;
 mod problem;
+mod tide_service;
 
 pub use disconnect::{Disconnect, DisconnectSignal};
 pub use lifecycle::{InFlight, Lifecycle, Phase};
 pub use listener::{Listener, ListenerOptions, ListenerOptionsBuilder, Service};
 pub use problem::{OUTCOME_HEADER, Problem};
+pub use tide_service::TideService;
--- a/crates/auburnbridge_entry/src/entry.rs
+++ b/crates/auburnbridge_entry/src/entry.rs
@@ -35,7 +35,7 @@
     /// Their revision.
     pub revision: Revision,
     /// The rules.
-    pub rules: Rules,
+    pub rules: Arc<Rules>,
 }
 
 /// Tells the other entries of a crashed target before the request goes on.
--- /dev/null
+++ b/crates/auburnbridge_entry/src/keeper_client.rs
@@ -0,0 +1,150 @@
+//! Client of the keeper group.
+//!
+//! Commands go to the leader that answered last. While a group elects a leader it has none for up to
+//! about a second, so a command waits that long; after that the group counts as without a quorum,
+//! and commands fail at once until one succeeds again.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use auburnbridge_config::{Delta, Edit, EditReply};
+use auburnbridge_ledger::{Command, Reply as LedgerReply};
+use auburnbridge_messages::{Reply, Request};
+use auburnbridge_peer::{PeerAddress, Transport};
+use auburnbridge_types::{BoxFuture, Clock, Millis, Revision};
+use log::{debug, warn};
+
+use crate::ledger_client::{LedgerClient, LedgerUnavailable};
+
+/// Time for one call to one keeper; covers a sync and a round between data centres.
+const CALL_TIMEOUT: Millis = Millis(1_000);
+/// Time for an election: two election timeouts of at most 600 ms.
+const ELECTION_WAIT: Millis = Millis(1_500);
+const RETRY_WAIT: Millis = Millis(25);
+
+/// Calls the keepers.
+pub struct KeeperClient {
+    keepers: Vec<PeerAddress>,
+    transport: Arc<dyn Transport>,
+    clock: Arc<dyn Clock>,
+    leader: AtomicUsize,
+    has_quorum: AtomicBool,
+}
+
+impl KeeperClient {
+    /// Creates a client of the group of `keepers`.
+    pub fn new(
+        keepers: Vec<PeerAddress>,
+        transport: Arc<dyn Transport>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            keepers,
+            transport,
+            clock,
+            leader: AtomicUsize::new(0),
+            has_quorum: AtomicBool::new(true),
+        }
+    }
+
+    /// The keepers.
+    pub fn keepers(&self) -> &[PeerAddress] {
+        &self.keepers
+    }
+
+    /// Fetches the rules after `have` from one keeper.
+    pub async fn fetch_rules(&self, keeper: &PeerAddress, have: Revision) -> Option<Delta> {
+        match self.call(keeper, &Request::FetchRules { have }).await {
+            Ok(Reply::Rules(delta)) => Some(delta),
+            Ok(reply) => {
+                debug!("keeper {} sent no rules: {reply:?}", keeper.vm);
+                None
+            }
+            Err(reason) => {
+                debug!("keeper {} sent no rules: {reason}", keeper.vm);
+                None
+            }
+        }
+    }
+
+    /// Submits an edit of the rules.
+    pub async fn submit(&self, edit: Edit) -> Result<EditReply, LedgerUnavailable> {
+        match self.command(&Request::Edit(edit)).await? {
+            Reply::Edit(reply) => Ok(reply),
+            reply => Err(unexpected(&reply)),
+        }
+    }
+
+    /// Sends a command until a leader has taken it.
+    ///
+    /// A command whose reply was lost is sent again; commands are idempotent by their ids.
+    async fn command(&self, request: &Request) -> Result<Reply, LedgerUnavailable> {
+        let give_up = self.clock.now().after(ELECTION_WAIT);
+        let may_wait = self.has_quorum.load(Ordering::Relaxed);
+        let mut last_reason = "no keeper is configured".to_owned();
+        loop {
+            for _ in 0..self.keepers.len() {
+                let at = self.leader.load(Ordering::Relaxed) % self.keepers.len();
+                match self.call(&self.keepers[at], request).await {
+                    Ok(Reply::NotLeader { leader }) => {
+                        let next = leader
+                            .and_then(|vm| self.keepers.iter().position(|keeper| keeper.vm == vm))
+                            .filter(|next| *next != at)
+                            .unwrap_or(at + 1);
+                        self.leader.store(next, Ordering::Relaxed);
+                        "the keepers have no leader".clone_into(&mut last_reason);
+                    }
+                    Ok(Reply::Busy) => "the leader is overloaded".clone_into(&mut last_reason),
+                    Ok(Reply::LeadershipLost) => {
+                        "the leader lost its quorum".clone_into(&mut last_reason);
+                    }
+                    Ok(reply) => {
+                        self.has_quorum.store(true, Ordering::Relaxed);
+                        return Ok(reply);
+                    }
+                    Err(reason) => {
+                        last_reason = reason;
+                        self.leader.store(at + 1, Ordering::Relaxed);
+                    }
+                }
+            }
+            if !may_wait || self.clock.now() >= give_up {
+                if self.has_quorum.swap(false, Ordering::Relaxed) {
+                    warn!("keepers unavailable: {last_reason}");
+                }
+                return Err(LedgerUnavailable {
+                    reason: last_reason,
+                });
+            }
+            self.clock.sleep(RETRY_WAIT).await;
+        }
+    }
+
+    async fn call(&self, keeper: &PeerAddress, request: &Request) -> Result<Reply, String> {
+        let body = request.encode().map_err(|error| error.to_string())?;
+        let reply = self
+            .transport
+            .call(keeper, body, CALL_TIMEOUT)
+            .await
+            .map_err(|error| format!("{}: {error}", keeper.vm))?;
+        Reply::decode(&reply).map_err(|error| format!("{}: {error}", keeper.vm))
+    }
+}
+
+impl LedgerClient for KeeperClient {
+    fn apply(&self, command: Command) -> BoxFuture<'_, Result<LedgerReply, LedgerUnavailable>> {
+        Box::pin(async move {
+            match self.command(&Request::Ledger(command)).await? {
+                Reply::Ledger(reply) => Ok(reply),
+                reply => Err(unexpected(&reply)),
+            }
+        })
+    }
+}
+
+fn unexpected(reply: &Reply) -> LedgerUnavailable {
+    let name: &'static str = reply.into();
+    LedgerUnavailable {
+        reason: format!("the keeper answered {name}"),
+    }
+}
--- a/crates/auburnbridge_entry/src/lib.rs
+++ b/crates/auburnbridge_entry/src/lib.rs
@@ -4,15 +4,22 @@
 mod entry;
 mod fleets;
 mod idempotent;
+mod keeper_client;
 mod keyed;
 mod ledger_client;
+mod neighbours;
 mod request;
+mod rules_feed;
+mod run;
+mod server;
 mod target_port;
 
 pub use entry::{ATTEMPT_HEADER, CrashReporter, Entry, Ports, RulesInForce, SHED_HEADER};
 pub use fleets::{Assignment, Fleets, ServiceFleet};
+pub use keeper_client::KeeperClient;
 pub use ledger_client::{LedgerClient, LedgerUnavailable};
 pub use request::{
     ACCOUNT_HEADER, CallerRequest, DEADLINE_HEADER, KEY_HEADER, PREVIOUS_ATTEMPTS_HEADER,
 };
+pub use run::{EntryError, EntryOptions, RunningEntry};
 pub use target_port::TargetPort;
--- /dev/null
+++ b/crates/auburnbridge_entry/src/neighbours.rs
@@ -0,0 +1,296 @@
+//! Knowledge that entries share: targets, each other, crash reports and the rules.
+//!
+//! Lock order: `targets`, then `entries`, then a rumour queue. None is held over an await.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use auburnbridge_config::RulesCopy;
+use auburnbridge_membership::{
+    Announcement, Entries, EntryAnnouncement, Gossip, Liveness, Members, State, SyncMessage,
+    Verdict,
+};
+use auburnbridge_messages::{Reply, Request};
+use auburnbridge_peer::{PeerAddress, Transport};
+use auburnbridge_policy::{CrashReport, Member, Presence};
+use auburnbridge_types::{BoxFuture, Clock, Millis, Revision, ServiceName, Timestamp};
+use futures_lite::FutureExt;
+use log::{debug, info, warn};
+use parking_lot::Mutex;
+
+use crate::entry::CrashReporter;
+
+/// Entries that hear a new announcement from each entry; two more rounds reach 16 entries.
+const FANOUT: usize = 4;
+/// Time for which a crash report waits for acknowledgements.
+const CRASH_WAIT: Millis = Millis(100);
+const CALL_TIMEOUT: Millis = Millis(500);
+/// Steps of one comparison; it needs four, and more only if both sides change meanwhile.
+const SYNC_STEPS: usize = 8;
+
+/// What this entry knows through announcements and through other entries.
+pub struct Neighbours {
+    own: Mutex<EntryAnnouncement>,
+    seeds: Vec<PeerAddress>,
+    transport: Arc<dyn Transport>,
+    clock: Arc<dyn Clock>,
+    targets: Mutex<Members>,
+    entries: Mutex<Entries>,
+    target_rumours: Mutex<Gossip<Announcement>>,
+    entry_rumours: Mutex<Gossip<EntryAnnouncement>>,
+    rules: Mutex<RulesCopy>,
+}
+
+impl Neighbours {
+    /// Creates the state of an entry that announces itself as `own` and knows `seeds`.
+    pub fn new(
+        own: EntryAnnouncement,
+        seeds: Vec<PeerAddress>,
+        transport: Arc<dyn Transport>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        let seed = own.boot;
+        Self {
+            seeds: seeds
+                .into_iter()
+                .filter(|entry| entry.vm != own.vm)
+                .collect(),
+            own: Mutex::new(own),
+            transport,
+            clock,
+            targets: Mutex::default(),
+            entries: Mutex::default(),
+            target_rumours: Mutex::new(Gossip::new(FANOUT, seed)),
+            entry_rumours: Mutex::new(Gossip::new(FANOUT, seed.wrapping_add(1))),
+            rules: Mutex::default(),
+        }
+    }
+
+    /// Takes an announcement from a target.
+    pub fn announce(&self, announcement: Announcement) -> Verdict {
+        let verdict = self
+            .targets
+            .lock()
+            .announce(self.clock.now(), announcement.clone());
+        match verdict {
+            Verdict::Left => info!(
+                "target={} service={} incarnation={} is leaving",
+                announcement.target, announcement.service, announcement.incarnation
+            ),
+            Verdict::Conflict => warn!(
+                "target={} is claimed by two processes, one at {}",
+                announcement.target, announcement.address
+            ),
+            Verdict::Accepted | Verdict::Outdated | Verdict::Full => {}
+        }
+        if matches!(verdict, Verdict::Accepted | Verdict::Left) {
+            self.target_rumours.lock().push(vec![announcement]);
+        }
+        verdict
+    }
+
+    /// The targets of a service that are not leaving.
+    pub fn members(&self, service: &ServiceName, now: Timestamp) -> Vec<Member> {
+        let targets = self.targets.lock();
+        targets
+            .view(service, now)
+            .map(|(announcement, liveness)| member(announcement, liveness, now))
+            .collect()
+    }
+
+    /// Forgets what has been stale for long.
+    pub fn expire(&self) {
+        let now = self.clock.now();
+        self.targets.lock().expire(now);
+        self.entries.lock().expire(now);
+    }
+
+    /// Changes whether this entry takes work, for the other entries.
+    pub fn set_state(&self, state: State) {
+        self.own.lock().state = state;
+    }
+
+    /// Announces this entry and sends what is new to a few others.
+    pub fn spread(&self, revision: Revision) {
+        let own = self.renew_own(revision);
+        let peers = self.peers();
+        let targets = self.target_rumours.lock().take_pending();
+        let mut rumours = self.entry_rumours.lock();
+        let mut entries = rumours.take_pending();
+        entries.push(own);
+        let request = Request::Rumours { targets, entries };
+        let Ok(body) = request.encode() else {
+            warn!("rumours are too long to be sent");
+            return;
+        };
+        for peer in rumours.pick_peers(&peers) {
+            self.transport.send(peer, body.clone());
+        }
+    }
+
+    fn renew_own(&self, revision: Revision) -> EntryAnnouncement {
+        let mut own = self.own.lock();
+        own.sequence.0 += 1;
+        own.revision = revision;
+        if let Some(incarnation) = self.entries.lock().incarnation_after_restart(&own) {
+            own.incarnation = incarnation;
+        }
+        self.entries.lock().announce(self.clock.now(), own.clone());
+        own.clone()
+    }
+
+    /// The other entries: those that are known, and the seeds of the settings.
+    pub fn peers(&self) -> Vec<PeerAddress> {
+        let now = self.clock.now();
+        let own = self.own.lock().vm.clone();
+        let entries = self.entries.lock();
+        let mut peers: Vec<PeerAddress> = entries
+            .groups()
+            .flat_map(|group| entries.view(group, now))
+            .filter(|(entry, liveness)| *liveness == Liveness::Fresh && entry.vm != own)
+            .map(|(entry, _)| PeerAddress {
+                vm: entry.vm.clone(),
+                address: entry.address,
+            })
+            .collect();
+        for seed in &self.seeds {
+            if peers.iter().all(|peer| peer.vm != seed.vm) {
+                peers.push(seed.clone());
+            }
+        }
+        peers
+    }
+
+    /// Takes rumours of another entry.
+    pub fn take_rumours(&self, targets: &[Announcement], entries: &[EntryAnnouncement]) {
+        let now = self.clock.now();
+        let new_targets = self.targets.lock().merge(now, targets);
+        self.target_rumours.lock().push(new_targets);
+        let new_entries = self.entries.lock().merge(now, entries);
+        self.entry_rumours.lock().push(new_entries);
+    }
+
+    /// Takes one step of a comparison of targets.
+    pub fn sync_targets(
+        &self,
+        message: SyncMessage<Announcement>,
+    ) -> Option<SyncMessage<Announcement>> {
+        let (reply, new) = self.targets.lock().exchange(self.clock.now(), message);
+        self.target_rumours.lock().push(new);
+        reply
+    }
+
+    /// Takes one step of a comparison of entries.
+    pub fn sync_entries(
+        &self,
+        message: SyncMessage<EntryAnnouncement>,
+    ) -> Option<SyncMessage<EntryAnnouncement>> {
+        let (reply, new) = self.entries.lock().exchange(self.clock.now(), message);
+        self.entry_rumours.lock().push(new);
+        reply
+    }
+
+    /// Compares all knowledge with one other entry; `false` if it could not be reached.
+    pub async fn compare_with(&self, peer: &PeerAddress) -> bool {
+        let mut message = Some(self.targets.lock().open_exchange());
+        for _ in 0..SYNC_STEPS {
+            let Some(next) = message.take() else { break };
+            match self.call(peer, &Request::SyncTargets(next)).await {
+                Some(Reply::SyncTargets(reply)) => {
+                    message = reply.and_then(|reply| self.sync_targets(reply));
+                }
+                _ => return false,
+            }
+        }
+        let mut message = Some(self.entries.lock().open_exchange());
+        for _ in 0..SYNC_STEPS {
+            let Some(next) = message.take() else { break };
+            match self.call(peer, &Request::SyncEntries(next)).await {
+                Some(Reply::SyncEntries(reply)) => {
+                    message = reply.and_then(|reply| self.sync_entries(reply));
+                }
+                _ => return false,
+            }
+        }
+        true
+    }
+
+    /// The highest revision that another entry has in force, and where to get it.
+    pub fn newest_revision(&self) -> Option<(Revision, PeerAddress)> {
+        let now = self.clock.now();
+        let entries = self.entries.lock();
+        entries
+            .groups()
+            .flat_map(|group| entries.view(group, now))
+            .filter(|(_, liveness)| *liveness == Liveness::Fresh)
+            .max_by_key(|(entry, _)| entry.revision)
+            .map(|(entry, _)| {
+                let address = PeerAddress {
+                    vm: entry.vm.clone(),
+                    address: entry.address,
+                };
+                (entry.revision, address)
+            })
+    }
+
+    /// The rules that this entry has in force, to serve other entries.
+    pub fn rules(&self) -> &Mutex<RulesCopy> {
+        &self.rules
+    }
+
+    pub(crate) async fn call(&self, peer: &PeerAddress, request: &Request) -> Option<Reply> {
+        let body = request.encode().ok()?;
+        let reply = self
+            .transport
+            .call(peer, body, CALL_TIMEOUT)
+            .await
+            .inspect_err(|error| debug!("entry {} did not answer: {error}", peer.vm))
+            .ok()?;
+        Reply::decode(&reply)
+            .inspect_err(|error| warn!("entry {} sent no valid reply: {error}", peer.vm))
+            .ok()
+    }
+}
+
+impl CrashReporter for Neighbours {
+    fn report(&self, report: CrashReport) -> BoxFuture<'_, ()> {
+        Box::pin(async move {
+            let request = Request::Crash(report);
+            let peers = self.peers();
+            let acknowledged = async {
+                let mut calls: Vec<_> = peers
+                    .iter()
+                    .map(|peer| Box::pin(self.call(peer, &request)))
+                    .collect();
+                // The calls run side by side; each is polled until all have ended.
+                futures_lite::future::poll_fn(|cx| {
+                    calls.retain_mut(|call| call.poll(cx).is_pending());
+                    if calls.is_empty() {
+                        std::task::Poll::Ready(())
+                    } else {
+                        std::task::Poll::Pending
+                    }
+                })
+                .await;
+            };
+            acknowledged.or(self.clock.sleep(CRASH_WAIT)).await;
+        })
+    }
+}
+
+fn member(announcement: &Announcement, liveness: Liveness, now: Timestamp) -> Member {
+    Member {
+        id: announcement.target.clone(),
+        address: announcement.address,
+        data_centre: announcement.data_centre.clone(),
+        incarnation: announcement.incarnation,
+        slots: announcement.slots,
+        presence: match liveness {
+            Liveness::Fresh => Presence::Ready,
+            Liveness::Stale => Presence::Stale(now),
+        },
+    }
+}
+
+/// Interval of rumours and of an entry's own announcement.
+pub(crate) const SPREAD_INTERVAL: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -0,0 +1,331 @@
+//! Runs an entry as a process.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use async_std::task;
+use auburnbridge_caller::{
+    Disconnect, Lifecycle, Listener, ListenerOptions, Phase, Service, TideService,
+};
+use auburnbridge_http::{Limits, MemoryBudget, Request, Response};
+use auburnbridge_membership::{Announcement, EntryAnnouncement, State, Verdict};
+use auburnbridge_messages::MESSAGE_LIMIT;
+use auburnbridge_peer::keys::KeyRing;
+use auburnbridge_peer::{Handler, Options, PeerAddress, PeerServer, PeerTransport, Transport};
+use auburnbridge_platform::{Platform, READY_PATH, announcement_app, readiness_app};
+use auburnbridge_target::Pool;
+use auburnbridge_types::{
+    BoxFuture, ByteSize, Clock, DataCentre, Incarnation, Millis, Revision, RuntimeClock, Sequence,
+    VmId,
+};
+use error_stack::{Report, ResultExt};
+use log::{info, warn};
+
+use crate::entry::{Entry, Ports};
+use crate::keeper_client::KeeperClient;
+use crate::neighbours::{Neighbours, SPREAD_INTERVAL};
+use crate::rules_feed::RulesFeed;
+use crate::server::EntryServer;
+
+/// Interval of the comparison with one other entry and of decisions that depend on time.
+const MAINTENANCE_INTERVAL: Millis = Millis(1_000);
+/// Interval at which new announcements reach the fleets.
+const PLACEMENT_INTERVAL: Millis = Millis(100);
+
+/// What an entry needs to run.
+#[derive(Clone, Debug)]
+pub struct EntryOptions {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where it listens for callers and the balancer.
+    pub caller_address: SocketAddr,
+    /// Where it listens for announcements of targets.
+    pub announce_address: SocketAddr,
+    /// Where it listens for other processes.
+    pub peer_address: SocketAddr,
+    /// Folder with its certificate and key.
+    pub keys: PathBuf,
+    /// The keepers.
+    pub keepers: Vec<PeerAddress>,
+    /// A few other entries.
+    pub entries: Vec<PeerAddress>,
+    /// Time that the balancer needs to notice that the entry isn't ready.
+    pub balancer_lag: Millis,
+    /// Longest time for requests in flight to end after that.
+    pub shutdown_limit: Millis,
+    /// Longest request head.
+    pub request_head_limit: ByteSize,
+    /// Longest request body.
+    pub request_body_limit: ByteSize,
+    /// Bytes of all bodies together.
+    pub answer_memory: ByteSize,
+    /// Connections to one target.
+    pub connections_per_target: usize,
+}
+
+/// Reason why an entry can't start.
+#[derive(Debug)]
+pub struct EntryError;
+
+impl fmt::Display for EntryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the entry can't run")
+    }
+}
+
+impl std::error::Error for EntryError {}
+
+/// A running entry.
+pub struct RunningEntry {
+    shared: Arc<Shared>,
+    peer_server: PeerServer,
+}
+
+struct Shared {
+    entry: Arc<Entry>,
+    neighbours: Arc<Neighbours>,
+    lifecycle: Arc<Lifecycle>,
+    clock: Arc<dyn Clock>,
+    options: EntryOptions,
+}
+
+impl RunningEntry {
+    /// Starts to listen; the entry is ready once it has rules.
+    pub async fn start(options: EntryOptions) -> Result<Self, Report<EntryError>> {
+        let clock: Arc<dyn Clock> = Arc::new(RuntimeClock);
+        let keys = KeyRing::load(&options.keys, clock.now()).change_context(EntryError)?;
+        let peer_options = Options::builder().message_limit(MESSAGE_LIMIT).build();
+        let transport: Arc<dyn Transport> =
+            Arc::new(PeerTransport::new(Arc::clone(&keys), peer_options.clone()));
+        let keepers = Arc::new(KeeperClient::new(
+            options.keepers.clone(),
+            Arc::clone(&transport),
+            Arc::clone(&clock),
+        ));
+        let neighbours = Arc::new(Neighbours::new(
+            own_announcement(&options, clock.as_ref()),
+            options.entries.clone(),
+            transport,
+            Arc::clone(&clock),
+        ));
+        let budget = MemoryBudget::new(options.answer_memory);
+        let pool = Pool::builder(Arc::clone(&clock))
+            .connections_per_target(options.connections_per_target)
+            .build();
+        let pool = Arc::new(pool);
+        let ports = Ports {
+            clock: Arc::clone(&clock),
+            ledger: Arc::clone(&keepers) as Arc<dyn crate::LedgerClient>,
+            targets: Arc::clone(&pool) as Arc<dyn crate::TargetPort>,
+            crashes: Arc::clone(&neighbours) as Arc<dyn crate::CrashReporter>,
+        };
+        let answer_limits = Limits::default().with_budget(budget.clone());
+        let entry = Arc::new(Entry::new(options.vm.clone(), answer_limits, ports));
+        let server: Arc<dyn Handler> = Arc::new(EntryServer::new(
+            Arc::clone(&entry),
+            Arc::clone(&neighbours),
+        ));
+        let peer_server = PeerServer::bind(options.peer_address, keys, server, peer_options)
+            .change_context(EntryError)?;
+        let feed = RulesFeed::new(
+            Arc::clone(&entry),
+            keepers,
+            Arc::clone(&neighbours),
+            Arc::clone(&clock),
+        );
+        let shared = Arc::new(Shared {
+            entry,
+            neighbours,
+            lifecycle: Arc::new(Lifecycle::default()),
+            clock,
+            options,
+        });
+        shared.listen(budget).await?;
+        shared.spawn_tasks(feed, pool);
+        Ok(Self {
+            shared,
+            peer_server,
+        })
+    }
+
+    /// Stops gracefully; `hurry` completes when the balancer's lag need not be waited for. Gives the
+    /// number of requests that were still in flight at the limit.
+    pub async fn stop(self, hurry: impl Future<Output = ()> + Send) -> usize {
+        let shared = &self.shared;
+        info!(
+            "shutdown phase=draining in_flight={}",
+            shared.lifecycle.in_flight()
+        );
+        shared.lifecycle.begin_draining();
+        shared.neighbours.set_state(State::Leaving);
+        let lag = shared.clock.sleep(shared.options.balancer_lag);
+        futures_lite::FutureExt::or(lag, hurry).await;
+        info!(
+            "shutdown phase=closing in_flight={}",
+            shared.lifecycle.in_flight()
+        );
+        shared.lifecycle.begin_closing();
+        let limit = shared.options.shutdown_limit;
+        let remaining = shared
+            .lifecycle
+            .wait_idle(shared.clock.as_ref(), limit)
+            .await;
+        info!("shutdown phase=done in_flight={remaining}");
+        self.peer_server.close().await;
+        remaining
+    }
+}
+
+impl Shared {
+    async fn listen(self: &Arc<Self>, budget: MemoryBudget) -> Result<(), Report<EntryError>> {
+        let limits = Limits::default()
+            .with_head_bytes(self.options.request_head_limit)
+            .with_body_bytes(self.options.request_body_limit)
+            .with_budget(budget);
+        let listener_options = ListenerOptions::builder()
+            .limits(limits)
+            .clock(Arc::clone(&self.clock))
+            .build();
+        let platform: Arc<dyn Platform> = Arc::clone(self) as Arc<dyn Platform>;
+        let callers = Arc::new(CallerService {
+            entry: Arc::clone(&self.entry),
+            readiness: TideService::new(readiness_app(Arc::clone(&platform))),
+        });
+        let targets = Arc::new(TideService::new(announcement_app(platform)));
+        self.spawn_listener(
+            self.options.caller_address,
+            callers,
+            listener_options.clone(),
+        )
+        .await?;
+        self.spawn_listener(self.options.announce_address, targets, listener_options)
+            .await
+    }
+
+    async fn spawn_listener(
+        &self,
+        address: SocketAddr,
+        service: Arc<dyn Service>,
+        options: ListenerOptions,
+    ) -> Result<(), Report<EntryError>> {
+        let listener = Listener::bind(address, service, Arc::clone(&self.lifecycle), options)
+            .await
+            .change_context(EntryError)
+            .attach_with(|| format!("can't listen on TCP {address}"))?;
+        info!("entry vm={} listens on {address}", self.options.vm);
+        task::spawn(listener.run());
+        Ok(())
+    }
+
+    fn spawn_tasks(self: &Arc<Self>, feed: RulesFeed, pool: Arc<Pool>) {
+        task::spawn(async move {
+            let reached = feed.catch_up().await;
+            info!("rules caught up with {reached} processes");
+            feed.run().await;
+        });
+        let shared = Arc::clone(self);
+        task::spawn(async move {
+            loop {
+                shared.neighbours.spread(shared.entry.revision());
+                task::sleep(SPREAD_INTERVAL).await;
+            }
+        });
+        let shared = Arc::clone(self);
+        task::spawn(async move {
+            loop {
+                shared.place();
+                shared.clock.sleep(PLACEMENT_INTERVAL).await;
+            }
+        });
+        let shared = Arc::clone(self);
+        task::spawn(async move { shared.maintain(&pool).await });
+    }
+
+    /// Brings announcements into the fleets.
+    fn place(&self) {
+        let now = self.clock.now();
+        for service in self.entry.fleets().names() {
+            let members = self.neighbours.members(&service, now);
+            self.entry.fleets().update(now, &service, &members);
+        }
+    }
+
+    async fn maintain(&self, pool: &Pool) {
+        let mut turn = 0;
+        loop {
+            let peers = self.neighbours.peers();
+            if !peers.is_empty() {
+                self.neighbours
+                    .compare_with(&peers[turn % peers.len()])
+                    .await;
+                turn += 1;
+            }
+            self.neighbours.expire();
+            pool.close_expired();
+            self.clock.sleep(MAINTENANCE_INTERVAL).await;
+        }
+    }
+}
+
+impl Platform for Shared {
+    fn readiness(&self) -> Result<(), &'static str> {
+        if self.lifecycle.phase() != Phase::Serving {
+            return Err("the entry is shutting down");
+        }
+        if self.entry.rules().is_none() {
+            return Err("no rules have arrived yet");
+        }
+        Ok(())
+    }
+
+    fn announce(&self, announcement: Announcement) -> Verdict {
+        let service = announcement.service.clone();
+        let verdict = self.neighbours.announce(announcement);
+        if verdict == Verdict::Left {
+            // A departure takes effect before the target hears that it was taken.
+            let now = self.clock.now();
+            let members = self.neighbours.members(&service, now);
+            self.entry.fleets().update(now, &service, &members);
+        } else if verdict == Verdict::Full {
+            warn!("no room for another target");
+        }
+        verdict
+    }
+}
+
+/// Serves callers and the balancer on one address.
+struct CallerService {
+    entry: Arc<Entry>,
+    readiness: TideService,
+}
+
+impl Service for CallerService {
+    fn respond(
+        &self,
+        req: Request,
+        caller: SocketAddr,
+        disconnect: Disconnect,
+    ) -> BoxFuture<'_, Response> {
+        if req.path == READY_PATH {
+            return self.readiness.respond(req, caller, disconnect);
+        }
+        self.entry.respond(req, caller, disconnect)
+    }
+}
+
+fn own_announcement(options: &EntryOptions, clock: &dyn Clock) -> EntryAnnouncement {
+    EntryAnnouncement {
+        vm: options.vm.clone(),
+        address: options.peer_address,
+        data_centre: options.data_centre.clone(),
+        incarnation: Incarnation(clock.now().0),
+        boot: rand::random(),
+        sequence: Sequence(0),
+        revision: Revision(0),
+        state: State::Ready,
+    }
+}
--- a/crates/auburnbridge_keeper/src/formation.rs
+++ b/crates/auburnbridge_keeper/src/formation.rs
@@ -56,11 +56,11 @@
             return Step::Done;
         }
         let hellos = self.greet_others(report.members.clone()).await;
-        if own_role.is_none() {
-            if let Some(members) = self.listed_by(&hellos).or_else(|| self.found(&hellos)) {
-                self.core.send(Event::Bootstrap(members));
-                return Step::Wait;
-            }
+        if own_role.is_none()
+            && let Some(members) = self.listed_by(&hellos).or_else(|| self.found(&hellos))
+        {
+            self.core.send(Event::Bootstrap(members));
+            return Step::Wait;
         }
         if hellos
             .iter()
@@ -80,10 +80,12 @@
         };
         let mut hellos = Vec::new();
         for keeper in self.keepers.iter().filter(|keeper| keeper.vm != self.vm) {
-            hellos.push(match self.call(keeper, &Request::Hello(hello.clone())).await {
-                Some(Reply::Hello(hello)) => Some(hello),
-                _ => None,
-            });
+            hellos.push(
+                match self.call(keeper, &Request::Hello(hello.clone())).await {
+                    Some(Reply::Hello(hello)) => Some(hello),
+                    _ => None,
+                },
+            );
         }
         hellos
     }
@@ -119,7 +121,10 @@
         Members::new(members)
     }
 
-    #[expect(clippy::unused_self, reason = "reads as part of the list that it builds")]
+    #[expect(
+        clippy::unused_self,
+        reason = "reads as part of the list that it builds"
+    )]
     fn voter(&self, vm: VmId, replica: ReplicaId) -> Member {
         Member {
             replica,
--- /dev/null
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -0,0 +1,168 @@
+//! Runs a keeper as a process.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+
+use async_std::task;
+use auburnbridge_log::{Config, Message, Replica};
+use auburnbridge_messages::{MESSAGE_LIMIT, Request};
+use auburnbridge_peer::keys::KeyRing;
+use auburnbridge_peer::{Options, PeerAddress, PeerServer, PeerTransport, Transport};
+use auburnbridge_store::{Store, StoreError};
+use auburnbridge_types::{Clock, RuntimeClock, VmId};
+use error_stack::{Report, ResultExt};
+use log::{info, warn};
+
+use crate::core::{CommitCounts, Core, CoreHandle, Event, LogTransport};
+use crate::formation::Formation;
+use crate::server::KeeperServer;
+
+/// What a keeper needs to run.
+#[derive(Clone, Debug)]
+pub struct KeeperOptions {
+    /// Its VM.
+    pub vm: VmId,
+    /// Where it listens for other processes.
+    pub peer_address: SocketAddr,
+    /// Folder with its certificate and key.
+    pub keys: PathBuf,
+    /// Folder of its durable state.
+    pub data_folder: PathBuf,
+    /// All keepers of the group, this one included; the first one founds the group.
+    pub keepers: Vec<PeerAddress>,
+    /// Settings of the log.
+    pub log: Config,
+}
+
+/// Reason why a keeper can't start or had to stop.
+#[derive(Debug)]
+pub struct KeeperError;
+
+impl fmt::Display for KeeperError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the keeper can't run")
+    }
+}
+
+impl std::error::Error for KeeperError {}
+
+/// A running keeper.
+pub struct Keeper {
+    core: CoreHandle,
+    thread: JoinHandle<Result<CommitCounts, StoreError>>,
+    peer_server: PeerServer,
+    server: Arc<KeeperServer>,
+}
+
+impl Keeper {
+    /// Opens the data folder and starts to listen and to look for the group.
+    pub fn start(options: KeeperOptions) -> Result<Self, Report<KeeperError>> {
+        let clock: Arc<dyn Clock> = Arc::new(RuntimeClock);
+        let keys = KeyRing::load(&options.keys, clock.now()).change_context(KeeperError)?;
+        let (store, recovered) = Store::open(&options.data_folder).change_context(KeeperError)?;
+        let replica_id = recovered.replica;
+        let replica = Replica::recover(
+            options.log.clone(),
+            options.vm.clone(),
+            recovered,
+            rand::random(),
+            clock.now(),
+        );
+        let peer_options = Options::builder().message_limit(MESSAGE_LIMIT).build();
+        let transport: Arc<dyn Transport> =
+            Arc::new(PeerTransport::new(Arc::clone(&keys), peer_options.clone()));
+        let log_transport = PeerLogTransport {
+            transport: Arc::clone(&transport),
+            addresses: options
+                .keepers
+                .iter()
+                .map(|keeper| (keeper.vm.clone(), keeper.clone()))
+                .collect(),
+        };
+        let core = Core::new(replica, store, Box::new(log_transport), Arc::clone(&clock))
+            .change_context(KeeperError)?;
+        let (handle, events) = CoreHandle::new();
+        let thread = thread::Builder::new()
+            .name("keeper-core".to_owned())
+            .spawn(move || core.run(&events))
+            .change_context(KeeperError)?;
+        let server = Arc::new(KeeperServer::new(
+            options.vm.clone(),
+            handle.clone(),
+            Arc::clone(&clock),
+        ));
+        let peer_server = PeerServer::bind(
+            options.peer_address,
+            keys,
+            Arc::clone(&server) as Arc<dyn auburnbridge_peer::Handler>,
+            peer_options,
+        )
+        .change_context(KeeperError)?;
+        info!(
+            "keeper vm={} replica={replica_id} listens on {}",
+            options.vm,
+            peer_server.address()
+        );
+        let formation = Formation {
+            vm: options.vm,
+            replica: replica_id,
+            keepers: options.keepers,
+            transport,
+            clock,
+            core: handle.clone(),
+        };
+        task::spawn(formation.run());
+        Ok(Self {
+            core: handle,
+            thread,
+            peer_server,
+            server,
+        })
+    }
+
+    /// The keeper's answers, for the administration API.
+    pub fn server(&self) -> Arc<KeeperServer> {
+        Arc::clone(&self.server)
+    }
+
+    /// Whether the thread that owns the log has ended, which happens on a failed write.
+    pub fn has_failed(&self) -> bool {
+        self.thread.is_finished()
+    }
+
+    /// Stops after the events that are queued.
+    pub async fn stop(self) -> Result<CommitCounts, Report<KeeperError>> {
+        if !self.core.send(Event::Stop) {
+            warn!("the keeper's queue is full or its thread has ended");
+        }
+        let thread = self.thread;
+        let ended = task::spawn_blocking(move || thread.join()).await;
+        self.peer_server.close().await;
+        match ended {
+            Ok(result) => result.change_context(KeeperError),
+            Err(_) => Err(Report::new(KeeperError).attach("the keeper's thread panicked")),
+        }
+    }
+}
+
+struct PeerLogTransport {
+    transport: Arc<dyn Transport>,
+    addresses: HashMap<VmId, PeerAddress>,
+}
+
+impl LogTransport for PeerLogTransport {
+    fn send(&self, to: &VmId, message: Message) {
+        let Some(address) = self.addresses.get(to) else {
+            warn!("no address for keeper {to}; add it to `members` in the settings");
+            return;
+        };
+        match Request::Log(Box::new(message)).encode() {
+            Ok(body) => self.transport.send(address, body),
+            Err(error) => warn!("a message of the log can't be sent: {error}"),
+        }
+    }
+}
--- a/crates/auburnbridge_keeper/src/server.rs
+++ b/crates/auburnbridge_keeper/src/server.rs
@@ -126,8 +126,7 @@
             return Reply::Busy;
         };
         let keys = report.keys as u64;
-        let mut status =
-            KeeperStatus::new(self.vm.clone(), &report.status, report.revision, keys);
+        let mut status = KeeperStatus::new(self.vm.clone(), &report.status, report.revision, keys);
         let now = self.clock.now();
         status.entries = self
             .entries
--- a/crates/auburnbridge_policy/src/fleet.rs
+++ b/crates/auburnbridge_policy/src/fleet.rs
@@ -121,7 +121,12 @@
         };
         let target = &mut self.targets[key];
         let restarted = target.member.incarnation != member.incarnation;
+        let earlier_presence = target.member.presence;
         target.member = member.clone();
+        if let (Presence::Stale(_), Presence::Stale(_)) = (earlier_presence, member.presence) {
+            // The lease ended when it was first seen to have ended.
+            target.member.presence = earlier_presence;
+        }
         if restarted {
             target.health.clear_suspicion();
             if !target.in_use() {
