--- /dev/null
+++ b/crates/auburnbridge/src/commands/keeper.rs
@@ -0,0 +1,58 @@
+//! `auburnbridge keeper`
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use async_std::task;
+use auburnbridge_keeper::{Keeper, KeeperOptions};
+use auburnbridge_log::Config;
+use auburnbridge_settings::{KeeperSettings, Settings};
+use futures_lite::FutureExt;
+
+use crate::commands::peer_addresses;
+use crate::failure::Failure;
+use crate::signals::StopSignals;
+
+const FAILURE_CHECK: Duration = Duration::from_millis(250);
+
+/// Holds the replicated state.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "keeper")]
+pub(crate) struct KeeperArguments {
+    /// settings file of this keeper
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+pub(crate) fn run(arguments: &KeeperArguments) -> Result<(), Failure> {
+    let settings = KeeperSettings::load(&arguments.settings)?;
+    let mut signals = StopSignals::new()?;
+    let options = KeeperOptions {
+        vm: settings.vm,
+        peer_address: settings.peer_address,
+        keys: settings.keys,
+        data_folder: settings.data_folder,
+        keepers: peer_addresses(&settings.members),
+        log: Config::builder()
+            .election_timeout(settings.election_timeout)
+            .heartbeat_interval(settings.heartbeat_interval)
+            .snapshot_after_records(settings.snapshot_every)
+            .build(),
+    };
+    task::block_on(async {
+        let keeper = Keeper::start(options).map_err(|report| Failure::from_report(&report))?;
+        let failed = async {
+            while !keeper.has_failed() {
+                task::sleep(FAILURE_CHECK).await;
+            }
+        };
+        signals.next().or(failed).await;
+        let counts = keeper
+            .stop()
+            .await
+            .map_err(|report| Failure::from_report(&report))?;
+        log::info!("keeper stopped syncs={} records={}", counts.syncs, counts.records);
+        Ok(())
+    })
+}
--- a/crates/auburnbridge/src/main.rs
+++ b/crates/auburnbridge/src/main.rs
@@ -1,4 +1,52 @@
 //! Command line of auburnbridge: parses arguments, calls a role's library and maps the result to an
 //! exit code.
 
-fn main() {}
+mod commands;
+mod failure;
+mod signals;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::failure::Failure;
+
+/// A proxy fleet between callers and targets that fail gray.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Entry(commands::entry::EntryArguments),
+    Keeper(commands::keeper::KeeperArguments),
+    Check(commands::check::CheckArguments),
+    Keys(commands::keys::KeysArguments),
+    Rules(commands::rules::RulesArguments),
+    Targets(commands::targets::TargetsArguments),
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format_timestamp_millis()
+        .init();
+    let result = match arguments.command {
+        Command::Entry(arguments) => commands::entry::run(&arguments),
+        Command::Keeper(arguments) => commands::keeper::run(&arguments),
+        Command::Check(arguments) => commands::check::run(&arguments),
+        Command::Keys(arguments) => commands::keys::run(arguments),
+        Command::Rules(arguments) => commands::rules::run(arguments),
+        Command::Targets(arguments) => commands::targets::run(&arguments),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("error: {failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
