Add the settings of entries and keepers

Cause: each role needs settings whose errors an operator can act on.

Change: one declaration per option gives type, default, range and description; parsing, range checks, errors and docs/settings.md derive from it. The file is split into options as raw JSON slices, so that each error has its line, and all errors of a file are reported together. Contradicting options are checked too (answer limits, lag against the shutdown limit, heartbeats against elections). Durations and sizes are strings with units. Relative paths start at the folder of the file.

Ruled out: deriving serde on the whole struct, which stops at the first error and loses the line of a value that is out of range.

Measured: nothing; tests only.

--- /dev/null
+++ b/crates/auburnbridge_settings/src/entry.rs
@@ -0,0 +1,94 @@
+//! Settings of the role `entry`.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use auburnbridge_types::{ByteSize, DataCentre, Millis, VmId};
+
+use crate::check::Checks;
+use crate::declare::{Declaration, Settings, settings};
+use crate::lists::PeerLocation;
+
+settings! {
+    /// Settings of an entry.
+    EntrySettings, "entry" {
+        /// Name of this VM, as its certificate has it.
+        vm: VmId [required],
+        /// Data centre of this VM.
+        data_centre: DataCentre [required],
+        /// TCP address for callers and for the platform's readiness checks.
+        caller_address: SocketAddr [required],
+        /// TCP address for the announcements of targets.
+        announce_address: SocketAddr [required],
+        /// UDP address for our other processes.
+        peer_address: SocketAddr [required],
+        /// TCP address of the administration API; without it, the API is off.
+        operator_address: Option<SocketAddr> [optional],
+        /// Folder with `authority.pem`, `certificate.pem` and `key.pem`.
+        keys: PathBuf [required],
+        /// All keepers.
+        keepers: Vec<PeerLocation> [required] ["1" to "14"],
+        /// A few other entries, from which this one learns about the rest.
+        entries: Vec<PeerLocation> [default "[]"] ["0" to "64"],
+        /// Time for which the load balancer may still send requests after readiness has changed.
+        balancer_lag: Millis [default "5s"] ["0s" to "5min"],
+        /// Longest duration of a planned stop.
+        shutdown_limit: Millis [default "30s"] ["1s" to "10min"],
+        /// Longest head of a request.
+        request_head_limit: ByteSize [default "32KiB"] ["1KiB" to "1MiB"],
+        /// Longest body of a request.
+        request_body_limit: ByteSize [default "1MiB"] ["0B" to "64MiB"],
+        /// Longest answer of a target, unless a rule says otherwise.
+        answer_limit: ByteSize [default "1MiB"] ["1KiB" to "64MiB"],
+        /// Memory for the answers of all requests in progress.
+        answer_memory: ByteSize [default "64MiB"] ["1MiB" to "4GiB"],
+        /// Most connections to one target.
+        connections_per_target: u32 [default "20"] ["1" to "350"],
+        /// Deadline of a request that states none.
+        default_deadline: Millis [default "10s"] ["10ms" to "10min"],
+        /// Threads that run requests; 0 stands for one per core.
+        worker_threads: u32 [default "0"] ["0" to "256"],
+        /// UDP address of a statsd server; without it, no metrics are sent.
+        metrics_address: Option<SocketAddr> [optional],
+    }
+}
+
+impl Settings for EntrySettings {
+    const ROLE: &'static str = "entry";
+    const OPTIONS: &'static [Declaration] = Self::DECLARATIONS;
+
+    fn read(checks: &mut Checks<'_>) -> Option<Self> {
+        Self::read_options(checks)
+    }
+
+    fn check(&self, checks: &mut Checks<'_>) {
+        if self.answer_limit > self.answer_memory {
+            checks.refuse(
+                "answer_limit",
+                "`answer_limit` is over `answer_memory`, so that such an answer never fits",
+                "lower it or raise `answer_memory`",
+            );
+        }
+        if self.balancer_lag >= self.shutdown_limit {
+            checks.refuse(
+                "balancer_lag",
+                "`balancer_lag` leaves no time of `shutdown_limit` for requests in progress",
+                "lower it or raise `shutdown_limit`",
+            );
+        }
+        let mut listeners = vec![
+            ("caller_address", self.caller_address),
+            ("announce_address", self.announce_address),
+        ];
+        listeners.extend(
+            self.operator_address
+                .map(|address| ("operator_address", address)),
+        );
+        checks.refuse_shared_addresses(&listeners);
+        checks.refuse_own_name("entries", &self.vm, &self.entries);
+    }
+
+    fn resolve_paths(&mut self, folder: &Path) {
+        self.keys = folder.join(&self.keys);
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_settings/src/value.rs
@@ -0,0 +1,187 @@
+//! Types of options and their spelling.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use auburnbridge_types::{ByteSize, DataCentre, Millis, VmId};
+
+/// Reason why the text of a value was refused.
+pub struct ValueError {
+    /// Line within the value, from 1.
+    pub line: usize,
+    /// The offending part; otherwise the line itself is shown.
+    pub text: Option<String>,
+    /// What is wrong.
+    pub reason: String,
+}
+
+/// Type of an option.
+pub trait Value: Sized {
+    /// What an operator writes, such as "a duration".
+    const KIND: &'static str;
+    /// A value as it stands in a file.
+    const EXAMPLE: &'static str;
+    /// What a range counts, such as " items"; empty when it bounds the value itself.
+    const RANGE_UNIT: &'static str = "";
+
+    /// Reads the spelling that declarations use: without quotes.
+    fn from_text(text: &str) -> Option<Self>;
+
+    /// Reads the JSON text of a value.
+    fn from_json(json: &str) -> Result<Self, ValueError> {
+        serde_json::from_str::<String>(json)
+            .ok()
+            .and_then(|text| Self::from_text(&text))
+            .ok_or_else(|| ValueError::not_a(Self::KIND))
+    }
+
+    /// Whether the value lies in a range; types without an order have none.
+    fn is_within(&self, _first: &str, _last: &str) -> bool {
+        true
+    }
+
+    /// The value of an absent option, for types that allow absence.
+    fn absent() -> Option<Self> {
+        None
+    }
+}
+
+impl ValueError {
+    /// Describes a text that is not a `kind`.
+    pub fn not_a(kind: &str) -> Self {
+        Self {
+            line: 1,
+            text: None,
+            reason: format!("expected {kind}"),
+        }
+    }
+}
+
+/// Whether `value` lies between two bounds, which a test of the declarations has parsed.
+pub(crate) fn is_between<T: PartialOrd>(
+    value: &T,
+    first: &str,
+    last: &str,
+    parse: impl Fn(&str) -> Option<T>,
+) -> bool {
+    let bound = |text| parse(text).expect("declared bounds are valid");
+    *value >= bound(first) && *value <= bound(last)
+}
+
+/// Types that `FromStr` reads and that have no range.
+macro_rules! text_value {
+    ($($type:ty, $kind:literal, $example:literal;)*) => {
+        $(
+            impl Value for $type {
+                const KIND: &'static str = $kind;
+                const EXAMPLE: &'static str = $example;
+
+                fn from_text(text: &str) -> Option<Self> {
+                    text.parse().ok()
+                }
+            }
+        )*
+    };
+}
+
+text_value! {
+    VmId, "a name of 1 to 64 characters from `a-z A-Z 0-9 . _ : -`", r#""entry-1""#;
+    DataCentre, "a name of 1 to 64 characters from `a-z A-Z 0-9 . _ : -`", r#""north""#;
+    SocketAddr, "an IP address and a port", r#""10.0.0.1:7400""#;
+}
+
+impl Value for PathBuf {
+    const KIND: &'static str = "a path";
+    const EXAMPLE: &'static str = r#""/etc/auburnbridge/keys""#;
+
+    fn from_text(text: &str) -> Option<Self> {
+        (!text.is_empty() && !text.contains('\0')).then(|| Self::from(text))
+    }
+}
+
+impl Value for Millis {
+    const KIND: &'static str = "a duration with its unit (ms, s, min, h)";
+    const EXAMPLE: &'static str = r#""5s""#;
+
+    fn from_text(text: &str) -> Option<Self> {
+        let duration = humantime::parse_duration(text).ok()?;
+        let has_fraction = duration.subsec_nanos() % 1_000_000 != 0;
+        let millis = u64::try_from(duration.as_millis()).ok()?;
+        (!has_fraction).then_some(Self(millis))
+    }
+
+    fn is_within(&self, first: &str, last: &str) -> bool {
+        is_between(self, first, last, Self::from_text)
+    }
+}
+
+impl Value for ByteSize {
+    const KIND: &'static str = "a size with its unit (B, KiB, MiB, GiB)";
+    const EXAMPLE: &'static str = r#""64MiB""#;
+
+    fn from_text(text: &str) -> Option<Self> {
+        let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+        let (number, unit) = text.split_at(digits);
+        let factor: u64 = match unit.trim_start() {
+            "B" => 1,
+            "KiB" => 1 << 10,
+            "MiB" => 1 << 20,
+            "GiB" => 1 << 30,
+            _ => return None,
+        };
+        number.parse::<u64>().ok()?.checked_mul(factor).map(Self)
+    }
+
+    fn is_within(&self, first: &str, last: &str) -> bool {
+        is_between(self, first, last, Self::from_text)
+    }
+}
+
+/// Whole numbers, which stand without quotes.
+macro_rules! number_value {
+    ($($type:ty),*) => {
+        $(
+            impl Value for $type {
+                const KIND: &'static str = "a whole number";
+                const EXAMPLE: &'static str = "20";
+
+                fn from_text(text: &str) -> Option<Self> {
+                    text.parse().ok()
+                }
+
+                fn from_json(json: &str) -> Result<Self, ValueError> {
+                    serde_json::from_str(json).map_err(|_| ValueError::not_a(Self::KIND))
+                }
+
+                fn is_within(&self, first: &str, last: &str) -> bool {
+                    is_between(self, first, last, Self::from_text)
+                }
+            }
+        )*
+    };
+}
+
+number_value!(u32, u64);
+
+impl<T: Value> Value for Option<T> {
+    const KIND: &'static str = T::KIND;
+    const EXAMPLE: &'static str = T::EXAMPLE;
+    const RANGE_UNIT: &'static str = T::RANGE_UNIT;
+
+    fn from_text(text: &str) -> Option<Self> {
+        T::from_text(text).map(Some)
+    }
+
+    fn from_json(json: &str) -> Result<Self, ValueError> {
+        T::from_json(json).map(Some)
+    }
+
+    fn is_within(&self, first: &str, last: &str) -> bool {
+        self.as_ref()
+            .is_none_or(|value| value.is_within(first, last))
+    }
+
+    fn absent() -> Option<Self> {
+        Some(None)
+    }
+}
