--- a/crates/auburnbridge_config/src/config.rs
+++ b/crates/auburnbridge_config/src/config.rs
@@ -3,11 +3,11 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use auburnbridge_rules::Rules;
+use auburnbridge_rules::{Rules, TextDigest};
 use auburnbridge_types::{Revision, Timestamp};
+use sha2::{Digest, Sha256};
 
 use crate::delta::Delta;
-use crate::digest::TextDigest;
 use crate::edit::{Edit, EditReply};
 use crate::edit_ids::{EditIds, SeenEdit};
 use crate::history::{HistoryEntry, MAX_HISTORY};
@@ -104,7 +104,7 @@
 }
 
 /// Digest by which an id that comes with another edit is recognized.
-fn digest_of(edit: &Edit) -> TextDigest {
+fn digest_of(edit: &Edit) -> [u8; 32] {
     let bytes = postcard::to_stdvec(edit).expect("an edit can be encoded");
-    TextDigest::of_bytes(&bytes)
+    Sha256::digest(bytes).into()
 }
--- a/crates/auburnbridge_config/src/delta.rs
+++ b/crates/auburnbridge_config/src/delta.rs
@@ -3,12 +3,10 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use auburnbridge_rules::LineEdit;
+use auburnbridge_rules::{LineEdit, TextDigest};
 use auburnbridge_types::Revision;
 use serde::{Deserialize, Serialize};
 
-use crate::digest::TextDigest;
-
 /// Largest number of line edits in one delta; a longer one costs more to apply than a whole file.
 pub const MAX_DELTA_EDITS: usize = 256;
 
--- a/crates/auburnbridge_config/src/edit_ids.rs
+++ b/crates/auburnbridge_config/src/edit_ids.rs
@@ -11,7 +11,6 @@
 use auburnbridge_types::{Millis, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use crate::digest::TextDigest;
 use crate::edit::{EditId, EditReply};
 
 /// How long after its creation an id is accepted.
@@ -45,7 +44,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct SeenEdit {
     pub(crate) time: Timestamp,
-    pub(crate) digest: TextDigest,
+    /// SHA-256 digest of the edit.
+    pub(crate) digest: [u8; 32],
     pub(crate) reply: EditReply,
 }
 
--- a/crates/auburnbridge_config/src/lib.rs
+++ b/crates/auburnbridge_config/src/lib.rs
@@ -11,7 +11,6 @@
 mod change;
 mod config;
 mod delta;
-mod digest;
 mod edit;
 mod edit_ids;
 mod history;
@@ -22,7 +21,6 @@
 pub use change::{Change, ChangeRefusal, ChangedRules, LineSelector};
 pub use config::Config;
 pub use delta::{Delta, MAX_DELTA_EDITS};
-pub use digest::TextDigest;
 pub use edit::{Author, Edit, EditId, EditReply, MAX_REPLY_ERRORS};
 pub use edit_ids::{EDIT_ID_RETENTION, MAX_EDIT_IDS, MAX_KEPT_ERROR_BYTES};
 pub use history::{HistoryEntry, MAX_HISTORY};
--- a/crates/auburnbridge_config/src/rules_copy.rs
+++ b/crates/auburnbridge_config/src/rules_copy.rs
@@ -3,11 +3,10 @@
 use std::fmt;
 use std::sync::Arc;
 
-use auburnbridge_rules::{LineEdit, RuleError, Rules};
+use auburnbridge_rules::{LineEdit, RuleError, Rules, TextDigest};
 use auburnbridge_types::Revision;
 
 use crate::delta::{Delta, DeltaLog};
-use crate::digest::TextDigest;
 
 /// Rules at one revision, with the recent steps that led there.
 ///
@@ -16,7 +15,6 @@
 #[derive(Clone, Debug)]
 pub struct RulesCopy {
     revision: Revision,
-    digest: TextDigest,
     rules: Arc<Rules>,
     deltas: DeltaLog,
 }
@@ -80,7 +78,6 @@
     fn default() -> Self {
         Self {
             revision: Revision(0),
-            digest: TextDigest::of(""),
             rules: Arc::default(),
             deltas: DeltaLog::default(),
         }
@@ -95,7 +92,7 @@
 
     /// Digest of the text in force.
     pub fn digest(&self) -> TextDigest {
-        self.digest
+        self.rules.digest()
     }
 
     /// The rules in force.
@@ -115,7 +112,7 @@
                 base: revision,
                 base_digest,
                 revision: self.revision,
-                digest: self.digest,
+                digest: self.digest(),
                 edits,
             },
             None => self.whole(),
@@ -126,7 +123,7 @@
     pub fn whole(&self) -> Delta {
         Delta::Whole {
             revision: self.revision,
-            digest: self.digest,
+            digest: self.digest(),
             text: Arc::clone(self.rules.text()),
         }
     }
@@ -152,7 +149,7 @@
                 digest,
                 edits,
             } => {
-                if *base != self.revision || *base_digest != self.digest {
+                if *base != self.revision || *base_digest != self.digest() {
                     return Err(DeltaError::BaseMismatch {
                         current: self.revision,
                         base: *base,
@@ -174,15 +171,13 @@
 
     /// Moves to the next revision after an accepted edit.
     pub(crate) fn accept(&mut self, rules: Rules, edits: Option<Vec<LineEdit>>) -> Revision {
-        let digest = TextDigest::of(rules.text());
-        self.put(self.revision.next(), digest, rules, edits);
+        self.put(self.revision.next(), rules, edits);
         self.revision
     }
 
     pub(crate) fn from_parts(revision: Revision, rules: Rules, deltas: DeltaLog) -> Self {
         Self {
             revision,
-            digest: TextDigest::of(rules.text()),
             rules: Arc::new(rules),
             deltas,
         }
@@ -199,29 +194,22 @@
         rules: Rules,
         edits: Option<Vec<LineEdit>>,
     ) -> Result<bool, DeltaError> {
-        if TextDigest::of(rules.text()) != digest {
+        if rules.digest() != digest {
             return Err(DeltaError::DigestMismatch { revision });
         }
-        self.put(revision, digest, rules, edits);
+        self.put(revision, rules, edits);
         Ok(true)
     }
 
-    fn put(
-        &mut self,
-        revision: Revision,
-        digest: TextDigest,
-        rules: Rules,
-        edits: Option<Vec<LineEdit>>,
-    ) {
-        self.deltas.push(self.revision, self.digest, edits);
+    fn put(&mut self, revision: Revision, rules: Rules, edits: Option<Vec<LineEdit>>) {
+        self.deltas.push(self.revision, self.digest(), edits);
         self.revision = revision;
-        self.digest = digest;
         self.rules = Arc::new(rules);
     }
 
     /// Two texts under one revision show that the log's order was broken.
     fn confirm(&self, digest: TextDigest) -> Result<bool, DeltaError> {
-        if digest == self.digest {
+        if digest == self.digest() {
             Ok(false)
         } else {
             Err(DeltaError::DigestMismatch {
--- a/crates/auburnbridge_config/tests/replication.rs
+++ b/crates/auburnbridge_config/tests/replication.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use auburnbridge_config::{
-    Change, Config, Delta, DeltaError, Edit, EditReply, RulesCopy, SnapshotError, TextDigest,
+    Change, Config, Delta, DeltaError, Edit, EditReply, RulesCopy, SnapshotError,
 };
-use auburnbridge_rules::LineEdit;
+use auburnbridge_rules::{LineEdit, TextDigest};
 use auburnbridge_types::{Millis, Revision};
 use common::{SERVICE, START, edit, remove, set};
 use proptest::prelude::*;
--- a/crates/auburnbridge_rules/src/edit.rs
+++ b/crates/auburnbridge_rules/src/edit.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::digest::TextDigest;
 use crate::error::RuleError;
 use crate::line::file_lines;
 
@@ -46,6 +47,17 @@
 }
 
 impl<'a> Replaced<'a> {
+    /// The digest of the edited text, from that of the text before.
+    pub(crate) fn update(&self, digest: TextDigest) -> TextDigest {
+        let kept = self
+            .removed
+            .iter()
+            .fold(digest, |digest, line| digest.without(line));
+        self.added
+            .iter()
+            .fold(kept, |digest, line| digest.with(line))
+    }
+
     fn add(&mut self, line: &'a str) {
         self.added.push(line);
     }
--- a/crates/auburnbridge_rules/src/lib.rs
+++ b/crates/auburnbridge_rules/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod check;
 mod difference;
+mod digest;
 mod edit;
 mod error;
 pub mod grammar;
@@ -22,6 +23,7 @@
 mod value;
 
 pub use difference::{Change, ChangedLine, difference};
+pub use digest::TextDigest;
 pub use edit::LineEdit;
 pub use error::RuleError;
 pub use line::{MAX_LINE_BYTES, file_lines};
--- a/crates/auburnbridge_rules/src/rules.rs
+++ b/crates/auburnbridge_rules/src/rules.rs
@@ -6,6 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::check::{Checks, floor_is_reachable};
+use crate::digest::TextDigest;
 use crate::edit::{self, LineEdit};
 use crate::error::RuleError;
 use crate::grammar;
@@ -21,6 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct Rules {
     text: Arc<str>,
+    digest: TextDigest,
     services: IndexMap<ServiceName, Service>,
     routes: RouteTable,
     accounts: IndexMap<AccountId, Account>,
@@ -64,6 +66,7 @@
         checks.finish(&rules, &mut errors);
         if errors.is_empty() {
             rules.routes.shrink_to_fit();
+            rules.digest = TextDigest::of(text);
             Ok(rules)
         } else {
             errors.sort_by_key(|error| error.line);
@@ -88,6 +91,11 @@
         &self.text
     }
 
+    /// Digest of the text.
+    pub fn digest(&self) -> TextDigest {
+        self.digest
+    }
+
     /// The route of a request; `path` is the request's path without its query.
     ///
     /// An exact path wins over a wildcard and a longer wildcard over a shorter one. A path that
@@ -137,6 +145,7 @@
         let default_account = grammar::DEFAULT_ACCOUNT.parse();
         Self {
             text,
+            digest: TextDigest::default(),
             services: IndexMap::new(),
             routes: RouteTable::default(),
             accounts: IndexMap::new(),
@@ -151,6 +160,7 @@
         check_size(text).ok()?;
         let mut rules = self.clone();
         rules.text = text.into();
+        rules.digest = replaced.update(self.digest);
         let mut errors = Vec::new();
         let mut parse = |line| parse_line(1, line, &mut errors).map(|line| Rule::from(&line));
         let mut service_removed = false;
--- a/crates/auburnbridge_rules/tests/edits.rs
+++ b/crates/auburnbridge_rules/tests/edits.rs
@@ -1,6 +1,6 @@
 //! Guards edits of single lines and differences between files.
 
-use auburnbridge_rules::{LineEdit, LineKey, Method, Rules, difference, rule_lines};
+use auburnbridge_rules::{LineEdit, LineKey, Method, Rules, TextDigest, difference, rule_lines};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -68,6 +68,7 @@
             let Ok(edited) = rules.edited(&edits) else { continue };
             let parsed = Rules::parse(edited.text()).expect("an accepted edit leaves a valid file");
             prop_assert_eq!(&edited, &parsed);
+            prop_assert_eq!(edited.digest(), TextDigest::of(edited.text()));
             prop_assert_eq!(meaning(&edited), meaning(&parsed));
             rules = edited;
         }
