--- a/crates/auburnbridge/src/commands/check.rs
+++ b/crates/auburnbridge/src/commands/check.rs
@@ -60,9 +60,8 @@
 }
 
 fn load_rules(path: &Path) -> Result<Rules, Failure> {
-    let text = fs::read_to_string(path).map_err(|error| {
-        Failure::new(format!("{}: can't be read: {error}", path.display()))
-    })?;
+    let text = fs::read_to_string(path)
+        .map_err(|error| Failure::new(format!("{}: can't be read: {error}", path.display())))?;
     Rules::parse(&text).map_err(|errors| {
         let lines: Vec<String> = errors
             .iter()
--- a/crates/auburnbridge/src/commands/keeper.rs
+++ b/crates/auburnbridge/src/commands/keeper.rs
@@ -7,7 +7,9 @@
 use async_std::task;
 use auburnbridge_keeper::{Keeper, KeeperOptions};
 use auburnbridge_log::Config;
-use auburnbridge_settings::{KeeperSettings, Settings};
+use auburnbridge_operator::{KeyDigest, OperatorKey, OperatorKeys};
+use auburnbridge_rules::TeamScope;
+use auburnbridge_settings::{KeeperSettings, ServiceScope, Settings};
 use futures_lite::FutureExt;
 
 use crate::commands::peer_addresses;
@@ -39,9 +41,11 @@
             .heartbeat_interval(settings.heartbeat_interval)
             .snapshot_after_records(settings.snapshot_every)
             .build(),
+        operator_address: settings.operator_address,
+        operator_keys: operator_keys(&settings.operator_keys)?,
     };
     task::block_on(async {
-        let keeper = Keeper::start(options).map_err(|report| Failure::from_report(&report))?;
+        let keeper = Keeper::start(options).await.map_err(|report| Failure::from_report(&report))?;
         let failed = async {
             while !keeper.has_failed() {
                 task::sleep(FAILURE_CHECK).await;
@@ -52,7 +56,32 @@
             .stop()
             .await
             .map_err(|report| Failure::from_report(&report))?;
-        log::info!("keeper stopped syncs={} records={}", counts.syncs, counts.records);
+        log::info!(
+            "keeper stopped syncs={} records={}",
+            counts.syncs,
+            counts.records
+        );
         Ok(())
     })
 }
+
+fn operator_keys(keys: &[auburnbridge_settings::OperatorKey]) -> Result<OperatorKeys, Failure> {
+    let keys: Result<Vec<OperatorKey>, Failure> = keys
+        .iter()
+        .map(|key| {
+            Ok(OperatorKey {
+                digest: KeyDigest(key.sha256.0),
+                author: key.name.parse()?,
+                // An operator whose name is also a team's gets the team's lines.
+                team: key.name.parse().ok(),
+                scopes: match &key.services {
+                    ServiceScope::All => vec![TeamScope::Everything],
+                    ServiceScope::Listed(names) => {
+                        names.iter().cloned().map(TeamScope::Service).collect()
+                    }
+                },
+            })
+        })
+        .collect();
+    keys.map(OperatorKeys::new)
+}
--- a/crates/auburnbridge/src/commands/mod.rs
+++ b/crates/auburnbridge/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! One module for each subcommand.
 
+mod api;
 pub(crate) mod check;
 pub(crate) mod entry;
 pub(crate) mod keeper;
--- a/crates/auburnbridge/src/failure.rs
+++ b/crates/auburnbridge/src/failure.rs
@@ -12,7 +12,7 @@
     }
 
     /// All contexts and attachments of a report, outermost first.
-    pub(crate) fn from_report<C: error_stack::Context>(report: &error_stack::Report<C>) -> Self {
+    pub(crate) fn from_report<C: std::error::Error>(report: &error_stack::Report<C>) -> Self {
         let mut parts: Vec<String> = Vec::new();
         for frame in report.frames() {
             let text = match frame.kind() {
--- a/crates/auburnbridge/src/main.rs
+++ b/crates/auburnbridge/src/main.rs
@@ -9,7 +9,6 @@
 
 use argh::FromArgs;
 
-use crate::failure::Failure;
 
 /// A proxy fleet between callers and targets that fail gray.
 #[derive(FromArgs)]
--- a/crates/auburnbridge_caller/src/tide_service.rs
+++ b/crates/auburnbridge_caller/src/tide_service.rs
@@ -23,13 +23,13 @@
 ];
 
 /// A `tide` application as a [`Service`].
-pub struct TideService {
-    app: tide::Server<()>,
+pub struct TideService<S> {
+    app: tide::Server<S>,
 }
 
-impl TideService {
+impl<S: Clone + Send + Sync + 'static> TideService<S> {
     /// Wraps an application.
-    pub fn new(app: tide::Server<()>) -> Self {
+    pub fn new(app: tide::Server<S>) -> Self {
         Self { app }
     }
 
@@ -67,7 +67,7 @@
     }
 }
 
-impl Service for TideService {
+impl<S: Clone + Send + Sync + 'static> Service for TideService<S> {
     fn respond(
         &self,
         req: Request,
--- a/crates/auburnbridge_entry/src/keeper_client.rs
+++ b/crates/auburnbridge_entry/src/keeper_client.rs
@@ -11,7 +11,7 @@
 use auburnbridge_ledger::{Command, Reply as LedgerReply};
 use auburnbridge_messages::{Reply, Request};
 use auburnbridge_peer::{PeerAddress, Transport};
-use auburnbridge_types::{BoxFuture, Clock, Millis, Revision};
+use auburnbridge_types::{BoxFuture, Clock, DataCentre, Millis, Revision};
 use log::{debug, warn};
 
 use crate::ledger_client::{LedgerClient, LedgerUnavailable};
@@ -25,6 +25,7 @@
 /// Calls the keepers.
 pub struct KeeperClient {
     keepers: Vec<PeerAddress>,
+    data_centre: DataCentre,
     transport: Arc<dyn Transport>,
     clock: Arc<dyn Clock>,
     leader: AtomicUsize,
@@ -32,14 +33,16 @@
 }
 
 impl KeeperClient {
-    /// Creates a client of the group of `keepers`.
+    /// Creates a client in `data_centre` of the group of `keepers`.
     pub fn new(
         keepers: Vec<PeerAddress>,
+        data_centre: DataCentre,
         transport: Arc<dyn Transport>,
         clock: Arc<dyn Clock>,
     ) -> Self {
         Self {
             keepers,
+            data_centre,
             transport,
             clock,
             leader: AtomicUsize::new(0),
@@ -54,7 +57,11 @@
 
     /// Fetches the rules after `have` from one keeper.
     pub async fn fetch_rules(&self, keeper: &PeerAddress, have: Revision) -> Option<Delta> {
-        match self.call(keeper, &Request::FetchRules { have }).await {
+        let request = Request::FetchRules {
+            have,
+            data_centre: self.data_centre.clone(),
+        };
+        match self.call(keeper, &request).await {
             Ok(Reply::Rules(delta)) => Some(delta),
             Ok(reply) => {
                 debug!("keeper {} sent no rules: {reply:?}", keeper.vm);
--- a/crates/auburnbridge_entry/src/neighbours.rs
+++ b/crates/auburnbridge_entry/src/neighbours.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use auburnbridge_config::RulesCopy;
+use auburnbridge_config::{Delta, RulesCopy};
 use auburnbridge_membership::{
     Announcement, Entries, EntryAnnouncement, Gossip, Liveness, Members, State, SyncMessage,
     Verdict,
@@ -238,7 +238,19 @@
         &self.rules
     }
 
-    pub(crate) async fn call(&self, peer: &PeerAddress, request: &Request) -> Option<Reply> {
+    /// Fetches the rules after `have` from another entry.
+    pub(crate) async fn fetch_rules(&self, peer: &PeerAddress, have: Revision) -> Option<Delta> {
+        let data_centre = self.own.lock().data_centre.clone();
+        match self
+            .call(peer, &Request::FetchRules { have, data_centre })
+            .await
+        {
+            Some(Reply::Rules(delta)) => Some(delta),
+            _ => None,
+        }
+    }
+
+    async fn call(&self, peer: &PeerAddress, request: &Request) -> Option<Reply> {
         let body = request.encode().ok()?;
         let reply = self
             .transport
--- a/crates/auburnbridge_entry/src/rules_feed.rs
+++ b/crates/auburnbridge_entry/src/rules_feed.rs
@@ -8,7 +8,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use auburnbridge_config::{Delta, DeltaError};
-use auburnbridge_messages::{Reply, Request};
 use auburnbridge_types::{Clock, Millis, Revision};
 use log::{debug, warn};
 
@@ -59,11 +58,7 @@
         }
         for peer in self.neighbours.peers() {
             let have = self.revision();
-            if let Some(Reply::Rules(delta)) = self
-                .neighbours
-                .call(&peer, &Request::FetchRules { have })
-                .await
-            {
+            if let Some(delta) = self.neighbours.fetch_rules(&peer, have).await             {
                 self.apply(&delta);
                 reached += 1;
             }
@@ -108,11 +103,7 @@
         if newest <= have {
             return;
         }
-        if let Some(Reply::Rules(delta)) = self
-            .neighbours
-            .call(&peer, &Request::FetchRules { have })
-            .await
-        {
+        if let Some(delta) = self.neighbours.fetch_rules(&peer, have).await         {
             self.apply(&delta);
         }
     }
--- a/crates/auburnbridge_entry/src/run.rs
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -103,6 +103,7 @@
             Arc::new(PeerTransport::new(Arc::clone(&keys), peer_options.clone()));
         let keepers = Arc::new(KeeperClient::new(
             options.keepers.clone(),
+            options.data_centre.clone(),
             Arc::clone(&transport),
             Arc::clone(&clock),
         ));
@@ -300,7 +301,7 @@
 /// Serves callers and the balancer on one address.
 struct CallerService {
     entry: Arc<Entry>,
-    readiness: TideService,
+    readiness: TideService<()>,
 }
 
 impl Service for CallerService {
--- a/crates/auburnbridge_entry/src/server.rs
+++ b/crates/auburnbridge_entry/src/server.rs
@@ -24,7 +24,7 @@
 
     fn answer(&self, from: &PeerIdentity, request: Request) -> Reply {
         match (request, from.role) {
-            (Request::FetchRules { have }, _) => {
+            (Request::FetchRules { have, .. }, _) => {
                 Reply::Rules(self.neighbours.rules().lock().delta_since(have))
             }
             (Request::Crash(report), Role::Entry) => {
--- a/crates/auburnbridge_keeper/src/core.rs
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -14,6 +14,7 @@
     Input, LogIndex, Member, MemberChange, MemberRole, Members, Message, Output, Persist,
     RejectReason, Replica, ReplicaId, Status, Token,
 };
+use auburnbridge_rules::Rules;
 use auburnbridge_store::{Store, StoreError};
 use auburnbridge_types::{Clock, Revision, Timestamp, VmId};
 use log::{error, info, warn};
@@ -51,6 +52,11 @@
         /// Receives the rules.
         reply: Sender<Delta>,
     },
+    /// A request for the rules themselves.
+    RulesInForce {
+        /// Receives the revision and the rules.
+        reply: Sender<(Revision, Arc<Rules>)>,
+    },
     /// A request for the last accepted edits.
     History {
         /// Receives the edits, oldest first.
@@ -180,6 +186,11 @@
                 let _ = reply.try_send(self.state.config.delta_since(have));
                 Vec::new()
             }
+            Event::RulesInForce { reply } => {
+                let config = &self.state.config;
+                let _ = reply.try_send((config.revision(), Arc::clone(config.rules())));
+                Vec::new()
+            }
             Event::History { reply } => {
                 let _ = reply.try_send(self.state.config.history().cloned().collect());
                 Vec::new()
--- a/crates/auburnbridge_keeper/src/lib.rs
+++ b/crates/auburnbridge_keeper/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod core;
 mod formation;
+mod operator_store;
 mod run;
 mod server;
 mod state;
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -8,17 +8,21 @@
 use std::thread::{self, JoinHandle};
 
 use async_std::task;
+use auburnbridge_caller::{Lifecycle, Listener, ListenerOptions, TideService};
+use auburnbridge_http::Limits;
 use auburnbridge_log::{Config, Message, Replica};
 use auburnbridge_messages::{MESSAGE_LIMIT, Request};
+use auburnbridge_operator::{MAX_RULES_BYTES, OperatorKeys};
 use auburnbridge_peer::keys::KeyRing;
 use auburnbridge_peer::{Options, PeerAddress, PeerServer, PeerTransport, Transport};
 use auburnbridge_store::{Store, StoreError};
-use auburnbridge_types::{Clock, RuntimeClock, VmId};
+use auburnbridge_types::{ByteSize, Clock, RuntimeClock, VmId};
 use error_stack::{Report, ResultExt};
 use log::{info, warn};
 
 use crate::core::{CommitCounts, Core, CoreHandle, Event, LogTransport};
 use crate::formation::Formation;
+use crate::operator_store::OperatorStore;
 use crate::server::KeeperServer;
 
 /// What a keeper needs to run.
@@ -36,6 +40,10 @@
     pub keepers: Vec<PeerAddress>,
     /// Settings of the log.
     pub log: Config,
+    /// Where it serves the administration API, if it does.
+    pub operator_address: Option<SocketAddr>,
+    /// Keys that the API accepts.
+    pub operator_keys: OperatorKeys,
 }
 
 /// Reason why a keeper can't start or had to stop.
@@ -60,7 +68,7 @@
 
 impl Keeper {
     /// Opens the data folder and starts to listen and to look for the group.
-    pub fn start(options: KeeperOptions) -> Result<Self, Report<KeeperError>> {
+    pub async fn start(options: KeeperOptions) -> Result<Self, Report<KeeperError>> {
         let clock: Arc<dyn Clock> = Arc::new(RuntimeClock);
         let keys = KeyRing::load(&options.keys, clock.now()).change_context(KeeperError)?;
         let (store, recovered) = Store::open(&options.data_folder).change_context(KeeperError)?;
@@ -107,6 +115,15 @@
             options.vm,
             peer_server.address()
         );
+        if let Some(address) = options.operator_address {
+            let store = OperatorStore::new(
+                Arc::clone(&server),
+                handle.clone(),
+                options.keepers.clone(),
+                Arc::clone(&transport),
+            );
+            serve_operators(address, store, options.operator_keys, Arc::clone(&clock)).await?;
+        }
         let formation = Formation {
             vm: options.vm,
             replica: replica_id,
@@ -149,6 +166,25 @@
     }
 }
 
+async fn serve_operators(
+    address: SocketAddr,
+    store: OperatorStore,
+    keys: OperatorKeys,
+    clock: Arc<dyn Clock>,
+) -> Result<(), Report<KeeperError>> {
+    let app = auburnbridge_operator::server(Arc::new(store), keys);
+    let limits = Limits::default().with_body_bytes(ByteSize(MAX_RULES_BYTES as u64));
+    let options = ListenerOptions::builder().limits(limits).clock(clock).build();
+    let service = Arc::new(TideService::new(app));
+    let listener = Listener::bind(address, service, Arc::new(Lifecycle::default()), options)
+        .await
+        .change_context(KeeperError)
+        .attach_with(|| format!("can't listen on TCP {address}"))?;
+    info!("administration API on {address}");
+    task::spawn(listener.run());
+    Ok(())
+}
+
 struct PeerLogTransport {
     transport: Arc<dyn Transport>,
     addresses: HashMap<VmId, PeerAddress>,
--- a/crates/auburnbridge_keeper/src/server.rs
+++ b/crates/auburnbridge_keeper/src/server.rs
@@ -6,7 +6,7 @@
 use auburnbridge_log::RejectReason;
 use auburnbridge_messages::{EntryRevision, KeeperHello, KeeperStatus, Reply, Request};
 use auburnbridge_peer::{Handler, PeerIdentity, Role};
-use auburnbridge_types::{BoxFuture, Clock, Millis, Revision, Timestamp, VmId};
+use auburnbridge_types::{BoxFuture, Clock, DataCentre, Millis, Revision, Timestamp, VmId};
 use log::warn;
 use parking_lot::Mutex;
 
@@ -18,13 +18,19 @@
 /// Time after which an entry that fetches no rules is no longer listed.
 const ENTRY_FORGET: Millis = Millis(10 * 60 * 1000);
 
+/// What an entry said when it last fetched rules.
+struct SeenEntry {
+    revision: Revision,
+    data_centre: DataCentre,
+    seen: Timestamp,
+}
+
 /// A keeper towards the other processes.
 pub struct KeeperServer {
     vm: VmId,
     core: CoreHandle,
     clock: Arc<dyn Clock>,
-    /// The revision in force on each entry, and when it said so.
-    entries: Mutex<BTreeMap<VmId, (Revision, Timestamp)>>,
+    entries: Mutex<BTreeMap<VmId, SeenEntry>>,
 }
 
 impl KeeperServer {
@@ -44,10 +50,11 @@
             (Request::Ledger(command), Role::Entry) => {
                 self.propose(StateCommand::Ledger(command)).await
             }
-            (Request::Edit(edit), _) => self.propose(StateCommand::Edit(edit)).await,
-            (Request::FetchRules { have }, role) => {
+            // Another keeper forwards what an operator asked of it.
+            (Request::Edit(edit), Role::Keeper) => self.propose(StateCommand::Edit(edit)).await,
+            (Request::FetchRules { have, data_centre }, role) => {
                 if role == Role::Entry {
-                    self.note_entry(&from.vm, have);
+                    self.note_entry(&from.vm, have, data_centre);
                 }
                 match self.core.ask(|reply| Event::Rules { have, reply }).await {
                     Some(delta) => Reply::Rules(delta),
@@ -101,12 +108,19 @@
         }
     }
 
-    fn note_entry(&self, vm: &VmId, have: Revision) {
-        let now = self.clock.now();
+    fn note_entry(&self, vm: &VmId, revision: Revision, data_centre: DataCentre) {
+        let seen = self.clock.now();
         let mut entries = self.entries.lock();
-        entries.insert(vm.clone(), (have, now));
+        entries.insert(
+            vm.clone(),
+            SeenEntry {
+                revision,
+                data_centre,
+                seen,
+            },
+        );
         if entries.len() > ENTRY_LIMIT {
-            entries.retain(|_, (_, seen)| now.since(*seen) < ENTRY_FORGET);
+            entries.retain(|_, entry| seen.since(entry.seen) < ENTRY_FORGET);
         }
     }
 
@@ -120,11 +134,16 @@
         }
     }
 
+    async fn status(&self) -> Reply {
+        match self.keeper_status().await {
+            Some(status) => Reply::Status(status),
+            None => Reply::Busy,
+        }
+    }
+
     /// The state of this keeper and of the entries that it hears from.
-    pub async fn status(&self) -> Reply {
-        let Some(report) = self.core.ask(|reply| Event::Report { reply }).await else {
-            return Reply::Busy;
-        };
+    pub async fn keeper_status(&self) -> Option<KeeperStatus> {
+        let report = self.core.ask(|reply| Event::Report { reply }).await?;
         let keys = report.keys as u64;
         let mut status = KeeperStatus::new(self.vm.clone(), &report.status, report.revision, keys);
         let now = self.clock.now();
@@ -132,14 +151,15 @@
             .entries
             .lock()
             .iter()
-            .filter(|(_, (_, seen))| now.since(*seen) < ENTRY_FORGET)
-            .map(|(vm, (revision, seen))| EntryRevision {
+            .filter(|(_, entry)| now.since(entry.seen) < ENTRY_FORGET)
+            .map(|(vm, entry)| EntryRevision {
                 vm: vm.clone(),
-                revision: *revision,
-                age_ms: now.since(*seen).0,
+                data_centre: entry.data_centre.clone(),
+                revision: entry.revision,
+                age_ms: now.since(entry.seen).0,
             })
             .collect();
-        Reply::Status(status)
+        Some(status)
     }
 }
 
--- a/crates/auburnbridge_messages/src/lib.rs
+++ b/crates/auburnbridge_messages/src/lib.rs
@@ -10,7 +10,7 @@
 use auburnbridge_membership::{Announcement, EntryAnnouncement, SyncMessage};
 use auburnbridge_peer::codec::{self, CodecError};
 use auburnbridge_policy::CrashReport;
-use auburnbridge_types::{ByteSize, Revision, VmId};
+use auburnbridge_types::{ByteSize, DataCentre, Revision, VmId};
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
@@ -29,6 +29,8 @@
     FetchRules {
         /// The revision that the sender has in force.
         have: Revision,
+        /// Data centre of the sender, for the status of the fleet.
+        data_centre: DataCentre,
     },
     /// To a keeper: which VM has which revision in force, and the state of the log.
     Status,
@@ -130,6 +132,8 @@
 pub struct EntryRevision {
     /// The entry.
     pub vm: VmId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
     /// The revision.
     pub revision: Revision,
     /// Time since it last fetched rules, in milliseconds.
--- a/crates/auburnbridge_standin/src/bin/auburnbridge-standin.rs
+++ b/crates/auburnbridge_standin/src/bin/auburnbridge-standin.rs
@@ -24,8 +24,14 @@
     Target(TargetArguments),
     Send(SendArguments),
     Load(LoadArguments),
+    Key(KeyArguments),
 }
 
+/// Prints a new idempotency key.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "key")]
+struct KeyArguments {}
+
 /// Runs a stand-in target until it is killed.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "target")]
@@ -114,6 +120,10 @@
         Command::Target(arguments) => run_target(arguments),
         Command::Send(arguments) => send_one(&arguments),
         Command::Load(arguments) => run_load(arguments),
+        Command::Key(KeyArguments {}) => {
+            println!("{}", new_key(&mut rand::rng()));
+            ExitCode::SUCCESS
+        }
     }
 }
 
