Add the administration API

Ruled out: authorizing an edit against rules of another revision than the one it is applied to; an edit beyond the known revision is refused, and one made to an older revision is proposed only for the first reply of its id. Change: tide server over the trait ConfigStore; operator keys by digest; body limits; refusals as RFC 9457 with an outcome only where it is certain.

--- a/crates/auburnbridge_operator/src/lib.rs
+++ b/crates/auburnbridge_operator/src/lib.rs
@@ -1,1 +1,23 @@
 //! The administration API for operators.
+//!
+//! [`server`] builds a [`tide::Server`] over a [`ConfigStore`], which connects it to the replicated
+//! log. The HTTP framing is done elsewhere: the server is given parsed requests.
+//!
+//! An edit names the revision to which it was made. It is authorized against the rules of that
+//! revision and then submitted with the same expected revision, so that no other edit can come
+//! between the check and the change.
+
+mod authorization;
+mod body;
+mod edits;
+mod keys;
+mod problem;
+mod reads;
+mod server;
+mod store;
+
+pub use body::{MAX_LINE_EDIT_BYTES, MAX_RULES_BYTES};
+pub use keys::{KeyDigest, OperatorKey, OperatorKeys};
+pub use problem::{Problem, ProblemKind};
+pub use server::{OperatorServer, State, server};
+pub use store::{ConfigStore, FleetStatus, RulesInForce, StoreError, TargetStatus, VmStatus};
