Let a restarted replica count again when a peer is lost for good

Cause: the boot check asked for a majority of the other voters. With one of three disks replaced and a second replica restarted, no one could confirm it, and the group stopped for good (found by the scenario of a replaced disk followed by the loss of a second replica). Ruled out: an operator's override (the ledger would wait for a person after each power cut). Change: the majority of the others holds for 10 election timeouts; then a quorum that includes the replica itself confirms. Conclusion: an old copy passes only if every peer that answers missed its whole later start.

--- a/crates/auburnbridge_log/src/input.rs
+++ b/crates/auburnbridge_log/src/input.rs
@@ -56,9 +56,6 @@
         /// The list.
         members: Members,
     },
-    /// An operator vouches that the folder is not an old copy, for a group that can't confirm the
-    /// boot because too many members are lost for good.
-    VouchBoot,
 }
 
 /// A change of one member.
--- a/crates/auburnbridge_log/src/member.rs
+++ b/crates/auburnbridge_log/src/member.rs
@@ -96,12 +96,8 @@
         self.voters().count() / 2 + 1
     }
 
-    /// Number of confirmations that a restarted `replica` needs: a majority of the other voters.
-    ///
-    /// The replica itself is left out, because an old copy of its folder can't tell that it is one.
-    /// Two majorities of the others share a replica, so that a boot that was confirmed once is
-    /// known to at least one replica that a copy asks.
-    pub fn boot_quorum(&self, replica: ReplicaId) -> usize {
+    /// Number of other voters that make a majority among themselves.
+    pub(crate) fn majority_of_others(&self, replica: ReplicaId) -> usize {
         let others = self
             .voters()
             .filter(|member| member.replica != replica)
--- a/crates/auburnbridge_log/src/replica/boot.rs
+++ b/crates/auburnbridge_log/src/replica/boot.rs
@@ -1,6 +1,13 @@
 //! The boot check: a restarted replica votes and counts only after its peers have confirmed that
 //! its start is new to them. Otherwise a restored copy of the folder could forget a vote or a
 //! record that the group relies on.
+//!
+//! A start is confirmed by a majority of the other voters, of which any two share a replica, so that
+//! an old copy meets one that knows a later start. With one of three voters lost for good, the
+//! others could never restart under this rule. After [`GRACE_TIMEOUTS`] a start is therefore
+//! confirmed by a quorum that includes the replica itself. An old copy then passes only if each
+//! peer that answers was out of its reach for all of the later start; a single refusal at any time
+//! is final.
 
 use std::collections::BTreeSet;
 
@@ -10,6 +17,9 @@
 use crate::hard_state::MAX_PEERS;
 use crate::{Body, Boot, Output, PeerBoot, ReplicaId};
 
+/// Election timeouts for which a start waits for a majority of the other voters.
+const GRACE_TIMEOUTS: u64 = 10;
+
 /// Election timeouts between two announcements to members that have not answered, once a quorum
 /// has.
 const ANNOUNCE_TIMEOUTS: u64 = 10;
@@ -18,6 +28,7 @@
 pub(super) struct BootState {
     accepted_by: BTreeSet<ReplicaId>,
     next_check: Timestamp,
+    started: Timestamp,
 }
 
 impl BootState {
@@ -25,6 +36,7 @@
         Self {
             accepted_by: BTreeSet::new(),
             next_check: now,
+            started: now,
         }
     }
 }
@@ -72,7 +84,13 @@
             .voters()
             .filter(|member| self.boot.accepted_by.contains(&member.replica))
             .count();
-        let enough = accepted >= members.boot_quorum(self.id);
+        let grace = Millis(self.config.election_timeout.0 * GRACE_TIMEOUTS);
+        let needed = if self.now < self.boot.started.after(grace) {
+            members.majority_of_others(self.id)
+        } else {
+            members.quorum() - 1
+        };
+        let enough = accepted >= needed;
         // The process that creates a folder knows that it is no copy.
         let first = self.hard.boot.counter == 1 && self.hard.boot.attempts.is_empty();
         if enough || first {
@@ -80,7 +98,7 @@
         }
     }
 
-    pub(super) fn confirm_boot(&mut self) {
+    fn confirm_boot(&mut self) {
         if self.hard.boot.confirmed || self.hard.superseded {
             return;
         }
--- a/crates/auburnbridge_log/src/replica/mod.rs
+++ b/crates/auburnbridge_log/src/replica/mod.rs
@@ -144,7 +144,6 @@
             Input::ChangeMembers { token, change } => self.change_members(token, change),
             Input::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
             Input::Bootstrap { members } => self.bootstrap(members),
-            Input::VouchBoot => self.confirm_boot(),
         }
         self.advance_commit();
         self.apply_committed();
--- /dev/null
+++ b/crates/auburnbridge_log/tests/scenarios.rs
@@ -0,0 +1,406 @@
+//! The replicated log in chosen situations.
+
+mod network;
+
+use std::sync::Arc;
+
+use auburnbridge_log::{
+    Body, Boot, DecodeError, Input, LogIndex, MAX_MEMBERS, MESSAGE_VERSION, Member, MemberChange,
+    MemberRole, Members, Message, Output, PeerBoot, RejectReason, ReplicaId, Round, Term, Token,
+};
+use network::{Network, config};
+
+fn group(nodes: usize, voters: usize) -> Network {
+    let mut network = Network::new(nodes, voters, 1, config());
+    assert!(
+        network.run_until_accepted(20),
+        "a new group elects a leader"
+    );
+    network
+}
+
+fn term(network: &Network, node: usize) -> Term {
+    let process = network.nodes[node].process.as_ref().unwrap();
+    process.replica.status().term
+}
+
+/// Guards against a group that a single dead VM stops.
+#[test]
+fn survives_the_loss_of_any_replica() {
+    for lost in 0..3 {
+        let mut network = group(3, 3);
+        network.crash(lost);
+        assert!(network.run_until_accepted(40), "without replica {lost}");
+    }
+}
+
+/// Guards against a disk that comes back empty and votes in its predecessor's place: after the loss
+/// of a second replica, the third one alone must not form a group with it.
+#[test]
+fn an_empty_disk_does_not_count() {
+    for (replaced, lost) in [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)] {
+        let mut network = group(3, 3);
+        let before = network.applied.len();
+        network.replace_disk(replaced);
+        network.crash(lost);
+        assert!(
+            !network.run_until_accepted(40),
+            "an empty disk {replaced} and a single replica accepted a command"
+        );
+        network.start(lost);
+        assert!(
+            network.run_until_accepted(40),
+            "two whole replicas continue"
+        );
+        assert!(network.applied.len() > before);
+    }
+}
+
+/// Guards against an old copy of a folder that votes or counts, also after many starts and after
+/// the loss of a second replica.
+#[test]
+fn an_old_copy_does_not_count() {
+    for (restored, lost) in [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)] {
+        let mut network = group(3, 3);
+        network.save_copy(restored);
+        network.crash(restored);
+        network.start(restored);
+        assert!(network.run_until_accepted(40));
+        network.run(60);
+        network.crash(lost);
+        network.restore_copy(restored);
+        assert_eq!(network.restored, 1, "the copy is in place");
+        for _ in 0..12 {
+            network.crash(restored);
+            network.start(restored);
+            network.run(20);
+        }
+        assert!(
+            !network.run_until_accepted(20),
+            "a copy on {restored} counted"
+        );
+        let process = network.nodes[restored].process.as_ref().unwrap();
+        assert!(process.replica.status().superseded);
+        network.start(lost);
+        assert!(
+            network.run_until_accepted(40),
+            "two whole replicas continue"
+        );
+    }
+}
+
+/// Guards against a replaced VM that can't be brought back into the group.
+#[test]
+fn replaces_a_lost_voter() {
+    let mut network = group(4, 3);
+    let leader = network.leader().unwrap();
+    let lost = (leader + 1) % 3;
+    let lost_id = network.nodes[lost].id;
+    network.crash(lost);
+    let leader = network.leader().unwrap();
+    network.add_learner(leader, 3);
+    let learner = network.nodes[3].id;
+    network.change(leader, MemberChange::Promote(learner));
+    assert_eq!(
+        network.rejected, 1,
+        "a learner without the log is not promoted"
+    );
+    network.run(30);
+    network.change(leader, MemberChange::Promote(learner));
+    network.run(30);
+    network.change(leader, MemberChange::Remove(lost_id));
+    network.run(30);
+    assert_eq!(network.rejected, 1);
+    let members = network.nodes[3].process.as_ref().unwrap().replica.members();
+    assert!(members.is_voter(learner) && members.get(lost_id).is_none());
+    // The new voter counts: the group survives the loss of another old one.
+    let other = (0..3).find(|node| ![leader, lost].contains(node)).unwrap();
+    network.crash(other);
+    assert!(network.run_until_accepted(40));
+}
+
+/// Guards against a removed leader that keeps leading or blocks the rest.
+#[test]
+fn a_removed_leader_steps_down() {
+    let mut network = group(3, 3);
+    let leader = network.leader().unwrap();
+    let id = network.nodes[leader].id;
+    network.change(leader, MemberChange::Remove(id));
+    network.run(60);
+    let next = network.leader().expect("the rest elects a leader");
+    assert_ne!(next, leader);
+    assert!(network.run_until_accepted(40));
+}
+
+/// Guards against links that fail in one direction: a leader that can't hear steps down, and a
+/// replica that can't hear doesn't disturb the group.
+#[test]
+fn tolerates_one_way_links() {
+    let mut network = group(3, 3);
+    let deaf = network.leader().unwrap();
+    for other in (0..3).filter(|other| *other != deaf) {
+        network.cuts.insert((other, deaf));
+    }
+    network.run(100);
+    let next = network.leader().expect("another replica leads");
+    assert_ne!(next, deaf, "a leader that hears nobody must step down");
+    assert!(network.run_until_accepted(40));
+    let before = term(&network, network.leader().unwrap());
+    network.run(300);
+    assert_eq!(
+        term(&network, network.leader().unwrap()),
+        before,
+        "a replica that hears nobody must not force elections"
+    );
+    network.cuts.clear();
+    network.run(30);
+    assert_eq!(term(&network, deaf), before, "the healed replica follows");
+}
+
+/// Guards against a stale read: a leader that is cut off can't answer from its old state.
+#[test]
+fn an_isolated_leader_answers_no_read() {
+    for lease in [false, true] {
+        let config = auburnbridge_log::Config::builder()
+            .lease_reads(lease)
+            .build();
+        let mut network = Network::new(3, 3, 1, config);
+        assert!(network.run_until_accepted(20));
+        let old = network.leader().unwrap();
+        network.read(old);
+        network.run(5);
+        assert_eq!(network.answered_reads, 1, "a leader with a quorum answers");
+        for other in (0..3).filter(|other| *other != old) {
+            network.cuts.extend([(old, other), (other, old)]);
+        }
+        // The lease of 270 ms runs out, the old leader may still think that it leads.
+        network.run(14);
+        network.read(old);
+        network.run(100);
+        assert_eq!(network.answered_reads, 1, "an isolated leader answered");
+        assert!(network.run_until_accepted(40));
+    }
+}
+
+/// Guards against a lagging replica that the records in memory no longer reach, with a snapshot of
+/// several chunks.
+#[test]
+fn sends_a_snapshot_in_chunks() {
+    let mut network = group(3, 3);
+    let leader = network.leader().unwrap();
+    let lagging = (leader + 1) % 3;
+    network.crash(lagging);
+    for _ in 0..30 {
+        let token = network.token();
+        let data: Arc<[u8]> = vec![5; 40_000].into();
+        network.step(leader, Input::Propose { token, data });
+        network.run(1);
+    }
+    network.start(lagging);
+    network.run(60);
+    let status = |network: &Network, node: usize| {
+        network.nodes[node]
+            .process
+            .as_ref()
+            .unwrap()
+            .replica
+            .status()
+    };
+    assert_eq!(
+        status(&network, lagging).applied,
+        status(&network, leader).applied
+    );
+    assert!(status(&network, lagging).boot_confirmed);
+}
+
+/// Guards against a restart that loses state once the log is long and has snapshots.
+#[test]
+fn recovers_exactly_after_a_thousand_changes() {
+    let mut network = group(3, 3);
+    for _ in 0..1_000 {
+        let leader = network.leader().unwrap();
+        network.propose(leader);
+        network.run(1);
+    }
+    let before = network.applied.clone();
+    assert!(before.len() > 1_000);
+    for node in 0..3 {
+        network.crash(node);
+    }
+    for node in 0..3 {
+        network.start(node);
+    }
+    assert!(network.run_until_accepted(40));
+    assert_eq!(network.applied[..before.len()], before);
+}
+
+/// Guards against one sync per proposal: what arrives during a write forms the next one.
+#[test]
+fn groups_proposals_into_one_write() {
+    let mut network = group(1, 1);
+    let process = network.nodes[0].process.as_mut().unwrap();
+    let now = auburnbridge_types::Timestamp(network.now);
+    let mut writes = Vec::new();
+    let mut propose = |token: u64| {
+        let data: Arc<[u8]> = Arc::from([1_u8].as_slice());
+        let token = Token(token);
+        let outputs = process.replica.step(now, Input::Propose { token, data });
+        writes.extend(outputs.into_iter().filter_map(|output| match output {
+            Output::Persist(persist) => Some(persist),
+            _ => None,
+        }));
+    };
+    (100..150).for_each(&mut propose);
+    assert_eq!(writes.len(), 1, "one write is open at a time");
+    assert_eq!(writes[0].records.len(), 1);
+    let sequence = writes[0].sequence;
+    let outputs = process.replica.step(now, Input::Persisted { sequence });
+    let batch = outputs.iter().find_map(|output| match output {
+        Output::Persist(persist) => Some(persist.records.len()),
+        _ => None,
+    });
+    assert_eq!(batch, Some(49));
+}
+
+/// Guards against a caller that is left without an answer or sent to the wrong VM.
+#[test]
+fn a_follower_names_the_leader() {
+    let mut network = group(3, 3);
+    network.run(10);
+    let leader = network.leader().unwrap();
+    let follower = (leader + 1) % 3;
+    let now = auburnbridge_types::Timestamp(network.now + 200);
+    let expected = RejectReason::NotLeader {
+        leader: Some(network.nodes[leader].vm.clone()),
+    };
+    let process = network.nodes[follower].process.as_mut().unwrap();
+    let token = Token(9_000);
+    let data: Arc<[u8]> = Arc::from([1_u8].as_slice());
+    let inputs = [
+        Input::Propose { token, data },
+        Input::Read { token },
+        Input::ChangeMembers {
+            token,
+            change: MemberChange::Promote(ReplicaId(1)),
+        },
+    ];
+    for input in inputs {
+        let outputs = process.replica.step(now, input);
+        let reason = expected.clone();
+        assert_eq!(outputs, vec![Output::Reject { token, reason }]);
+    }
+}
+
+/// Guards against a copy that passes for the folder, and a folder that its own crash condemns.
+#[test]
+fn tells_new_boots_from_old_ones() {
+    let boot = |counter, nonce, attempts: &[u64]| Boot {
+        counter,
+        nonce,
+        attempts: attempts.to_vec(),
+        confirmed: false,
+    };
+    let known = |counter, nonce| Some(PeerBoot { counter, nonce });
+    let cases = [
+        ("unknown peer", boot(1, 10, &[]), None, true),
+        ("next boot", boot(3, 30, &[]), known(2, 20), true),
+        ("repeated check", boot(3, 30, &[]), known(3, 30), true),
+        (
+            "crash before the confirmation",
+            boot(3, 31, &[30]),
+            known(3, 30),
+            true,
+        ),
+        ("older copy", boot(2, 21, &[]), known(3, 30), false),
+        (
+            "copy from the boot before",
+            boot(3, 31, &[]),
+            known(3, 30),
+            false,
+        ),
+        (
+            "copy started often",
+            boot(3, 34, &[31, 32, 33]),
+            known(3, 30),
+            false,
+        ),
+    ];
+    for (name, boot, known, expected) in cases {
+        assert_eq!(boot.is_new_to(known), expected, "{name}");
+    }
+}
+
+/// Guards against messages that take memory beyond their bounds or come from a newer program.
+#[test]
+fn refuses_messages_out_of_bounds() {
+    let message = |body| Message {
+        version: MESSAGE_VERSION,
+        from: ReplicaId(1),
+        to: ReplicaId(2),
+        term: Term(3),
+        body,
+    };
+    let check = |attempts: usize| {
+        message(Body::BootCheck {
+            counter: 1,
+            nonce: 2,
+            attempts: vec![7; attempts],
+        })
+    };
+    let append = |index: u64| {
+        message(Body::Append {
+            prev_index: LogIndex(4),
+            prev_term: Term(1),
+            records: vec![auburnbridge_log::Record {
+                index: LogIndex(index),
+                term: Term(1),
+                time: auburnbridge_types::Timestamp(0),
+                payload: auburnbridge_log::Payload::Noop,
+            }],
+            commit: LogIndex(0),
+            round: Round::default(),
+        })
+    };
+    let newer = Message {
+        version: MESSAGE_VERSION + 1,
+        ..check(1)
+    };
+    let cases = [
+        ("a good check", check(64), None),
+        ("too many attempts", check(65), Some(DecodeError::Malformed)),
+        ("a good append", append(5), None),
+        (
+            "a gap before the records",
+            append(6),
+            Some(DecodeError::Malformed),
+        ),
+        (
+            "a newer version",
+            newer,
+            Some(DecodeError::Version(MESSAGE_VERSION + 1)),
+        ),
+    ];
+    for (name, message, error) in cases {
+        assert_eq!(Message::decode(&message.encode()).err(), error, "{name}");
+    }
+    let bytes = check(3).encode();
+    for length in 0..bytes.len() {
+        assert!(
+            Message::decode(&bytes[..length]).is_err(),
+            "cut at {length}"
+        );
+    }
+}
+
+/// Guards against member lists that grow without bound or list a replica twice.
+#[test]
+fn bounds_the_member_list() {
+    let member = |replica: usize| Member {
+        replica: ReplicaId(replica as u128),
+        vm: "vm".parse().unwrap(),
+        role: MemberRole::Voter,
+    };
+    assert!(Members::new((0..MAX_MEMBERS).map(member).collect()).is_some());
+    assert!(Members::new((0..=MAX_MEMBERS).map(member).collect()).is_none());
+    assert!(Members::new(vec![member(1), member(1)]).is_none());
+}
