--- a/crates/auburnbridge/src/commands/keeper.rs
+++ b/crates/auburnbridge/src/commands/keeper.rs
@@ -45,7 +45,9 @@
         operator_keys: operator_keys(&settings.operator_keys)?,
     };
     task::block_on(async {
-        let keeper = Keeper::start(options).await.map_err(|report| Failure::from_report(&report))?;
+        let keeper = Keeper::start(options)
+            .await
+            .map_err(|report| Failure::from_report(&report))?;
         let failed = async {
             while !keeper.has_failed() {
                 task::sleep(FAILURE_CHECK).await;
--- a/crates/auburnbridge/src/main.rs
+++ b/crates/auburnbridge/src/main.rs
@@ -9,7 +9,6 @@
 
 use argh::FromArgs;
 
-
 /// A proxy fleet between callers and targets that fail gray.
 #[derive(FromArgs)]
 struct Arguments {
--- a/crates/auburnbridge_entry/src/rules_feed.rs
+++ b/crates/auburnbridge_entry/src/rules_feed.rs
@@ -58,7 +58,7 @@
         }
         for peer in self.neighbours.peers() {
             let have = self.revision();
-            if let Some(delta) = self.neighbours.fetch_rules(&peer, have).await             {
+            if let Some(delta) = self.neighbours.fetch_rules(&peer, have).await {
                 self.apply(&delta);
                 reached += 1;
             }
@@ -103,7 +103,7 @@
         if newest <= have {
             return;
         }
-        if let Some(delta) = self.neighbours.fetch_rules(&peer, have).await         {
+        if let Some(delta) = self.neighbours.fetch_rules(&peer, have).await {
             self.apply(&delta);
         }
     }
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -174,7 +174,10 @@
 ) -> Result<(), Report<KeeperError>> {
     let app = auburnbridge_operator::server(Arc::new(store), keys);
     let limits = Limits::default().with_body_bytes(ByteSize(MAX_RULES_BYTES as u64));
-    let options = ListenerOptions::builder().limits(limits).clock(clock).build();
+    let options = ListenerOptions::builder()
+        .limits(limits)
+        .clock(clock)
+        .build();
     let service = Arc::new(TideService::new(app));
     let listener = Listener::bind(address, service, Arc::new(Lifecycle::default()), options)
         .await
