Report events of the transport and stop its server gracefully

Cause: connects, failures and dropped messages were only log lines; a planned stop cut off calls in progress; and a client kept a connection to a server whose certificate had expired.

Change: one closed list of events feeds the log and an observer. `stop` refuses new calls, as certainly not handled, and waits for the running ones. Both sides check the certificate of an open connection again every minute and after a change of keys, and rustls takes its time from the same clock. A change of keys ends a backoff that began with the old ones.

Ruled out: leaving rustls on the system clock. The test of replaced keys then failed in every run, because the handshake accepted what the later check of the same certificate refused.

The graceful stop and the events have no test yet.

--- a/crates/auburnbridge_peer/src/client.rs
+++ b/crates/auburnbridge_peer/src/client.rs
@@ -9,18 +9,18 @@
 use async_std::task;
 use auburnbridge_types::{BoxFuture, ByteSize, Millis, Timestamp};
 use futures_lite::future;
-use log::{debug, warn};
 use parking_lot::Mutex;
 use quinn::{
     AsyncStdRuntime, ClientConfig, Connection, ConnectionError, Endpoint, EndpointConfig,
     SendStream, WriteError,
 };
 
+use crate::certificate::PeerCertificate;
 use crate::keys::{FLEET_NAME, KeyRing, Keys};
 use crate::options::Options;
 use crate::queue::SendQueue;
 use crate::wire::{self, FrameError};
-use crate::{PeerAddress, PeerError, PeerIdentity, Transport, tls};
+use crate::{DropReason, Event, PeerAddress, PeerError, Transport, tls};
 
 /// Time without use after which a link may be dropped.
 const LINK_IDLE: Millis = Millis(60_000);
@@ -61,6 +61,26 @@
         }
     }
 
+    async fn call_until(
+        &self,
+        to: &PeerAddress,
+        body: &[u8],
+        timeout: Millis,
+    ) -> Result<Vec<u8>, PeerError> {
+        let options = &self.connector.options;
+        let deadline = options.clock.sleep(timeout);
+        if body.len() as u64 > options.message_limit.0 {
+            return Err(too_large(body));
+        }
+        let phase = CallPhase::default();
+        let (link, _wake) = self.link(to);
+        future::or(link.call(body, &phase), async {
+            deadline.await;
+            Err(phase.timeout_error())
+        })
+        .await
+    }
+
     /// The link to a peer, created on its first use.
     fn link(&self, to: &PeerAddress) -> (Arc<Link>, Sender<()>) {
         let now = self.connector.options.clock.now();
@@ -96,35 +116,33 @@
         let to = to.clone();
         Box::pin(async move {
             let options = &self.connector.options;
-            let size = ByteSize(body.len() as u64);
-            if size > options.message_limit {
-                return Err(PeerError::TooLarge { size });
+            let started_at = options.clock.now();
+            let reply = self.call_until(&to, &body, timeout).await;
+            Event::CallEnded {
+                to: &to,
+                error: reply.as_ref().err(),
+                duration: options.clock.now().since(started_at),
             }
-            let phase = CallPhase::default();
-            let deadline = options.clock.sleep(timeout);
-            let (link, _wake) = self.link(&to);
-            future::or(link.call(&body, &phase), async {
-                deadline.await;
-                Err(phase.timeout_error())
-            })
-            .await
+            .report(&*options.observer);
+            reply
         })
     }
 
     fn send(&self, to: &PeerAddress, body: Vec<u8>) {
-        let size = ByteSize(body.len() as u64);
-        if size > self.connector.options.message_limit {
-            warn!("dropped a message of {size} to {to}: over the limit");
+        if body.len() as u64 > self.connector.options.message_limit.0 {
+            self.connector.report_dropped(to, 1, DropReason::TooLarge);
             return;
         }
         let (link, wake) = self.link(to);
-        if let Some(Err(error)) = link.known_state() {
-            debug!("dropped a message to {to}: {error}");
+        if let Some(Err(_)) = link.known_state() {
+            self.connector
+                .report_dropped(to, 1, DropReason::Unreachable);
             return;
         }
         let dropped = link.queue.lock().push(body);
         if dropped > 0 {
-            debug!("dropped {dropped} queued messages to {to}: the queue is full");
+            self.connector
+                .report_dropped(to, dropped, DropReason::QueueFull);
         }
         // A full channel holds a wake-up that the sending task has not taken yet.
         let _ = wake.try_send(());
@@ -171,11 +189,11 @@
     closed: bool,
 }
 
-/// An open connection and the keys that it was opened with.
-#[derive(Clone)]
+/// An open connection, the keys that it was opened with and the certificate of the peer.
 struct OpenConnection {
     connection: Connection,
     keys: Arc<Keys>,
+    certificate: PeerCertificate,
 }
 
 impl Connector {
@@ -190,8 +208,22 @@
         await_greeting(&connection).await?;
         // Closing the connection before the server has finished its handshake would leave the
         // server waiting for its idle timeout.
-        verify_vm(&connection, to)?;
-        Ok(OpenConnection { connection, keys })
+        let now = self.options.clock.now();
+        let certificate = PeerCertificate::of(&connection, Arc::clone(&keys), now)
+            .map_err(|reason| PeerError::Rejected { reason })
+            .and_then(|certificate| verify_vm(certificate, to))
+            .inspect_err(|error| {
+                connection.close(wire::NOT_ACCEPTED, error.to_string().as_bytes());
+            })?;
+        Ok(OpenConnection {
+            connection,
+            keys,
+            certificate,
+        })
+    }
+
+    fn report_dropped(&self, to: &PeerAddress, count: usize, reason: DropReason) {
+        Event::MessagesDropped { to, count, reason }.report(&*self.options.observer);
     }
 
     fn current_config(&self) -> Result<(Arc<Keys>, ClientConfig), PeerError> {
@@ -244,20 +276,14 @@
 }
 
 /// Refuses a process whose certificate is for another VM than the expected one.
-fn verify_vm(connection: &Connection, to: &PeerAddress) -> Result<(), PeerError> {
-    let found = tls::peer_chain(connection)
-        .first()
-        .ok_or_else(|| "no certificate".to_owned())
-        .and_then(PeerIdentity::from_certificate);
-    let error = match found {
-        Ok(identity) if identity.vm == to.vm => return Ok(()),
-        Ok(identity) => PeerError::WrongPeer {
-            found: identity.to_string(),
-        },
-        Err(reason) => PeerError::Rejected { reason },
-    };
-    connection.close(wire::NOT_ACCEPTED, error.to_string().as_bytes());
-    Err(error)
+fn verify_vm(certificate: PeerCertificate, to: &PeerAddress) -> Result<PeerCertificate, PeerError> {
+    let identity = certificate.identity();
+    if identity.vm == to.vm {
+        return Ok(certificate);
+    }
+    Err(PeerError::WrongPeer {
+        found: identity.to_string(),
+    })
 }
 
 /// Waits until the server has accepted the certificate of this process.
@@ -325,6 +351,8 @@
     Idle,
     Open(OpenConnection),
     Failed {
+        /// The keys of the failed attempt; with others, the next attempt is due at once.
+        keys: Arc<Keys>,
         error: PeerError,
         at: Timestamp,
         backoff: Millis,
@@ -346,17 +374,24 @@
 
     /// The open connection, the error of a recent attempt, or `None` when it is time to connect.
     fn known_state(&self) -> Option<Result<Connection, PeerError>> {
+        let now = self.connector.options.clock.now();
         match &*self.state.lock() {
             LinkState::Open(open) => {
-                let keys = self.connector.keys.current();
-                let usable =
-                    open.connection.close_reason().is_none() && Arc::ptr_eq(&open.keys, &keys);
-                usable.then(|| Ok(open.connection.clone()))
+                let ring = &self.connector.keys;
+                let is_usable = open.connection.close_reason().is_none()
+                    && Arc::ptr_eq(&open.keys, &ring.current())
+                    && open.certificate.check(ring, now).is_ok();
+                is_usable.then(|| Ok(open.connection.clone()))
             }
-            LinkState::Failed { error, at, backoff } => {
-                let now = self.connector.options.clock.now();
+            LinkState::Failed {
+                keys,
+                error,
+                at,
+                backoff,
+            } => {
+                let has_same_keys = Arc::ptr_eq(keys, &self.connector.keys.current());
                 // A clock that was set back must not prolong the wait.
-                let waits = now >= *at && now.since(*at) < *backoff;
+                let waits = has_same_keys && now >= *at && now.since(*at) < *backoff;
                 waits.then(|| Err(error.clone()))
             }
             LinkState::Idle => None,
@@ -380,6 +415,8 @@
             return known;
         }
         let options = &self.connector.options;
+        let started_at = options.clock.now();
+        let keys = self.connector.keys.current();
         let timeout = options.clock.sleep(options.connect_timeout);
         let attempt = future::or(self.connector.connect(&self.to), async {
             timeout.await;
@@ -387,36 +424,46 @@
         });
         match attempt.await {
             Ok(open) => {
-                debug!("connected to {}", self.to);
+                Event::Connected {
+                    to: &self.to,
+                    duration: options.clock.now().since(started_at),
+                }
+                .report(&*options.observer);
                 let connection = open.connection.clone();
                 *self.state.lock() = LinkState::Open(open);
                 Ok(connection)
             }
             Err(error) => {
-                self.record_failure(&error);
+                self.record_failure(keys, &error);
                 Err(error)
             }
         }
     }
 
-    fn record_failure(&self, error: &PeerError) {
+    fn record_failure(&self, keys: Arc<Keys>, error: &PeerError) {
         let options = &self.connector.options;
         let mut state = self.state.lock();
-        let backoff = match &*state {
+        let (backoff, repeated) = match &*state {
             LinkState::Failed { backoff, .. } => {
-                Millis(backoff.0.saturating_mul(2)).min(options.last_backoff)
+                let doubled = Millis(backoff.0.saturating_mul(2));
+                (doubled.min(options.last_backoff), true)
             }
-            LinkState::Idle | LinkState::Open(_) => options.first_backoff,
+            LinkState::Idle | LinkState::Open(_) => (options.first_backoff, false),
         };
-        warn!(
-            "can't connect to {}: {error}; next attempt after {backoff}",
-            self.to
-        );
         *state = LinkState::Failed {
+            keys,
             error: error.clone(),
             at: options.clock.now(),
             backoff,
         };
+        drop(state);
+        Event::ConnectFailed {
+            to: &self.to,
+            error,
+            backoff,
+            repeated,
+        }
+        .report(&*options.observer);
     }
 
     async fn call(self: &Arc<Self>, body: &[u8], phase: &CallPhase) -> Result<Vec<u8>, PeerError> {
@@ -482,6 +529,7 @@
         FrameError::TooLarge | FrameError::Reset(wire::REPLY_TOO_LARGE) => PeerError::ReplyTooLarge,
         FrameError::Reset(wire::NO_REPLY) => PeerError::NoReply,
         FrameError::Reset(wire::TOO_LARGE) => too_large(body),
+        FrameError::Reset(wire::STOPPING) => PeerError::Stopping,
         FrameError::Reset(code) => connection_lost(format!("the reply was reset, code {code}")),
         FrameError::Incomplete => connection_lost("the reply broke off"),
         FrameError::Lost(error) => connection_lost(error),
@@ -505,13 +553,14 @@
     let mut stream = None;
     while woken.recv().await.is_ok() {
         while let Some(message) = link.next_message() {
-            let Err(error) = link.send_message(&mut stream, &message).await else {
+            if link.send_message(&mut stream, &message).await.is_ok() {
                 continue;
-            };
+            }
             stream = None;
             // What has waited during the failed attempt is stale by now.
             let dropped = 1 + link.queue.lock().clear();
-            debug!("dropped {dropped} messages to {}: {error}", link.to);
+            link.connector
+                .report_dropped(&link.to, dropped, DropReason::SendFailed);
         }
     }
 }
--- a/crates/auburnbridge_peer/src/error.rs
+++ b/crates/auburnbridge_peer/src/error.rs
@@ -43,6 +43,8 @@
     },
     /// This transport was closed.
     Closed,
+    /// The peer is stopping and takes no new calls.
+    Stopping,
     /// The reply did not arrive in time.
     TimedOut,
     /// The connection broke, or the reply broke off, after the call was sent.
@@ -65,7 +67,8 @@
             | Self::WrongPeer { .. }
             | Self::Busy
             | Self::TooLarge { .. }
-            | Self::Closed => Delivery::NotReceived,
+            | Self::Closed
+            | Self::Stopping => Delivery::NotReceived,
             Self::TimedOut | Self::ConnectionLost { .. } => Delivery::Unknown,
             Self::NoReply | Self::ReplyTooLarge => Delivery::Received,
         }
@@ -81,6 +84,7 @@
             Self::Busy => f.write_str("all streams to the peer are in use"),
             Self::TooLarge { size } => write!(f, "the body of {size} is over the limit"),
             Self::Closed => f.write_str("the transport is closed"),
+            Self::Stopping => f.write_str("the peer is stopping"),
             Self::TimedOut => f.write_str("no reply arrived in time"),
             Self::ConnectionLost { reason } => write!(f, "the connection was lost: {reason}"),
             Self::NoReply => f.write_str("the peer gave no reply"),
--- a/crates/auburnbridge_peer/src/keys/load.rs
+++ b/crates/auburnbridge_peer/src/keys/load.rs
@@ -113,7 +113,7 @@
             tls::provider().signature_verification_algorithms.all,
             &self.authorities.roots,
             intermediates,
-            UnixTime::since_unix_epoch(std::time::Duration::from_millis(now.0)),
+            tls::unix_time(now),
             KeyUsage::client_auth(),
             None,
             None,
--- a/crates/auburnbridge_peer/src/lib.rs
+++ b/crates/auburnbridge_peer/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod codec;
 pub mod keys;
 
+mod certificate;
 mod client;
 mod error;
+mod event;
 mod identity;
 mod options;
 mod queue;
@@ -25,6 +27,7 @@
 
 pub use client::PeerTransport;
 pub use error::{Delivery, PeerError};
+pub use event::{DropReason, Event, NoObserver, Observer, OversizeKind};
 pub use identity::{PeerAddress, PeerIdentity, Role};
 pub use options::{Options, OptionsBuilder};
 pub use queue::SendQueue;
--- a/crates/auburnbridge_peer/src/options.rs
+++ b/crates/auburnbridge_peer/src/options.rs
@@ -4,10 +4,13 @@
 
 use auburnbridge_types::{ByteSize, Clock, Millis, RuntimeClock};
 
+use crate::event::{NoObserver, Observer};
+
 /// Limits and times of a transport and of a peer server.
 #[derive(Clone)]
 pub struct Options {
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) observer: Arc<dyn Observer>,
     pub(crate) message_limit: ByteSize,
     pub(crate) concurrent_calls: u32,
     pub(crate) connection_limit: usize,
@@ -24,6 +27,7 @@
     fn default() -> Self {
         Self {
             clock: Arc::new(RuntimeClock),
+            observer: Arc::new(NoObserver),
             message_limit: ByteSize(4 << 20),
             concurrent_calls: 256,
             connection_limit: 8_192,
@@ -75,6 +79,8 @@
 setters! {
     /// Source of time for timeouts and backoff.
     clock: Arc<dyn Clock>,
+    /// Receiver of events, such as for metrics.
+    observer: Arc<dyn Observer>,
     /// Longest body of a call, reply or one-way message.
     message_limit: ByteSize,
     /// Most calls in flight on one connection.
--- a/crates/auburnbridge_peer/src/server.rs
+++ b/crates/auburnbridge_peer/src/server.rs
@@ -1,23 +1,24 @@
 //! The receiving side: accepts connections from the fleet and passes bodies to a handler.
 
+use std::convert::Infallible;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 
+use async_channel::{Receiver, Sender};
 use async_std::task;
-use auburnbridge_types::Timestamp;
+use auburnbridge_types::Millis;
 use futures_lite::future;
-use log::{debug, warn};
 use parking_lot::Mutex;
 use quinn::{
     AsyncStdRuntime, Connection, ConnectionError, Endpoint, EndpointConfig, Incoming, RecvStream,
     SendStream, ServerConfig,
 };
-use rustls::pki_types::CertificateDer;
 
+use crate::certificate::PeerCertificate;
 use crate::keys::{KeyRing, Keys};
 use crate::options::Options;
 use crate::wire::{self, FrameError};
-use crate::{Handler, PeerIdentity, tls};
+use crate::{Event, Handler, OversizeKind, tls};
 
 /// Reason why a peer server can't start.
 #[derive(Debug)]
@@ -43,6 +44,7 @@
 pub struct PeerServer {
     endpoint: Endpoint,
     address: SocketAddr,
+    shared: Arc<Shared>,
 }
 
 impl PeerServer {
@@ -65,14 +67,21 @@
             Arc::new(AsyncStdRuntime),
         )
         .map_err(failed)?;
+        let (running, finished) = async_channel::bounded(1);
         let shared = Arc::new(Shared {
             keys,
             handler,
             options,
             config: Mutex::new((current, config)),
+            running: Mutex::new(Some(running)),
+            finished,
         });
-        task::spawn(accept_connections(endpoint.clone(), shared));
-        Ok(Self { endpoint, address })
+        task::spawn(accept_connections(endpoint.clone(), Arc::clone(&shared)));
+        Ok(Self {
+            endpoint,
+            address,
+            shared,
+        })
     }
 
     /// The address that it listens on.
@@ -80,7 +89,29 @@
         self.address
     }
 
-    /// Closes all connections and waits until the other sides were told.
+    /// Refuses new calls, waits at most `limit` for the running ones and then closes.
+    ///
+    /// A refused client learns for certain that its call was not handled. Returns whether all
+    /// running calls were answered.
+    pub async fn stop(self, limit: Millis) -> bool {
+        let timeout = self.shared.options.clock.sleep(limit);
+        let finished = self.shared.finish_calls();
+        let all_answered = future::or(
+            async {
+                finished.await;
+                true
+            },
+            async {
+                timeout.await;
+                false
+            },
+        )
+        .await;
+        self.close().await;
+        all_answered
+    }
+
+    /// Closes all connections at once and waits until the other sides were told.
     pub async fn close(self) {
         self.endpoint.close(wire::CLOSING, b"the process stops");
         self.endpoint.wait_idle().await;
@@ -99,9 +130,32 @@
     options: Options,
     /// TLS configuration made from these keys.
     config: Mutex<(Arc<Keys>, ServerConfig)>,
+    /// Cloned into each running call; `None` once the server takes no more calls.
+    running: Mutex<Option<Sender<Infallible>>>,
+    /// Closed when no call runs any more.
+    finished: Receiver<Infallible>,
 }
 
 impl Shared {
+    /// A token of a running call, or `None` when the server is stopping.
+    fn begin_call(&self) -> Option<Sender<Infallible>> {
+        self.running.lock().clone()
+    }
+
+    /// Refuses new calls; the future ends with the last running one.
+    fn finish_calls(&self) -> impl Future<Output = ()> + use<> {
+        drop(self.running.lock().take());
+        let finished = self.finished.clone();
+        async move {
+            // Nothing is ever sent, so this ends when the last token is dropped.
+            let _ = finished.recv().await;
+        }
+    }
+
+    fn report_refused(&self, address: SocketAddr, reason: &str) {
+        Event::ClientRefused { address, reason }.report(&*self.options.observer);
+    }
+
     /// The configuration for the keys in force, made anew after they were replaced.
     fn current_config(&self) -> Result<(Arc<Keys>, ServerConfig), String> {
         let current = self.keys.current();
@@ -117,10 +171,7 @@
 async fn accept_connections(endpoint: Endpoint, shared: Arc<Shared>) {
     while let Some(incoming) = endpoint.accept().await {
         if endpoint.open_connections() > shared.options.connection_limit {
-            warn!(
-                "refused a connection from {}: too many",
-                incoming.remote_address()
-            );
+            shared.report_refused(incoming.remote_address(), "too many connections");
             incoming.refuse();
             continue;
         }
@@ -130,28 +181,23 @@
 
 async fn serve_connection(incoming: Incoming, shared: Arc<Shared>) {
     let address = incoming.remote_address();
-    let client = match accept_client(incoming, shared).await {
+    let client = match accept_client(incoming, Arc::clone(&shared)).await {
         Ok(client) => Arc::new(client),
         Err(reason) => {
-            warn!("refused a connection from {address}: {reason}");
+            shared.report_refused(address, &reason);
             return;
         }
     };
-    debug!(
-        "accepted a connection from {} at {address}",
-        client.identity
-    );
+    let from = client.certificate.identity();
+    Event::ClientAccepted { from, address }.report(&*shared.options.observer);
     future::zip(accept_calls(&client), accept_messages(&client)).await;
-    debug!("the connection from {} at {address} ended", client.identity);
+    Event::ClientClosed { from, address }.report(&*shared.options.observer);
 }
 
 /// A connected client.
 struct Client {
     connection: Connection,
-    identity: PeerIdentity,
-    chain: Vec<CertificateDer<'static>>,
-    /// The keys and the time of the last check of the client's certificate.
-    checked: Mutex<(Arc<Keys>, Timestamp)>,
+    certificate: PeerCertificate,
     shared: Arc<Shared>,
 }
 
@@ -162,21 +208,15 @@
         .map_err(|error| error.to_string())?
         .await
         .map_err(|error| error.to_string())?;
-    let chain = tls::peer_chain(&connection);
-    let identity = chain
-        .first()
-        .ok_or_else(|| "no certificate".to_owned())
-        .and_then(PeerIdentity::from_certificate)
+    let now = shared.options.clock.now();
+    let certificate = PeerCertificate::of(&connection, keys, now)
         .inspect_err(|reason| connection.close(wire::NOT_ACCEPTED, reason.as_bytes()))?;
     greet(&connection)
         .await
         .map_err(|error| error.to_string())?;
-    let checked = Mutex::new((keys, shared.options.clock.now()));
     Ok(Client {
         connection,
-        identity,
-        chain,
-        checked,
+        certificate,
         shared,
     })
 }
@@ -195,19 +235,19 @@
     /// trusted.
     fn is_still_accepted(&self) -> bool {
         let now = self.shared.options.clock.now();
-        let keys = self.shared.keys.current();
-        let mut checked = self.checked.lock();
-        if Arc::ptr_eq(&checked.0, &keys) && !tls::check_is_due(checked.1, now) {
+        let Err(error) = self.certificate.check(&self.shared.keys, now) else {
             return true;
-        }
-        if let Err(error) = keys.verify(&self.chain, now) {
-            warn!("closing the connection from {}: {error}", self.identity);
-            self.connection
-                .close(wire::NOT_ACCEPTED, error.to_string().as_bytes());
-            return false;
-        }
-        *checked = (keys, now);
-        true
+        };
+        let reason = error.to_string();
+        self.shared
+            .report_refused(self.connection.remote_address(), &reason);
+        self.connection.close(wire::NOT_ACCEPTED, reason.as_bytes());
+        false
+    }
+
+    fn report_oversize(&self, kind: OversizeKind) {
+        let from = self.certificate.identity();
+        Event::OversizeDropped { from, kind }.report(&*self.shared.options.observer);
     }
 }
 
@@ -225,7 +265,7 @@
     let body = match wire::read_single_frame(&mut recv, limit).await {
         Ok(body) => body,
         Err(FrameError::TooLarge) => {
-            warn!("dropped a call over {limit} from {}", client.identity);
+            client.report_oversize(OversizeKind::Call);
             let _ = recv.stop(wire::TOO_LARGE);
             let _ = send.reset(wire::TOO_LARGE);
             return;
@@ -233,25 +273,25 @@
         // The client has given up.
         Err(FrameError::Incomplete | FrameError::Reset(_) | FrameError::Lost(_)) => return,
     };
-    let reply = client.shared.handler.handle(&client.identity, body).await;
-    let Some(reply) = reply else {
+    let Some(_running) = client.shared.begin_call() else {
+        let _ = send.reset(wire::STOPPING);
+        return;
+    };
+    let from = client.certificate.identity();
+    let Some(reply) = client.shared.handler.handle(from, body).await else {
         let _ = send.reset(wire::NO_REPLY);
         return;
     };
     if reply.len() as u64 > limit.0 {
-        warn!(
-            "a reply of {} bytes to {} is over {limit}",
-            reply.len(),
-            client.identity
-        );
+        client.report_oversize(OversizeKind::Reply);
         let _ = send.reset(wire::REPLY_TOO_LARGE);
         return;
     }
-    if let Err(error) = wire::write_frame(&mut send, &reply).await {
-        debug!("a reply to {} was not sent: {error}", client.identity);
-        return;
+    // A failure means that the client has given up or that the connection is lost.
+    if wire::write_frame(&mut send, &reply).await.is_ok() && send.finish().is_ok() {
+        // Ends once the client has the whole reply, so that a stop of the server waits for that.
+        let _ = send.stopped().await;
     }
-    let _ = send.finish();
 }
 
 async fn accept_messages(client: &Arc<Client>) {
@@ -268,10 +308,11 @@
                 if !client.is_still_accepted() {
                     return;
                 }
-                client.shared.handler.handle(&client.identity, body).await;
+                let from = client.certificate.identity();
+                client.shared.handler.handle(from, body).await;
             }
             Err(FrameError::TooLarge) => {
-                warn!("dropped a message over {limit} from {}", client.identity);
+                client.report_oversize(OversizeKind::Message);
                 let _ = recv.stop(wire::TOO_LARGE);
                 return;
             }
--- a/crates/auburnbridge_peer/src/tls.rs
+++ b/crates/auburnbridge_peer/src/tls.rs
@@ -3,13 +3,14 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use auburnbridge_types::{Millis, Timestamp};
+use auburnbridge_types::{Clock, Timestamp};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{ClientConfig, Connection, IdleTimeout, ServerConfig, TransportConfig, VarInt};
+use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
 use rustls::client::Resumption;
 use rustls::crypto::CryptoProvider;
-use rustls::pki_types::CertificateDer;
+use rustls::pki_types::UnixTime;
 use rustls::server::{NoServerSessionStorage, WebPkiClientVerifier};
+use rustls::time_provider::TimeProvider;
 
 use crate::keys::Keys;
 use crate::options::Options;
@@ -17,24 +18,45 @@
 /// Protocol name in the handshake; its number changes with the layout of the streams.
 const PROTOCOL: &[u8] = b"auburnbridge-peer/1";
 
-/// Interval at which a server checks again that a connected client's certificate is valid.
-pub(crate) const VERIFY_INTERVAL: Millis = Millis(60_000);
-
 pub(crate) fn provider() -> &'static Arc<CryptoProvider> {
     static PROVIDER: OnceLock<Arc<CryptoProvider>> = OnceLock::new();
     PROVIDER.get_or_init(|| Arc::new(rustls::crypto::ring::default_provider()))
 }
 
+/// The transport's clock as the one that certificates are checked against.
+struct TimeSource(Arc<dyn Clock>);
+
+impl std::fmt::Debug for TimeSource {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("TimeSource")
+    }
+}
+
+impl TimeProvider for TimeSource {
+    fn current_time(&self) -> Option<UnixTime> {
+        Some(unix_time(self.0.now()))
+    }
+}
+
+fn time_source(options: &Options) -> Arc<dyn TimeProvider> {
+    Arc::new(TimeSource(Arc::clone(&options.clock)))
+}
+
+pub(crate) fn unix_time(time: Timestamp) -> UnixTime {
+    UnixTime::since_unix_epoch(Duration::from_millis(time.0))
+}
+
 /// Configuration of outgoing connections.
 ///
 /// Sessions are never resumed, because a resumed session skips the check of the certificates.
 pub(crate) fn client_config(keys: &Keys, options: &Options) -> Result<ClientConfig, String> {
-    let mut tls = rustls::ClientConfig::builder_with_provider(Arc::clone(provider()))
-        .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|error| error.to_string())?
-        .with_root_certificates(Arc::clone(&keys.authorities))
-        .with_client_auth_cert(keys.chain.clone(), keys.key.clone_key())
-        .map_err(|error| error.to_string())?;
+    let mut tls =
+        rustls::ClientConfig::builder_with_details(Arc::clone(provider()), time_source(options))
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|error| error.to_string())?
+            .with_root_certificates(Arc::clone(&keys.authorities))
+            .with_client_auth_cert(keys.chain.clone(), keys.key.clone_key())
+            .map_err(|error| error.to_string())?;
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
     tls.resumption = Resumption::disabled();
     let crypto = QuicClientConfig::try_from(tls).map_err(|error| error.to_string())?;
@@ -55,12 +77,13 @@
     )
     .build()
     .map_err(|error| error.to_string())?;
-    let mut tls = rustls::ServerConfig::builder_with_provider(Arc::clone(provider()))
-        .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|error| error.to_string())?
-        .with_client_cert_verifier(verifier)
-        .with_single_cert(keys.chain.clone(), keys.key.clone_key())
-        .map_err(|error| error.to_string())?;
+    let mut tls =
+        rustls::ServerConfig::builder_with_details(Arc::clone(provider()), time_source(options))
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|error| error.to_string())?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(keys.chain.clone(), keys.key.clone_key())
+            .map_err(|error| error.to_string())?;
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
     tls.session_storage = Arc::new(NoServerSessionStorage {});
     tls.send_tls13_tickets = 0;
@@ -85,17 +108,3 @@
         .datagram_receive_buffer_size(None);
     transport
 }
-
-/// Certificates that the other side presented.
-pub(crate) fn peer_chain(connection: &Connection) -> Vec<CertificateDer<'static>> {
-    connection
-        .peer_identity()
-        .and_then(|identity| identity.downcast::<Vec<CertificateDer<'static>>>().ok())
-        .map(|chain| *chain)
-        .unwrap_or_default()
-}
-
-/// Whether `checked_at` is so long ago, or lies so oddly ahead, that a new check is due.
-pub(crate) fn check_is_due(checked_at: Timestamp, now: Timestamp) -> bool {
-    now < checked_at || now.since(checked_at) >= VERIFY_INTERVAL
-}
--- a/crates/auburnbridge_peer/src/wire.rs
+++ b/crates/auburnbridge_peer/src/wire.rs
@@ -20,6 +20,8 @@
 pub(crate) const TOO_LARGE: VarInt = VarInt::from_u32(2);
 /// Reset code: the reply is over the limit.
 pub(crate) const REPLY_TOO_LARGE: VarInt = VarInt::from_u32(3);
+/// Reset code: the server is stopping and did not handle the call.
+pub(crate) const STOPPING: VarInt = VarInt::from_u32(5);
 /// Close code: the process stops.
 pub(crate) const CLOSING: VarInt = VarInt::from_u32(0);
 /// Close code: the certificate is valid but not acceptable.
--- a/crates/auburnbridge_peer/tests/transport.rs
+++ b/crates/auburnbridge_peer/tests/transport.rs
@@ -279,9 +279,15 @@
     assert!(transport.call(&to, b"1".into(), LONG).await.is_ok());
 
     reload("b", &server_keys);
-    assert!(transport.call(&to, b"2".into(), LONG).await.is_err());
+    // The first call finds the connection closed; the second one is refused in the handshake.
+    for _ in 0..2 {
+        assert!(transport.call(&to, b"2".into(), LONG).await.is_err());
+    }
     reload("a", &client_keys);
-    assert!(transport.call(&to, b"3".into(), LONG).await.is_ok());
+    assert_eq!(
+        transport.call(&to, b"3".into(), LONG).await,
+        Ok(b"3".into())
+    );
 
     fleet.clock.advance(DAY);
     fleet.clock.advance(Millis(1_000));
