Test the graceful stop, one-way cut links and events of the transport

Cause: these parts had no test, and the codec only one over random bytes.

Change: tests with a small UDP relay that drops one direction, of the stop with running and stuck calls, of the events, and of messages that are cut off or claim lengths they don't have.

--- a/crates/auburnbridge_peer/tests/codec.rs
+++ b/crates/auburnbridge_peer/tests/codec.rs
@@ -50,8 +50,43 @@
     ));
 }
 
+/// Guards against memory or time that is spent on a length that the input only claims.
+#[test]
+fn claimed_lengths_are_not_trusted() {
+    const LARGEST_LENGTH: [u8; 10] = [255, 255, 255, 255, 255, 255, 255, 255, 255, 1];
+    let claims = [
+        // `Message::Fields` with a VM name, a wait and then a number of bodies.
+        [&[FORMAT_VERSION, 1, 1, b'a', 5][..], &LARGEST_LENGTH].concat(),
+        // One body with a length.
+        [&[FORMAT_VERSION, 1, 1, b'a', 5, 1][..], &LARGEST_LENGTH].concat(),
+        // `Message::Text` with a length.
+        [&[FORMAT_VERSION, 2, 1][..], &LARGEST_LENGTH].concat(),
+    ];
+    for message in claims {
+        let decoded = decode::<Message>(&message, LIMIT);
+        assert!(
+            matches!(decoded, Err(CodecError::Malformed(_))),
+            "{decoded:?}"
+        );
+    }
+}
+
 proptest! {
-    /// Guards against a panic, or an allocation by a length that the input only claims.
+    /// Guards against a decoder that accepts a message whose end was cut off.
+    #[test]
+    fn cut_messages_are_refused(
+        bodies in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..20), 0..10),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let vm = "entry-1".parse().unwrap();
+        let message = Message::Fields { vm, wait: Millis(75), bodies };
+        let encoded = encode(&message, LIMIT).unwrap();
+        let cut = cut.index(encoded.len());
+        prop_assert!(decode::<Message>(&encoded[..cut], LIMIT).is_err());
+        prop_assert_eq!(decode::<Message>(&encoded, LIMIT), Ok(message));
+    }
+
+    /// Guards against a panic on input of any kind, and against a value that encodes differently.
     #[test]
     fn any_bytes_decode_or_fail(mut bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         if let Some(version) = bytes.first_mut() {
--- a/crates/auburnbridge_peer/tests/fleet/mod.rs
+++ b/crates/auburnbridge_peer/tests/fleet/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod relay;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/crates/auburnbridge_peer/tests/transport.rs
+++ b/crates/auburnbridge_peer/tests/transport.rs
@@ -5,12 +5,15 @@
 use std::net::UdpSocket;
 use std::sync::Arc;
 
+use async_channel::Sender;
 use async_std::task;
 use auburnbridge_peer::keys::KeyRing;
 use auburnbridge_peer::{
-    Delivery, Options, PeerAddress, PeerError, PeerServer, PeerTransport, Transport,
+    Delivery, Event, Observer, Options, PeerAddress, PeerError, PeerServer, PeerTransport,
+    Transport,
 };
 use auburnbridge_types::{ByteSize, Clock, Millis};
+use fleet::relay::{Direction, Relay};
 use fleet::{DAY, Fleet, LONG, Recorder, address, loopback, rebind};
 use futures_lite::future;
 
@@ -311,3 +314,130 @@
     let reply = transport.call(&to, b"x".into(), LONG).await;
     assert_eq!(reply, Err(PeerError::Closed));
 }
+
+/// Guards against a planned stop that cuts off a call, or that leaves open whether a refused call
+/// was handled.
+#[async_std::test]
+async fn stopping_server_answers_running_calls_only() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, fleet.options()).unwrap();
+    let transport = fleet.transport(fleet.keys("authority", "a"));
+    let to = address("b", &server);
+    let running = transport.call(&to, b"wait".into(), LONG);
+    let (reply, (all_answered, ())) = future::zip(running, async {
+        seen.recv().await.unwrap();
+        future::zip(server.stop(LONG), async {
+            let late = transport.call(&to, b"late".into(), LONG).await.unwrap_err();
+            assert_eq!(late, PeerError::Stopping);
+            assert_eq!(late.delivery(), Delivery::NotReceived);
+            transport.send(&to, b"release".into());
+        })
+        .await
+    })
+    .await;
+    assert_eq!(reply, Ok(b"wait".into()));
+    assert!(all_answered);
+}
+
+/// Guards against a stop that waits for ever on a stuck call.
+#[async_std::test]
+async fn stop_ends_at_its_limit() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, fleet.options()).unwrap();
+    let transport = fleet.transport(fleet.keys("authority", "a"));
+    let to = address("b", &server);
+    let stuck = transport.call(&to, b"wait".into(), LONG);
+    let (reply, all_answered) = future::zip(stuck, async {
+        seen.recv().await.unwrap();
+        let (all_answered, ()) = future::zip(server.stop(Millis(100)), async {
+            fleet.clock.advance(Millis(100));
+        })
+        .await;
+        all_answered
+    })
+    .await;
+    assert!(!all_answered);
+    assert_eq!(reply.unwrap_err().delivery(), Delivery::Unknown);
+}
+
+/// Guards against a call that hangs on a link that fails in one direction only. The clock of the
+/// timeouts stands still, so only the idle timeout of the connection can end the call.
+#[async_std::test]
+async fn link_cut_in_one_direction_is_noticed() {
+    let cut_off = |direction| async move {
+        let fleet = Fleet::new();
+        let (recorder, _seen) = Recorder::new();
+        let keys = fleet.keys("authority", "b");
+        let server = PeerServer::bind(loopback(), keys, recorder, fleet.options()).unwrap();
+        let relay = Relay::start(server.address()).await;
+        let to = PeerAddress {
+            vm: "b".parse().unwrap(),
+            address: relay.address,
+        };
+        let transport = fleet.transport(fleet.keys("authority", "a"));
+        assert!(transport.call(&to, b"before".into(), LONG).await.is_ok());
+        relay.set_cut(direction, true);
+        let error = transport.call(&to, b"lost".into(), LONG).await.unwrap_err();
+        assert_eq!(
+            error.delivery(),
+            Delivery::Unknown,
+            "{direction:?}: {error}"
+        );
+        relay.set_cut(direction, false);
+        let reply = transport.call(&to, b"after".into(), LONG).await;
+        assert_eq!(reply, Ok(b"after".into()), "{direction:?}");
+    };
+    future::zip(cut_off(Direction::ToServer), cut_off(Direction::ToClient)).await;
+}
+
+struct Names(Sender<String>);
+
+impl Observer for Names {
+    fn observe(&self, event: &Event<'_>) {
+        self.0
+            .try_send(format!("{} {}", event.name(), event.count()))
+            .unwrap();
+    }
+}
+
+/// Guards against events that metrics rely on but that are missing or miscounted.
+#[async_std::test]
+async fn events_are_observed() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let (names, observed) = async_channel::unbounded();
+    let options = Options::builder()
+        .clock(Arc::new(fleet.clock.clone()))
+        .observer(Arc::new(Names(names)))
+        .message_limit(ByteSize(100))
+        .build();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, fleet.options()).unwrap();
+    let transport = PeerTransport::new(fleet.keys("authority", "a"), options);
+    let to = address("b", &server);
+    let wrong = PeerAddress {
+        vm: "c".parse().unwrap(),
+        ..to.clone()
+    };
+    transport.call(&to, b"x".into(), LONG).await.unwrap();
+    transport.call(&to, b"none".into(), LONG).await.unwrap_err();
+    transport.call(&wrong, b"x".into(), LONG).await.unwrap_err();
+    transport.send(&wrong, b"x".into());
+    transport.send(&to, vec![0; 101]);
+    let events: Vec<String> = std::iter::from_fn(|| observed.try_recv().ok()).collect();
+    let expected = [
+        "connected 1",
+        "call_ended 1",
+        "call_ended 1",
+        "connect_failed 1",
+        "call_ended 1",
+        "messages_dropped 1",
+        "messages_dropped 1",
+    ];
+    assert_eq!(events, expected);
+    assert_eq!(seen.len(), 2);
+}
