Accept the winner of an address conflict, keep a leaving entry's incarnation

Cause: an announcement that won a conflict was reported as Conflict, so the entry did not forward it; and an entry that began to leave was told to take a new incarnation, since its own record still read ready. Ruled out: a third verdict for the winner (the loser's own announcements report the conflict, once per second). Change: Conflict now means refused; incarnation_after_restart takes a change to leaving by the same process as its own.

--- a/crates/auburnbridge_membership/src/membership.rs
+++ b/crates/auburnbridge_membership/src/membership.rs
@@ -20,7 +20,8 @@
     Left,
     /// A newer one, or the same, is known.
     Outdated,
-    /// Another process claims the id in the same incarnation; the higher address is kept.
+    /// Another process with a higher address, or one that left, claims the id in the same
+    /// incarnation; the announcement is refused.
     Conflict,
     /// A limit on counts refuses it.
     Full,
@@ -212,16 +213,14 @@
     fn take(&mut self, now: Timestamp, announcement: A, stale: bool) -> Verdict {
         let known = self.record(announcement.group(), announcement.id());
         let is_present = matches!(known, Some(Record::Present(_)));
-        let mut conflicts = false;
-        if let Some(known) = known {
-            conflicts = announcement.conflicts_with(known.announcement());
-            if !announcement.supersedes(known.announcement()) {
-                return if conflicts {
-                    Verdict::Conflict
-                } else {
-                    Verdict::Outdated
-                };
-            }
+        if let Some(known) = known.map(Record::announcement)
+            && !announcement.supersedes(known)
+        {
+            return if announcement.conflicts_with(known) {
+                Verdict::Conflict
+            } else {
+                Verdict::Outdated
+            };
         }
         if !self.has_room(&announcement, is_present) {
             return Verdict::Full;
@@ -231,11 +230,7 @@
             return Verdict::Left;
         }
         self.insert_present(now, announcement, stale);
-        if conflicts {
-            Verdict::Conflict
-        } else {
-            Verdict::Accepted
-        }
+        Verdict::Accepted
     }
 
     fn has_room(&self, announcement: &A, is_present: bool) -> bool {
@@ -353,7 +348,7 @@
     /// it hears of an earlier process of its VM that ranks above it, it takes a higher number.
     pub fn incarnation_after_restart(&self, own: &EntryAnnouncement) -> Option<Incarnation> {
         let known = self.record(&own.data_centre, &own.vm)?.announcement();
-        let is_own = known.boot == own.boot && known.state == own.state;
+        let is_own = known.boot == own.boot && known.state <= own.state;
         if is_own || known.incarnation < own.incarnation {
             return None;
         }
