Prove the request path and the control side on real processes

Cause: 14 tests of whole fleets (kill, freeze, lost disk, no quorum, half answers, crashing requests, rolling restart) found four faults. Ruled out: slow tests as the reason; each fault was traced in the logs of a run.

--- /dev/null
+++ b/crates/auburnbridge/tests/processes/control.rs
@@ -0,0 +1,217 @@
+//! Guards the rules, the membership and the durable state on real processes.
+
+use crate::fleet::{Fleet, RULES, key, outcome};
+
+const EXTRA_ROUTE: &str =
+    "route GET /catalogue to stock idempotent timeout 3s # asked by the tests\n";
+
+fn serves_catalogue(fleet: &Fleet, entry: usize) -> bool {
+    fleet
+        .get(entry, "/catalogue")
+        .is_ok_and(|response| response.status == 200)
+}
+
+/// Guards H7: an accepted line comes into force on every entry, also on one that was frozen when it
+/// was accepted and on one that restarts while the keepers are away.
+#[test]
+fn accepted_rules_reach_every_entry_and_survive_restarts() {
+    let mut fleet = Fleet::ready(3);
+    fleet.entries[2].freeze();
+    fleet.put_rules(&format!("{RULES}{EXTRA_ROUTE}"));
+    for entry in 0..2 {
+        fleet.wait_until("the line is in force", |fleet| {
+            serves_catalogue(fleet, entry)
+        });
+    }
+    fleet.entries[2].thaw();
+    fleet.wait_until("the line is in force on the thawed entry", |fleet| {
+        serves_catalogue(fleet, 2)
+    });
+
+    for keeper in &mut fleet.keepers {
+        keeper.kill();
+    }
+    fleet.entries[0].kill();
+    fleet.entries[0].restart();
+    fleet.wait_until("the restarted entry learned from the others", |fleet| {
+        serves_catalogue(fleet, 0)
+    });
+    for keeper in &mut fleet.keepers {
+        keeper.restart();
+    }
+    fleet.wait_until("the keepers are back with the rules", |fleet| {
+        (0..3).any(|keeper| {
+            fleet
+                .rules_command(keeper, &["get"])
+                .is_ok_and(|text| text.contains("/catalogue"))
+        })
+    });
+    assert!(serves_catalogue(&fleet, 1), "the line must not revert");
+}
+
+/// Guards against a lost or doubled edit: a resend of an edit whose answer was lost gets the first
+/// answer, a stale edit is refused, and racing operators never overwrite each other unseen.
+#[test]
+fn edits_are_applied_once_and_stale_ones_are_refused() {
+    let fleet = Fleet::start(0);
+    fleet.put_rules(RULES);
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), format!("{RULES}{EXTRA_ROUTE}")).unwrap();
+    let path = file.path().to_str().unwrap();
+    let edit_id = key();
+    let put = |keeper| {
+        let arguments = [
+            "put",
+            "--file",
+            path,
+            "--revision",
+            "1",
+            "--edit-id",
+            &edit_id,
+        ];
+        fleet.rules_command(keeper, &arguments)
+    };
+    let mut first = None;
+    fleet.wait_until("the edit is accepted", |_| {
+        first = put(0).ok();
+        first.is_some()
+    });
+    let mut again = None;
+    fleet.wait_until("the resend through another keeper is answered", |_| {
+        again = put(1).ok();
+        again.is_some()
+    });
+    assert!(first.unwrap().contains("\"revision\":2"));
+    assert!(
+        again.unwrap().contains("\"revision\":2"),
+        "the first answer again"
+    );
+
+    let stale = ["put", "--file", path, "--revision", "1"];
+    let error = fleet.rules_command(2, &stale).unwrap_err();
+    assert!(error.contains("412"), "{error}");
+
+    let accepted: Vec<bool> = std::thread::scope(|scope| {
+        let racers: Vec<_> = (0..3)
+            .map(|keeper| {
+                let fleet = &fleet;
+                scope.spawn(move || {
+                    let arguments = ["put", "--file", path, "--revision", "2"];
+                    fleet.rules_command(keeper, &arguments).is_ok()
+                })
+            })
+            .collect();
+        racers
+            .into_iter()
+            .map(|racer| racer.join().unwrap())
+            .collect()
+    });
+    let winners = accepted.iter().filter(|accepted| **accepted).count();
+    assert!(
+        winners <= 1,
+        "{winners} of three racing edits were accepted"
+    );
+}
+
+/// Guards against a loss right after a repair: a keeper loses its disk, is replaced, and then a
+/// second keeper is lost. Nothing that was accepted may be missing, and no key may run again.
+#[test]
+fn repair_followed_by_a_second_loss_loses_nothing() {
+    let mut fleet = Fleet::ready(1);
+    let ran = key();
+    assert_eq!(
+        fleet.post(0, "/slips", &ran, "ward 3", "0").unwrap().status,
+        200
+    );
+    fleet.put_rules(&format!("{RULES}{EXTRA_ROUTE}"));
+
+    fleet.keepers[2].kill();
+    fleet.lose_disk(2);
+    fleet.keepers[2].restart();
+    fleet.wait_until("the replaced keeper votes", |fleet| {
+        fleet.keepers[2].log().matches("is a voter").count() == 2
+    });
+    fleet.keepers[1].kill();
+    fleet.lose_disk(1);
+
+    let mut resend = None;
+    fleet.wait_until("the keepers that are left answer", |fleet| {
+        let response = fleet.post(0, "/slips", &ran, "ward 3", "1").unwrap();
+        let is_answered = response.status == 200;
+        resend = Some(response);
+        is_answered
+    });
+    assert_eq!(
+        resend.unwrap().headers.text("Auburnbridge-Replayed"),
+        Some("true")
+    );
+    assert_eq!(fleet.executions(&ran), 1);
+    assert!(serves_catalogue(&fleet, 0));
+    let new = key();
+    assert_eq!(
+        fleet.post(0, "/slips", &new, "ward 4", "0").unwrap().status,
+        200
+    );
+}
+
+/// Guards H5: a target that leaves gets no new work from any entry, whichever entry it told.
+#[test]
+fn leaving_target_gets_no_new_work() {
+    let fleet = Fleet::ready(3);
+    async_std::task::block_on(fleet.targets["stock-0"].leave());
+    for entry in 0..3 {
+        fleet.wait_until("the entry knows of the departure", |fleet| {
+            fleet.entries[entry]
+                .log()
+                .contains("target=stock-0 action=remove")
+        });
+    }
+    for lookup in 0..30 {
+        let path = format!("/bins/after-{lookup}");
+        assert_eq!(fleet.get(lookup % 3, &path).unwrap().status, 200);
+        let executions = fleet.targets["stock-0"].executions();
+        assert!(
+            !executions.contains_key(&path),
+            "{path} ran on the leaving target"
+        );
+    }
+}
+
+/// Guards against the loss of the whole fleet's state: all keepers and entries are killed after many
+/// changes and come back as they were.
+#[test]
+fn everything_restarts_as_it_was() {
+    let mut fleet = Fleet::ready(1);
+    for change in 0..20 {
+        let line = format!(
+            "route GET /extra/{change} to stock idempotent timeout 1s # asked by the tests\n"
+        );
+        fleet.put_rules(&format!("{RULES}{EXTRA_ROUTE}{line}"));
+    }
+    let ran = key();
+    assert_eq!(
+        fleet.post(0, "/slips", &ran, "ward 3", "0").unwrap().status,
+        200
+    );
+    let before = fleet.rules_command(0, &["get"]).unwrap();
+    for process in fleet.keepers.iter_mut().chain(&mut fleet.entries) {
+        process.kill();
+    }
+    for process in fleet.keepers.iter_mut().chain(&mut fleet.entries) {
+        process.restart();
+    }
+    fleet.wait_until("the rules are as they were", |fleet| {
+        fleet
+            .rules_command(0, &["get"])
+            .is_ok_and(|after| after == before)
+    });
+    fleet.wait_until("the entry serves the key's stored answer", |fleet| {
+        fleet
+            .post(0, "/slips", &ran, "ward 3", "1")
+            .is_ok_and(|response| {
+                assert_ne!(outcome(&response), Some("not-run"));
+                response.status == 200
+            })
+    });
+    assert_eq!(fleet.executions(&ran), 1);
+}
--- /dev/null
+++ b/crates/auburnbridge/tests/processes/fleet.rs
@@ -0,0 +1,406 @@
+//! A small fleet of real processes with stand-in targets inside the test.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use auburnbridge_http::{Request, Response};
+use auburnbridge_standin::load::new_key;
+use auburnbridge_standin::{SendError, Target, TargetOptions, send};
+
+/// Longest time for a state to be reached; a test that exceeds it fails.
+const PATIENCE: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
+const OPERATOR_KEY: &str = "fleet-test-operator-key";
+/// SHA-256 of the key above.
+const OPERATOR_KEY_SHA256: &str =
+    "3986b75529708a85e4d71692d177a8ec8ec8595120e1849c84be68e46e5197ff";
+
+/// Rules of most tests.
+pub const RULES: &str = "\
+service stock slots-floor 3 slots-per-target 3 ejection fast # asked by the tests
+service dispatch slots-floor 3 slots-per-target 3 ejection careful # asked by the tests
+route GET /bins/* to stock idempotent timeout 3s # asked by the tests
+route POST /slips to dispatch once timeout 3s # asked by the tests
+";
+
+/// Ports below the ephemeral range, so that no outgoing connection takes one.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+fn free_port() -> u16 {
+    loop {
+        let offset = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
+        let start = u16::try_from(std::process::id() % 8_000).expect("below 8,000");
+        let port = 12_000 + (start + offset) % 16_000;
+        let address = (Ipv4Addr::LOCALHOST, port);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return port;
+        }
+    }
+}
+
+fn local(port: u16) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, port).into()
+}
+
+/// One process of the fleet.
+pub struct Process {
+    name: String,
+    role: &'static str,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    fn start(&mut self) {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_auburnbridge"))
+            .args([self.role, "--settings"])
+            .arg(&self.settings)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.child = Some(child);
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.child.as_ref().expect("the process runs").id();
+        let status = Command::new("kill")
+            .args([format!("-{signal}"), pid.to_string()])
+            .status()
+            .unwrap();
+        assert!(status.success(), "can't send {signal} to {}", self.name);
+    }
+
+    /// Ends the process without a chance to clean up.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Ends the process at once; [`Process::kill`] collects it later.
+    pub fn crash(&self) {
+        self.signal("KILL");
+    }
+
+    /// Stops the process as it is, without ending it.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal("CONT");
+    }
+
+    /// Asks for a graceful shutdown.
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Waits for the end of the process; whether it ended with success.
+    pub fn wait(&mut self) -> bool {
+        let mut child = self.child.take().expect("the process runs");
+        child.wait().unwrap().success()
+    }
+
+    /// Starts it again after a kill.
+    pub fn restart(&mut self) {
+        assert!(self.child.is_none(), "{} still runs", self.name);
+        self.start();
+    }
+
+    /// Everything that it logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap()
+    }
+}
+
+/// Keepers and entries as processes, targets inside the test.
+pub struct Fleet {
+    folder: tempfile::TempDir,
+    /// The keepers.
+    pub keepers: Vec<Process>,
+    /// The entries.
+    pub entries: Vec<Process>,
+    /// The targets, by name.
+    pub targets: BTreeMap<String, Target>,
+    caller_ports: Vec<u16>,
+    announce_ports: Vec<u16>,
+    operator_ports: Vec<u16>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for process in self.keepers.iter_mut().chain(&mut self.entries) {
+            if std::thread::panicking() {
+                eprintln!("== {}\n{}", process.name, process.log());
+            }
+            process.kill();
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts three keepers and `entries` entries, without rules and targets.
+    pub fn start(entries: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let ports = |count: usize| -> Vec<u16> { (0..count).map(|_| free_port()).collect() };
+        let keeper_ports = ports(3);
+        let entry_ports = ports(entries);
+        let mut fleet = Self {
+            caller_ports: ports(entries),
+            announce_ports: ports(entries),
+            operator_ports: ports(3),
+            folder,
+            keepers: Vec::new(),
+            entries: Vec::new(),
+            targets: BTreeMap::new(),
+        };
+        auburnbridge(&["keys", "authority", "--folder"], &fleet.path("authority"));
+        let keepers = peers("keeper", &keeper_ports);
+        let seeds = peers("entry", &entry_ports);
+        for (at, port) in keeper_ports.iter().enumerate() {
+            let own = format!(
+                r#""peer_address":"{}","operator_address":"{}","data_folder":"data/keeper-{at}",
+                "members":[{}],"operator_keys":[{{"name":"tests","sha256":"{OPERATOR_KEY_SHA256}","services":["*"]}}]"#,
+                local(*port),
+                local(fleet.operator_ports[at]),
+                keepers.join(","),
+            );
+            let process = fleet.process("keeper", at, &own);
+            fleet.keepers.push(process);
+        }
+        for (at, port) in entry_ports.iter().enumerate() {
+            let others: Vec<String> = seeds
+                .iter()
+                .enumerate()
+                .filter(|(other, _)| *other != at)
+                .map(|(_, seed)| seed.clone())
+                .collect();
+            let own = format!(
+                r#""peer_address":"{}","caller_address":"{}","announce_address":"{}",
+                "keepers":[{}],"entries":[{}],"balancer_lag":"300ms""#,
+                local(*port),
+                local(fleet.caller_ports[at]),
+                local(fleet.announce_ports[at]),
+                keepers.join(","),
+                others.join(","),
+            );
+            let process = fleet.process("entry", at, &own);
+            fleet.entries.push(process);
+        }
+        fleet
+    }
+
+    /// Starts a fleet with the rules of most tests and two targets a service, and waits until every
+    /// entry serves both services.
+    pub fn ready(entries: usize) -> Self {
+        let mut fleet = Self::start(entries);
+        fleet.put_rules(RULES);
+        for name in ["stock-0", "stock-1", "dispatch-0", "dispatch-1"] {
+            fleet.add_target(name);
+        }
+        for entry in 0..entries {
+            fleet.wait_until(&format!("entry {entry} serves lookups"), |fleet| {
+                fleet
+                    .get(entry, "/bins/1")
+                    .is_ok_and(|response| response.status == 200)
+            });
+            fleet.wait_until(&format!("entry {entry} serves slips"), |fleet| {
+                fleet
+                    .post(entry, "/slips", &key(), "ready", "0")
+                    .is_ok_and(|response| response.status == 200)
+            });
+        }
+        fleet
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    fn process(&self, role: &'static str, at: usize, own: &str) -> Process {
+        let name = format!("{role}-{at}");
+        let keys = self.path(&format!("keys/{name}"));
+        let authority = self.path("authority");
+        let authority = authority.to_str().unwrap();
+        auburnbridge(
+            &[
+                "keys",
+                "issue",
+                "--authority",
+                authority,
+                "--vm",
+                &name,
+                "--role",
+                role,
+                "--folder",
+            ],
+            &keys,
+        );
+        let settings = self.path(&format!("{name}.json"));
+        let text = format!(r#"{{"vm":"{name}","data_centre":"east","keys":"keys/{name}",{own}}}"#);
+        fs::write(&settings, text).unwrap();
+        let mut process = Process {
+            log: self.path(&format!("{name}.log")),
+            name,
+            role,
+            settings,
+            child: None,
+        };
+        process.start();
+        process
+    }
+
+    /// The data folder of a keeper.
+    pub fn data_folder(&self, keeper: usize) -> PathBuf {
+        self.path(&format!("data/keeper-{keeper}"))
+    }
+
+    /// Starts a target whose name begins with its service.
+    pub fn add_target(&mut self, name: &str) {
+        let (service, _) = name
+            .split_once('-')
+            .expect("the name begins with the service");
+        let announce_to = self
+            .announce_ports
+            .iter()
+            .map(|port| local(*port))
+            .collect();
+        let options = TargetOptions::builder(name.parse().unwrap(), service.parse().unwrap())
+            .announce_to(announce_to)
+            .build();
+        let target = task::block_on(Target::start(options)).unwrap();
+        self.targets.insert(name.to_owned(), target);
+    }
+
+    /// Polls until `reached`; fails the test if that takes too long.
+    pub fn wait_until(&self, what: &str, mut reached: impl FnMut(&Self) -> bool) {
+        let start = Instant::now();
+        while !reached(self) {
+            assert!(start.elapsed() < PATIENCE, "not reached: {what}");
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Puts a rules file through any keeper that answers.
+    pub fn put_rules(&self, text: &str) {
+        let file = self.path("rules");
+        fs::write(&file, text).unwrap();
+        self.wait_until("the rules are accepted", |fleet| {
+            (0..fleet.keepers.len()).any(|keeper| {
+                fleet
+                    .rules_command(keeper, &["put", "--file", file.to_str().unwrap()])
+                    .is_ok()
+            })
+        });
+    }
+
+    /// Runs `auburnbridge rules` against a keeper.
+    pub fn rules_command(&self, keeper: usize, arguments: &[&str]) -> Result<String, String> {
+        let key_file = self.path("operator-key");
+        fs::write(&key_file, OPERATOR_KEY).unwrap();
+        let output = Command::new(env!("CARGO_BIN_EXE_auburnbridge"))
+            .arg("rules")
+            .args(arguments)
+            .args(["--address", &local(self.operator_ports[keeper]).to_string()])
+            .arg("--key-file")
+            .arg(&key_file)
+            .output()
+            .unwrap();
+        if output.status.success() {
+            Ok(String::from_utf8(output.stdout).unwrap())
+        } else {
+            Err(String::from_utf8(output.stderr).unwrap())
+        }
+    }
+
+    /// Sends a lookup through an entry.
+    pub fn get(&self, entry: usize, path: &str) -> Result<Response, SendError> {
+        self.send(entry, &request("GET", path))
+    }
+
+    /// Sends a keyed request through an entry.
+    pub fn post(
+        &self,
+        entry: usize,
+        path: &str,
+        key: &str,
+        body: &str,
+        previous_attempts: &str,
+    ) -> Result<Response, SendError> {
+        let mut req = request("POST", path);
+        req.headers.append("Idempotency-Key", key);
+        req.headers
+            .append("Auburnbridge-Previous-Attempts", previous_attempts);
+        req.body = body.as_bytes().to_vec().into();
+        self.send(entry, &req)
+    }
+
+    /// Sends any request through an entry.
+    pub fn send(&self, entry: usize, req: &Request) -> Result<Response, SendError> {
+        let address = local(self.caller_ports[entry]);
+        task::block_on(send(address, req, Duration::from_secs(10)))
+    }
+
+    /// Executions of a key over all targets.
+    pub fn executions(&self, key: &str) -> u32 {
+        self.targets
+            .values()
+            .filter_map(|target| target.executions().get(key).copied())
+            .sum()
+    }
+
+    /// Replaces a keeper's disk by an empty one; the keeper must not run.
+    pub fn lose_disk(&self, keeper: usize) {
+        fs::remove_dir_all(self.data_folder(keeper)).unwrap();
+    }
+}
+
+/// A new idempotency key.
+pub fn key() -> String {
+    new_key(&mut rand::rng()).to_string()
+}
+
+/// Starts a request.
+pub fn request(method: &str, path: &str) -> Request {
+    let mut req = Request::new(method, path);
+    req.headers.append("Host", "auburnbridge");
+    req
+}
+
+/// The outcome that a rejection states.
+pub fn outcome(response: &Response) -> Option<&str> {
+    response.headers.text("Auburnbridge-Outcome")
+}
+
+fn peers(role: &str, ports: &[u16]) -> Vec<String> {
+    ports
+        .iter()
+        .enumerate()
+        .map(|(at, port)| format!(r#"{{"vm":"{role}-{at}","address":"{}"}}"#, local(*port)))
+        .collect()
+}
+
+fn auburnbridge(arguments: &[&str], folder: &Path) {
+    let status = Command::new(env!("CARGO_BIN_EXE_auburnbridge"))
+        .args(arguments)
+        .arg(folder)
+        .status()
+        .unwrap();
+    assert!(status.success(), "auburnbridge {arguments:?}");
+}
--- /dev/null
+++ b/crates/auburnbridge/tests/processes/request_path.rs
@@ -0,0 +1,246 @@
+//! Guards the promises of the request path on real processes: whole answers, at most once, honest
+//! rejections and graceful stops.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crate::fleet::{Fleet, key, outcome, request};
+use auburnbridge_standin::Fault;
+
+/// Guards H4: a resend through another entry must get the stored answer.
+#[test]
+fn resend_through_another_entry_gets_the_stored_answer() {
+    let fleet = Fleet::ready(2);
+    let key = key();
+    let first = fleet.post(0, "/slips", &key, "ward 3", "0").unwrap();
+    let second = fleet.post(1, "/slips", &key, "ward 3", "1").unwrap();
+    assert_eq!(first.status, 200);
+    assert_eq!(*first.body, *second.body);
+    assert_eq!(second.headers.text("Auburnbridge-Replayed"), Some("true"));
+    assert_eq!(fleet.executions(&key), 1);
+
+    let reused = fleet.post(1, "/slips", &key, "ward 4", "1").unwrap();
+    assert_eq!((reused.status, outcome(&reused)), (422, Some("not-run")));
+    assert_eq!(fleet.executions(&key), 1);
+}
+
+/// Guards H4 when the entry that holds the grant dies while the target works.
+#[test]
+fn killed_entry_leaves_an_unknown_outcome_and_no_second_run() {
+    let fleet = Fleet::ready(2);
+    for name in ["dispatch-0", "dispatch-1"] {
+        fleet.targets[name].set_fault(Fault::Silent);
+    }
+    let key = key();
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| fleet.post(0, "/slips", &key, "ward 3", "0"));
+        fleet.wait_until("the target runs the slip", |fleet| {
+            fleet.executions(&key) == 1
+        });
+        fleet.entries[0].crash();
+        assert!(first.join().unwrap().is_err(), "the entry is dead");
+    });
+    for name in ["dispatch-0", "dispatch-1"] {
+        fleet.targets[name].set_fault(Fault::None);
+    }
+    fleet.wait_until("the grant's deadline has passed", |fleet| {
+        let resend = fleet.post(1, "/slips", &key, "ward 3", "1").unwrap();
+        assert_eq!((resend.status, outcome(&resend)), (409, Some("unknown")));
+        String::from_utf8_lossy(&resend.body).contains("key-outcome-unknown")
+    });
+    assert_eq!(fleet.executions(&key), 1);
+}
+
+/// Guards H4 and H3 when the entry freezes while it holds the grant and goes on after its deadline.
+#[test]
+fn frozen_entry_dispatches_nothing_late() {
+    let fleet = Fleet::ready(2);
+    for name in ["dispatch-0", "dispatch-1"] {
+        fleet.targets[name].set_fault(Fault::Shed);
+    }
+    let key = key();
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| fleet.post(0, "/slips", &key, "ward 3", "0"));
+        fleet.wait_until("the entry holds the grant and finds no slot", |fleet| {
+            fleet.entries[0].log().contains(&format!("key={key} "))
+                && fleet.entries[0].log().contains("result=shed")
+        });
+        fleet.entries[0].freeze();
+        for name in ["dispatch-0", "dispatch-1"] {
+            fleet.targets[name].set_fault(Fault::None);
+        }
+        fleet.wait_until("the grant's deadline has passed", |fleet| {
+            let resend = fleet.post(1, "/slips", &key, "ward 3", "1").unwrap();
+            assert_eq!(outcome(&resend), Some("unknown"));
+            String::from_utf8_lossy(&resend.body).contains("key-outcome-unknown")
+        });
+        fleet.entries[0].thaw();
+        let first = first.join().unwrap().unwrap();
+        assert_eq!(outcome(&first), Some("not-run"), "status {}", first.status);
+    });
+    assert_eq!(fleet.executions(&key), 0);
+}
+
+/// Guards H3 and H4 without a quorum: rejected at once, and `not-run` only where it is certain.
+#[test]
+fn without_a_quorum_keyed_requests_are_rejected_and_lookups_go_on() {
+    let mut fleet = Fleet::ready(1);
+    fleet.keepers[1].kill();
+    fleet.keepers[2].kill();
+    let first = fleet.post(0, "/slips", &key(), "ward 3", "0").unwrap();
+    assert_eq!((first.status, outcome(&first)), (503, Some("not-run")));
+    let resent_key = key();
+    let resend = fleet.post(0, "/slips", &resent_key, "ward 3", "1").unwrap();
+    assert_eq!((resend.status, outcome(&resend)), (503, Some("unknown")));
+    assert_eq!(fleet.executions(&resent_key), 0);
+    assert_eq!(fleet.get(0, "/bins/1").unwrap().status, 200);
+
+    fleet.keepers[1].restart();
+    fleet.wait_until("keyed requests run again", |fleet| {
+        fleet
+            .post(0, "/slips", &key(), "ward 3", "0")
+            .is_ok_and(|response| response.status == 200)
+    });
+}
+
+/// Guards H2: a half answer must never reach a caller as a success.
+#[test]
+fn half_answers_become_rejections_or_retries() {
+    let fleet = Fleet::ready(1);
+    for name in ["dispatch-0", "dispatch-1"] {
+        fleet.targets[name].set_fault(Fault::HalfAnswer);
+    }
+    let key = key();
+    let slip = fleet.post(0, "/slips", &key, "ward 3", "0").unwrap();
+    assert_eq!((slip.status, outcome(&slip)), (502, Some("unknown")));
+    assert_eq!(fleet.executions(&key), 1);
+
+    fleet.targets["stock-0"].set_fault(Fault::HalfAnswer);
+    for _ in 0..20 {
+        let lookup = fleet.get(0, "/bins/1").unwrap();
+        assert_eq!(lookup.status, 200);
+        let body = String::from_utf8(lookup.body.to_vec()).unwrap();
+        assert!(body.contains("stock-1"), "{body}");
+    }
+}
+
+/// Guards H4 against a shed: it did not run, so another target may run it, and the withdrawn key is
+/// free for a resend.
+#[test]
+fn shed_requests_move_on_and_withdrawn_keys_are_free() {
+    let fleet = Fleet::ready(2);
+    fleet.targets["dispatch-0"].set_fault(Fault::Shed);
+    let moved = key();
+    assert_eq!(
+        fleet
+            .post(0, "/slips", &moved, "ward 3", "0")
+            .unwrap()
+            .status,
+        200
+    );
+    assert_eq!(fleet.executions(&moved), 1);
+
+    fleet.targets["dispatch-1"].set_fault(Fault::Shed);
+    let refused = key();
+    let shed = fleet.post(0, "/slips", &refused, "ward 3", "0").unwrap();
+    assert_eq!((shed.status, outcome(&shed)), (503, Some("not-run")));
+    assert_eq!(fleet.executions(&refused), 0);
+    fleet.targets["dispatch-1"].set_fault(Fault::None);
+    let resend = fleet.post(1, "/slips", &refused, "ward 3", "1").unwrap();
+    assert_eq!(resend.status, 200);
+    assert_eq!(fleet.executions(&refused), 1);
+}
+
+/// Guards against a request that crashes every target of a service, across entries and resends.
+#[test]
+fn crashing_request_is_refused_after_two_targets() {
+    let mut fleet = Fleet::ready(2);
+    for name in ["stock-2", "stock-3"] {
+        fleet.add_target(name);
+    }
+    fleet.wait_until("all targets get work", |fleet| {
+        let _ = fleet.get(0, "/bins/spread");
+        fleet
+            .targets
+            .iter()
+            .filter(|(name, _)| name.starts_with("stock"))
+            .all(|(_, target)| target.executions().contains_key("/bins/spread"))
+    });
+    for (name, target) in &fleet.targets {
+        if name.starts_with("stock") {
+            target.set_fault(Fault::CrashOn {
+                path: "poison".to_owned(),
+            });
+        }
+    }
+    let first = fleet.get(0, "/bins/poison").unwrap();
+    assert_eq!(outcome(&first), Some("unknown"));
+    let resend = fleet.get(1, "/bins/poison").unwrap();
+    assert_eq!((resend.status, outcome(&resend)), (422, Some("unknown")));
+    assert_eq!(fleet.executions("/bins/poison"), 2, "targets that ran it");
+    assert_eq!(fleet.get(1, "/bins/1").unwrap().status, 200);
+}
+
+/// Guards H3: a retry that sends no byte must not make an earlier attempt that ran `not-run`.
+#[test]
+fn lookup_that_ran_is_never_reported_as_not_run() {
+    let mut fleet = Fleet::ready(1);
+    fleet.targets["stock-0"].set_fault(Fault::CloseAfterRun);
+    let stopped = fleet.targets.get_mut("stock-1").unwrap();
+    async_std::task::block_on(stopped.crash());
+    for lookup in 0..30 {
+        let path = format!("/bins/{lookup}");
+        let response = fleet.get(0, &path).unwrap();
+        match outcome(&response) {
+            Some("not-run") => assert_eq!(fleet.executions(&path), 0, "{path}"),
+            outcome => assert_eq!(outcome, Some("unknown"), "{path}"),
+        }
+    }
+}
+
+/// Guards H6: a planned stop under load must not cut off a request.
+#[test]
+fn rolling_restart_loses_no_request() {
+    const ENOUGH: u32 = 20;
+    let mut fleet = Fleet::ready(2);
+    for entry in 0..2 {
+        let lookups = AtomicU32::new(0);
+        let slips = AtomicU32::new(0);
+        std::thread::scope(|scope| {
+            let (fleet, lookups, slips) = (&fleet, &lookups, &slips);
+            // Like the balancer, callers send here until the readiness answer turns.
+            let is_ready = move || {
+                fleet
+                    .send(entry, &request("GET", "/auburnbridge/ready"))
+                    .is_ok_and(|response| response.status == 200)
+            };
+            scope.spawn(move || {
+                while is_ready() {
+                    let response = fleet.get(entry, "/bins/1").unwrap();
+                    assert_eq!(response.status, 200);
+                    lookups.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+            scope.spawn(move || {
+                while is_ready() {
+                    let key = key();
+                    let response = fleet.post(entry, "/slips", &key, "ward", "0").unwrap();
+                    assert_eq!(response.status, 200);
+                    assert_eq!(fleet.executions(&key), 1);
+                    slips.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+            fleet.wait_until("the entry is under load", |_| {
+                lookups.load(Ordering::SeqCst) > ENOUGH && slips.load(Ordering::SeqCst) > ENOUGH
+            });
+            fleet.entries[entry].terminate();
+        });
+        let ended_well = fleet.entries[entry].wait();
+        assert!(ended_well, "{}", fleet.entries[entry].log());
+        fleet.entries[entry].restart();
+        fleet.wait_until("the entry is ready again", |fleet| {
+            fleet
+                .get(entry, "/bins/1")
+                .is_ok_and(|response| response.status == 200)
+        });
+    }
+}
--- a/crates/auburnbridge_entry/src/idempotent.rs
+++ b/crates/auburnbridge_entry/src/idempotent.rs
@@ -27,6 +27,23 @@
 }
 
 async fn serve_with_retries(entry: &Entry, req: &CallerRequest) -> Result<Response, Problem> {
+    let mut may_have_run = false;
+    let served = try_targets(entry, req, &mut may_have_run).await;
+    // A later attempt that sent no byte does not undo an earlier one that may have run.
+    served.map_err(|problem| {
+        if may_have_run {
+            problem.for_possible_resend()
+        } else {
+            problem
+        }
+    })
+}
+
+async fn try_targets(
+    entry: &Entry,
+    req: &CallerRequest,
+    may_have_run: &mut bool,
+) -> Result<Response, Problem> {
     let service = entry.fleets.get(&req.route.service).ok_or_else(no_target)?;
     let clock = &entry.ports.clock;
     let digest = req.digest();
@@ -64,6 +81,7 @@
                 failure = Problem::new(reason.kind(), format!("{target}: {reason:?}"));
             }
             Attempted::Unknown { reason, crashed } => {
+                *may_have_run = true;
                 failure = Problem::new(reason.kind(), format!("{target}: {reason:?}"));
                 if crashed {
                     entry
--- a/crates/auburnbridge_entry/src/request.rs
+++ b/crates/auburnbridge_entry/src/request.rs
@@ -39,6 +39,19 @@
 impl CallerRequest {
     /// Reads a request against the rules.
     pub fn read(message: Request, rules: &Rules, now: Timestamp) -> Result<Self, Problem> {
+        // An entry with other rules may have run an earlier attempt.
+        let may_be_resend = message.headers.get(KEY_HEADER).is_some()
+            && message.headers.text(PREVIOUS_ATTEMPTS_HEADER) != Some("0");
+        Self::read_parts(message, rules, now).map_err(|problem| {
+            if may_be_resend {
+                problem.for_possible_resend()
+            } else {
+                problem
+            }
+        })
+    }
+
+    fn read_parts(message: Request, rules: &Rules, now: Timestamp) -> Result<Self, Problem> {
         let path = message.path.split('?').next().unwrap_or_default();
         let route = message
             .method
--- a/crates/auburnbridge_entry/src/rules_feed.rs
+++ b/crates/auburnbridge_entry/src/rules_feed.rs
@@ -128,6 +128,10 @@
                     return false;
                 }
             }
+            // A keeper that has just restarted offers the empty rules until it hears of a leader.
+            if copy.revision() == Revision(0) {
+                return true;
+            }
             RulesInForce {
                 revision: copy.revision(),
                 rules: Arc::clone(copy.rules()),
--- a/crates/auburnbridge_entry/src/target_port.rs
+++ b/crates/auburnbridge_entry/src/target_port.rs
@@ -1,11 +1,23 @@
 //! Border towards the targets.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use async_std::net::TcpStream;
+use async_std::task;
 use auburnbridge_http::{Limits, Request};
 use auburnbridge_target::{Exchange, Pool};
 use auburnbridge_types::{BoxFuture, Timestamp};
 
+/// Waits before each check whether a target refuses connections: a process that ends closes its
+/// sockets one after the other, and the listener may be the last.
+const CRASH_CHECKS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(80),
+];
+
 /// Sends single requests to targets.
 pub trait TargetPort: Send + Sync {
     /// Sends `req` to `address`; dropping the future cancels the exchange.
@@ -34,9 +46,14 @@
 
     fn refuses_connections(&self, address: SocketAddr) -> BoxFuture<'_, bool> {
         Box::pin(async move {
-            async_std::net::TcpStream::connect(address)
-                .await
-                .is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+            for wait in CRASH_CHECKS {
+                task::sleep(wait).await;
+                let connected = TcpStream::connect(address).await;
+                if connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused) {
+                    return true;
+                }
+            }
+            false
         })
     }
 }
--- a/crates/auburnbridge_keeper/src/core.rs
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -220,7 +220,10 @@
     }
 
     /// Takes the next step of replacing the member of `vm` by the new folder `replica`: add it as a
-    /// learner, remove the lost folder once the learner has caught up, and promote it.
+    /// learner, remove the lost folder, and promote the learner once it has caught up.
+    ///
+    /// The lost folder goes before the promotion: with both in the list, a quorum would need every
+    /// member that is left, and the loss of a second VM would stop the group.
     fn join(
         &mut self,
         vm: VmId,
@@ -247,8 +250,8 @@
                 vm,
                 role: MemberRole::Learner,
             }),
-            (Some(MemberRole::Learner), _) => MemberChange::Promote(replica),
-            (Some(MemberRole::Voter), Some(lost)) => MemberChange::Remove(lost),
+            (Some(_), Some(lost)) => MemberChange::Remove(lost),
+            (Some(MemberRole::Learner), None) => MemberChange::Promote(replica),
         };
         info!("keeper membership change={change:?}");
         let token = self.wait_for(Waiter::Change(reply));
--- a/crates/auburnbridge_keeper/src/formation.rs
+++ b/crates/auburnbridge_keeper/src/formation.rs
@@ -90,16 +90,16 @@
         hellos
     }
 
-    /// The list of a group that already names this folder.
+    /// The list of a group that already names this folder as a voter; a learner gets the list with
+    /// the log.
     fn listed_by(&self, hellos: &[Option<KeeperHello>]) -> Option<Members> {
         hellos
             .iter()
             .flatten()
             .find(|hello| {
-                hello
-                    .members
-                    .iter()
-                    .any(|member| member.replica == self.replica)
+                hello.members.iter().any(|member| {
+                    member.replica == self.replica && member.role == MemberRole::Voter
+                })
             })
             .and_then(|hello| Members::new(hello.members.clone()))
     }
--- a/crates/auburnbridge_standin/src/target.rs
+++ b/crates/auburnbridge_standin/src/target.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_std::io::WriteExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
@@ -121,6 +122,8 @@
     sequence: AtomicU64,
     is_leaving: AtomicBool,
     is_crashed: AtomicBool,
+    /// Closed on a crash, which ends the listener at once.
+    crashed: (Sender<()>, Receiver<()>),
     in_flight: AtomicU32,
     fault: Mutex<Fault>,
     executions: Mutex<BTreeMap<String, u32>>,
@@ -138,6 +141,7 @@
             sequence: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_crashed: AtomicBool::new(false),
+            crashed: async_channel::bounded(1),
             in_flight: AtomicU32::new(0),
             fault: Mutex::default(),
             executions: Mutex::default(),
@@ -182,6 +186,15 @@
 }
 
 impl Shared {
+    fn take_connection(self: &Arc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        if *self.fault.lock() == Fault::CloseAtOnce {
+            return;
+        }
+        self.streams.lock().push(stream.clone());
+        task::spawn(serve(Connection::new(stream), Arc::clone(self)));
+    }
+
     async fn announce(&self) {
         let life = Life {
             incarnation: self.incarnation,
@@ -193,6 +206,7 @@
 
     fn close_streams(&self) {
         self.is_crashed.store(true, Ordering::SeqCst);
+        self.crashed.0.close();
         for stream in self.streams.lock().drain(..) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
@@ -214,17 +228,16 @@
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    while !shared.is_crashed.load(Ordering::SeqCst) {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        if *shared.fault.lock() == Fault::CloseAtOnce {
-            continue;
+    let crash = shared.crashed.1.clone();
+    let accepting = async {
+        loop {
+            if let Ok((stream, _)) = listener.accept().await {
+                shared.take_connection(stream);
+            }
         }
-        shared.streams.lock().push(stream.clone());
-        task::spawn(serve(Connection::new(stream), Arc::clone(&shared)));
-    }
+    };
+    let crashed = async { while crash.recv().await.is_ok() {} };
+    accepting.or(crashed).await;
 }
 
 async fn serve(mut connection: Connection<TcpStream>, shared: Arc<Shared>) {
