Fix the test of replaced idle connections and the length in the example

The example's request announced 24 bytes for a body of 25, which the guard rejected. Change: the raw target answers on the old connection only if a request arrives there, which the assertion then catches; the length is right. Measured: all tests of both crates pass.

--- a/crates/auburnbridge_http/examples/codec_cost.rs
+++ b/crates/auburnbridge_http/examples/codec_cost.rs
@@ -24,7 +24,7 @@
     Idempotency-Key: 018f2d6e-7a10-7cc3-98c4-dc0c0c07398f\r\n\
     Auburnbridge-Account: counter-3\r\n\
     Auburnbridge-Deadline-Ms: 800\r\n\
-    Content-Length: 24\r\n\r\n\
+    Content-Length: 25\r\n\r\n\
     {\"bin\":1207,\"quantity\":2}";
 
 const RESPONSE: &[u8] = b"HTTP/1.1 201 Created\r\n\
--- a/crates/auburnbridge_target/tests/reuse.rs
+++ b/crates/auburnbridge_target/tests/reuse.rs
@@ -72,8 +72,10 @@
             answer(&mut target.accept().await, second).await;
         };
         let misused = async {
-            if let Some(old) = &mut kept {
-                answer(old, OK).await;
+            if let Some(old) = &mut kept
+                && old.read_request(&Limits::default()).await.is_ok()
+            {
+                old.get_mut().write_all(OK).await.unwrap();
             }
         };
         let result = beside(target.exchange(), zip(answering, misused)).await;
