State what NotHolder and Full prove about a resend

Cause: the specification shows that an attempt of another send may run after such a reply, so the reply does not make not-run certain for a resend. Ruled out: a change of behaviour, which needs the number of the send in the Grant. Change: the doc comments of the two replies. Measured: nothing. Conclusion: entries must treat both like a refusal of a possible resend.

--- a/crates/auburnbridge_ledger/src/command.rs
+++ b/crates/auburnbridge_ledger/src/command.rs
@@ -111,10 +111,11 @@
     Expired,
     /// The attempt does not hold the key, and this command can't give it the key.
     ///
-    /// In reply to a Grant, nothing has run under the key: the attempt withdrew earlier or its
-    /// deadline has passed.
+    /// In reply to a Grant, nothing has run under the key so far: the attempt withdrew earlier or
+    /// its deadline has passed. An attempt of another send may still run, so `not-run` is certain
+    /// only for a first send.
     NotHolder,
-    /// A limit of the ledger refuses the key; nothing has run under it.
+    /// A limit of the ledger refuses the key; what holds for `NotHolder` holds here too.
     Full,
     /// The command is in effect, now or by an earlier duplicate.
     Done,
