Refuse a delayed grant of an earlier send

Cause: the exhaustive search of the grant protocol found a trace in which a caller resends while the first send's Grant is delayed; the second send is granted, shed, withdraws and is told not-run; then the first send is granted and runs. Ruled out: ordering sends by arrival time at the entries, whose clocks differ. Change: a Grant carries the caller's number of previous attempts, and the ledger refuses one of an earlier send than a withdrawn one. A caller that does not number its sends hears unknown instead of not-run.

--- a/crates/auburnbridge_entry/src/keyed.rs
+++ b/crates/auburnbridge_entry/src/keyed.rs
@@ -52,6 +52,7 @@
             body_digest,
             attempt: attempt.clone(),
             deadline: req.deadline,
+            previous_attempts: req.previous_attempts,
         };
         let reply = entry.ports.ledger.apply(command).await.map_err(|error| {
             let problem = Problem::new(ErrorKind::LedgerUnavailable, error.to_string());
@@ -68,16 +69,17 @@
             Reply::InProgress => ErrorKind::KeyInProgress,
             Reply::Unknown => ErrorKind::KeyOutcomeUnknown,
             Reply::BodyMismatch => ErrorKind::KeyReused,
-            Reply::Expired => {
-                let detail = "the key is past its retention or lies ahead of log time";
-                let problem = Problem::new(ErrorKind::KeyExpired, detail);
-                return Err(req.refuse_unread(problem));
-            }
+            Reply::Expired => ErrorKind::KeyExpired,
             Reply::NotHolder => ErrorKind::DeadlineBeforeDispatch,
             Reply::Full => ErrorKind::Overloaded,
             Reply::Done => ErrorKind::Internal,
         };
-        return Err(Problem::new(kind, format!("the ledger answered {reply}")));
+        let problem = Problem::new(kind, format!("the ledger answered {reply}"));
+        return Err(match kind {
+            // This body never ran: the key belongs to another request.
+            ErrorKind::KeyReused => problem,
+            _ => req.refuse_unread(problem),
+        });
     }
 }
 
@@ -97,7 +99,7 @@
             // No byte of this attempt was written and none will be, so `not-run` holds whether or
             // not the ledger hears of it; without it, a resend reads `unknown`.
             settle(entry, Command::Withdraw { key, attempt }).await;
-            Err(problem)
+            Err(req.refuse_withdrawn(problem))
         }
         Dispatched::Unknown(problem) => {
             settle(entry, Command::Abandon { key, attempt }).await;
--- a/crates/auburnbridge_entry/src/request.rs
+++ b/crates/auburnbridge_entry/src/request.rs
@@ -28,8 +28,8 @@
     pub account: AccountId,
     /// The caller's key.
     pub key: Option<IdempotencyKey>,
-    /// Whether the caller states that it sends the request for the first time.
-    pub is_first_attempt: bool,
+    /// How often the caller sent the request before, when it states that.
+    pub previous_attempts: Option<u32>,
     /// Time of arrival.
     pub arrived: Timestamp,
     /// Time after which nobody waits for the answer.
@@ -79,7 +79,7 @@
             route,
             account,
             key,
-            is_first_attempt: previous_attempts == Some(0),
+            previous_attempts,
             arrived: now,
             deadline: now.after(wait),
             message,
@@ -105,7 +105,18 @@
     /// Makes the outcome of a rejection certain: `not-run` stands only if no earlier attempt can
     /// have run, as the ledger was not asked.
     pub fn refuse_unread(&self, problem: Problem) -> Problem {
-        if self.key.is_some() && !self.is_first_attempt {
+        if self.key.is_some() && self.previous_attempts != Some(0) {
+            problem.for_possible_resend()
+        } else {
+            problem
+        }
+    }
+
+    /// Makes the outcome of a rejection certain after the grant was withdrawn: `not-run` stands only
+    /// if the caller numbers its sends, since the ledger then refuses a delayed Grant of an earlier
+    /// send. Without a number it can't tell that Grant from a resend.
+    pub fn refuse_withdrawn(&self, problem: Problem) -> Problem {
+        if self.previous_attempts.is_none() {
             problem.for_possible_resend()
         } else {
             problem
--- a/crates/auburnbridge_ledger/src/command.rs
+++ b/crates/auburnbridge_ledger/src/command.rs
@@ -65,6 +65,11 @@
         attempt: AttemptId,
         /// Log time from which the outcome of an unfinished attempt is unknown.
         deadline: Timestamp,
+        /// How often the caller sent the request before, when it states that.
+        ///
+        /// A grant is refused when an attempt of a later send withdrew: the caller may have been
+        /// told `not-run` since, which must stay true.
+        previous_attempts: Option<u32>,
     },
     /// Gives the permission back; the holder is certain that the request did not run.
     Withdraw {
@@ -111,9 +116,9 @@
     Expired,
     /// The attempt does not hold the key, and this command can't give it the key.
     ///
-    /// In reply to a Grant, nothing has run under the key so far: the attempt withdrew earlier or
-    /// its deadline has passed. An attempt of another send may still run, so `not-run` is certain
-    /// only for a first send.
+    /// In reply to a Grant, nothing has run under the key so far: the attempt or one of a later
+    /// send withdrew, or its deadline has passed. An attempt of another send may still run, so
+    /// `not-run` is certain only for a first send.
     NotHolder,
     /// A limit of the ledger refuses the key; what holds for `NotHolder` holds here too.
     Full,
--- a/crates/auburnbridge_ledger/src/ledger.rs
+++ b/crates/auburnbridge_ledger/src/ledger.rs
@@ -102,7 +102,8 @@
                 body_digest,
                 attempt,
                 deadline,
-            } => self.grant(key, body_digest, attempt, deadline),
+                previous_attempts,
+            } => self.grant(key, body_digest, attempt, deadline, previous_attempts),
             Command::Withdraw { key, attempt } => {
                 let now = self.now;
                 self.change(&key, |record| record.withdraw(now, attempt))
@@ -151,12 +152,13 @@
         body_digest: BodyDigest,
         attempt: AttemptId,
         deadline: Timestamp,
+        previous_attempts: Option<u32>,
     ) -> Reply {
         if self.is_expired(&key) {
             return Reply::Expired;
         }
         if let Some(record) = self.records.get_mut(&key) {
-            return record.grant(self.now, body_digest, attempt, deadline);
+            return record.grant(self.now, body_digest, attempt, deadline, previous_attempts);
         }
         if self.now >= deadline {
             return Reply::NotHolder;
@@ -164,9 +166,10 @@
         if self.records.len() >= self.limits.max_records || self.stored >= self.limits.max_stored {
             return Reply::Full;
         }
-        let record = Record::new(body_digest, attempt, deadline);
-        self.records.insert(key, record);
-        Reply::Granted
+        self.records
+            .entry(key)
+            .or_insert_with(|| Record::new(body_digest))
+            .grant(self.now, body_digest, attempt, deadline, previous_attempts)
     }
 
     /// Concludes a key; an answer over a limit is recorded as run, without the answer.
--- a/crates/auburnbridge_ledger/src/lib.rs
+++ b/crates/auburnbridge_ledger/src/lib.rs
@@ -9,6 +9,10 @@
 //! duplicate of its Grant is refused. At most [`MAX_WITHDRAWN_PROCESSES`] processes are remembered
 //! per key; a key that reaches the bound is refused with [`Reply::Full`].
 //!
+//! A caller may send a request again while an attempt of its earlier send is still on its way. Once
+//! an attempt of the later send withdrew, and the caller may have been told `not-run`, the earlier
+//! one is refused.
+//!
 //! A key is refused once log time reaches its creation plus the retention. The lowest accepted
 //! creation time never falls, also when the retention is raised, and a record is dropped only once
 //! its key lies below it. A dropped key is therefore never granted again.
--- a/crates/auburnbridge_ledger/src/record.rs
+++ b/crates/auburnbridge_ledger/src/record.rs
@@ -11,6 +11,8 @@
     pub(crate) body_digest: BodyDigest,
     pub(crate) state: State,
     withdrawn: Vec<WithdrawnProcess>,
+    /// The latest send of the caller whose attempt withdrew, by its number of previous attempts.
+    withdrawn_send: Option<u32>,
 }
 
 /// Who holds a key, or how it ended.
@@ -22,6 +24,7 @@
     Held {
         attempt: AttemptId,
         deadline: Timestamp,
+        previous_attempts: Option<u32>,
     },
     /// The attempt ran the request.
     Answered {
@@ -47,11 +50,13 @@
 }
 
 impl Record {
-    pub(crate) fn new(body_digest: BodyDigest, attempt: AttemptId, deadline: Timestamp) -> Self {
+    /// The record of a key that no attempt has held.
+    pub(crate) fn new(body_digest: BodyDigest) -> Self {
         Self {
             body_digest,
-            state: State::Held { attempt, deadline },
+            state: State::Free,
             withdrawn: Vec::new(),
+            withdrawn_send: None,
         }
     }
 
@@ -69,6 +74,11 @@
             .any(|process| process.is_process_of(attempt) && attempt.sequence <= process.sequence)
     }
 
+    /// Whether an attempt of a later send withdrew.
+    fn has_withdrawn_after(&self, previous_attempts: Option<u32>) -> bool {
+        previous_attempts.is_some_and(|send| Some(send) < self.withdrawn_send)
+    }
+
     /// Whether a withdrawal by the attempt would fit.
     fn can_remember(&self, attempt: &AttemptId) -> bool {
         self.withdrawn.len() < MAX_WITHDRAWN_PROCESSES
@@ -99,6 +109,7 @@
         body_digest: BodyDigest,
         attempt: AttemptId,
         deadline: Timestamp,
+        previous_attempts: Option<u32>,
     ) -> Reply {
         if body_digest != self.body_digest {
             return Reply::BodyMismatch;
@@ -112,9 +123,14 @@
             } if *holder == attempt => Reply::Granted,
             State::Held { .. } => Reply::InProgress,
             State::Free if self.has_withdrawn(&attempt) || now >= deadline => Reply::NotHolder,
+            State::Free if self.has_withdrawn_after(previous_attempts) => Reply::NotHolder,
             State::Free if !self.can_remember(&attempt) => Reply::Full,
             State::Free => {
-                self.state = State::Held { attempt, deadline };
+                self.state = State::Held {
+                    attempt,
+                    deadline,
+                    previous_attempts,
+                };
                 Reply::Granted
             }
         }
@@ -130,10 +146,12 @@
             State::Held {
                 attempt: holder,
                 deadline,
+                previous_attempts,
             } if *holder == attempt => {
                 if now >= *deadline {
                     return Reply::Unknown;
                 }
+                self.withdrawn_send = self.withdrawn_send.max(*previous_attempts);
                 self.state = State::Free;
                 self.remember_withdrawn(attempt);
                 Reply::Done
--- a/crates/auburnbridge_ledger/tests/ledger.rs
+++ b/crates/auburnbridge_ledger/tests/ledger.rs
@@ -34,6 +34,17 @@
         body_digest: BodyDigest([1; 32]),
         attempt: attempt.clone(),
         deadline: START.after(Millis(deadline)),
+        previous_attempts: None,
+    }
+}
+
+fn resend(key: &LedgerKey, attempt: &AttemptId, sends_before: u32) -> Command {
+    Command::Grant {
+        key: key.clone(),
+        body_digest: BodyDigest([1; 32]),
+        attempt: attempt.clone(),
+        deadline: START.after(Millis(100)),
+        previous_attempts: Some(sends_before),
     }
 }
 
@@ -68,6 +79,7 @@
         body_digest: BodyDigest([2; 32]),
         attempt: b.clone(),
         deadline: START.after(Millis(100)),
+        previous_attempts: None,
     };
     let whole = Reply::Answered(StoredAnswer::new(b"ok"));
     let large = vec![0; 64 * 1024 + 1];
@@ -155,6 +167,21 @@
     }
 }
 
+/// Guards against a grant of an earlier send that arrives after a later send withdrew and its
+/// caller was told `not-run`.
+#[test]
+fn later_send_fences_earlier_ones() {
+    let k = key(START, 1);
+    let (first, second, third) = (attempt(1, 1), attempt(2, 1), attempt(3, 1));
+    let mut ledger = Ledger::default();
+    let mut apply = |command| ledger.apply(START, command);
+    assert_eq!(apply(resend(&k, &second, 1)), Reply::Granted);
+    assert_eq!(apply(resend(&k, &first, 0)), Reply::InProgress);
+    assert_eq!(apply(withdraw(&k, &second)), Reply::Done);
+    assert_eq!(apply(resend(&k, &first, 0)), Reply::NotHolder);
+    assert_eq!(apply(resend(&k, &third, 2)), Reply::Granted);
+}
+
 /// Guards against a key that runs again after its record was dropped, whatever the retention does.
 #[test]
 fn dropped_key_stays_refused_after_changes_of_retention() {
@@ -256,7 +283,8 @@
     // The boots stand for several entries.
     let a = (0..3u64, 0..3u64).prop_map(|(boot, sequence)| attempt(boot, sequence));
     (k, a, 0..52u8, 0..1_000u64).prop_map(|(k, a, kind, number)| match kind {
-        0..24 => grant(&k, &a, number),
+        0..12 => grant(&k, &a, number),
+        12..24 => resend(&k, &a, u32::try_from(a.sequence).unwrap()),
         24..40 => withdraw(&k, &a),
         40..48 => conclude(&k, &a, &a.sequence.to_be_bytes()[6..]),
         48..51 => abandon(&k, &a),
@@ -269,6 +297,9 @@
 struct Observed {
     holder: Option<AttemptId>,
     withdrawn: BTreeSet<AttemptId>,
+    /// Send of the holder, and the latest send that withdrew.
+    held_send: Option<u32>,
+    withdrawn_send: Option<u32>,
     concluded: bool,
 }
 
@@ -306,11 +337,16 @@
             prop_assert!(ledger.len() <= limits.max_records);
             prop_assert!(ledger.stored() <= limits.max_stored);
             match (command, reply) {
-                (Command::Grant { key, attempt, deadline, .. }, Reply::Granted) => {
+                (Command::Grant { key, attempt, deadline, previous_attempts, .. }, Reply::Granted) => {
                     let seen = observed.entry(key).or_default();
                     prop_assert!(now < deadline || seen.holder.is_some());
                     prop_assert!(!seen.concluded);
                     prop_assert!(!seen.withdrawn.contains(&attempt));
+                    if seen.holder.is_none() {
+                        seen.held_send = previous_attempts;
+                        let send = previous_attempts.unwrap_or(u32::MAX);
+                        prop_assert!(Some(send) >= seen.withdrawn_send);
+                    }
                     let holder = seen.holder.get_or_insert_with(|| attempt.clone());
                     prop_assert_eq!(&*holder, &attempt);
                 }
@@ -319,6 +355,7 @@
                     if seen.holder.as_ref() == Some(&attempt) {
                         prop_assert!(!seen.concluded);
                         seen.holder = None;
+                        seen.withdrawn_send = seen.withdrawn_send.max(seen.held_send);
                     }
                     seen.withdrawn.insert(attempt);
                 }
