Add exchanges on fresh connections for requests that must not be resent

Cause: a target may close an idle connection while a request is on its way, which leaves the outcome of non-idempotent work unknown. Ruled out: a new connection for each such request, which costs 1 ms; keeping the older idle connection beside the new one, which would exceed the bound. Change: Pool::exchange_fresh uses connections idle for less than a set time (default 1 s); a test counts the writes of a message.

--- a/crates/auburnbridge_http/tests/limits.rs
+++ b/crates/auburnbridge_http/tests/limits.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
-use auburnbridge_http::{CONTINUE, FramingError, Limits, MemoryBudget, RequestInfo};
+use auburnbridge_http::{
+    Body, CONTINUE, FramingError, Limits, MemoryBudget, Request, RequestInfo, Response, Verdict,
+};
 use auburnbridge_types::ByteSize;
-use support::{Parts, read_request, read_response, small_limits};
+use support::{Parts, read_request, read_response, small_limits, writes};
 
 /// Guards against a caller that waits for `100 Continue` for ever, and against one that is invited
 /// to send a body which is then rejected.
@@ -85,3 +87,23 @@
     let outcome = read_response(Parts::of(&[head]), RequestInfo::default(), &limits);
     assert_eq!(outcome.message, Err(FramingError::ClosedInBody));
 }
+
+/// Guards against a message that goes out in several writes, and so in several packets.
+#[test]
+fn a_message_goes_out_in_one_write() {
+    let mut request = Request::new("POST", "/slips");
+    request.body = Body::from(vec![b'x'; 100_000]);
+    assert_eq!(
+        writes(async |connection| connection.write_request(&request).await),
+        1
+    );
+    let mut response = Response::new(200);
+    response.body = request.body.clone();
+    let info = RequestInfo::default();
+    let count = writes(async |connection| {
+        connection
+            .write_response(&response, info, Verdict::Reuse)
+            .await
+    });
+    assert_eq!(count, 1);
+}
--- a/crates/auburnbridge_http/tests/support/mod.rs
+++ b/crates/auburnbridge_http/tests/support/mod.rs
@@ -36,9 +36,10 @@
 }
 
 /// A stream that gives the parts, one per read, and records what is written.
-struct Script {
+pub struct Script {
     parts: VecDeque<Vec<u8>>,
     written: Vec<u8>,
+    writes: usize,
 }
 
 impl Read for Script {
@@ -67,6 +68,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.written.extend_from_slice(buf);
+        self.writes += 1;
         Poll::Ready(Ok(buf.len()))
     }
 
@@ -150,6 +152,7 @@
     Connection::new(Script {
         parts: parts.0.into(),
         written: Vec::new(),
+        writes: 0,
     })
 }
 
@@ -164,3 +167,12 @@
     let message = task::block_on(connection.read_response(info, limits));
     Outcome::of(message, &connection)
 }
+
+/// The number of writes to the stream that `write` makes.
+pub fn writes(
+    write: impl AsyncFnOnce(&mut Connection<Script>) -> Result<(), FramingError>,
+) -> usize {
+    let mut connection = connection(Parts(Vec::new()));
+    task::block_on(write(&mut connection)).unwrap();
+    connection.get_ref().writes
+}
--- a/crates/auburnbridge_target/src/idle.rs
+++ b/crates/auburnbridge_target/src/idle.rs
@@ -33,15 +33,21 @@
         }
     }
 
-    /// Takes the connection that was used last and is still open, and closes those found dead.
+    /// Takes the connection that was used last, if it is open and was used within `freshness`.
+    ///
+    /// Closes connections found dead, and one that is not fresh: a new one takes its place, and
+    /// the number of connections must not grow.
     pub(crate) fn take_live(
         &self,
         now: Timestamp,
-        timeout: Millis,
+        freshness: Millis,
     ) -> Option<Connection<TcpStream>> {
         loop {
             let mut idle = self.idle.lock().pop()?;
-            if now.since(idle.since) < timeout && is_live(&mut idle.connection) {
+            if now.since(idle.since) >= freshness {
+                return None;
+            }
+            if is_live(&mut idle.connection) {
                 return Some(idle.connection);
             }
         }
--- a/crates/auburnbridge_target/src/pool.rs
+++ b/crates/auburnbridge_target/src/pool.rs
@@ -18,6 +18,8 @@
 
 const DEFAULT_CONNECT_TIMEOUT: Millis = Millis(250);
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(30_000);
+/// Servers close idle connections after a few seconds, usually 5 or more.
+const DEFAULT_FRESHNESS: Millis = Millis(1_000);
 /// A target accepts about 350 connections, shared by all entries; there are 13 to 16 of them.
 const DEFAULT_CONNECTIONS_PER_TARGET: usize = 20;
 
@@ -26,6 +28,7 @@
     clock: Arc<dyn Clock>,
     connect_timeout: Millis,
     idle_timeout: Millis,
+    freshness: Millis,
     connections_per_target: usize,
 }
 
@@ -44,6 +47,13 @@
         self
     }
 
+    /// Bounds the idle time of a connection that [`Pool::exchange_fresh`] uses (default 1 s).
+    #[must_use]
+    pub fn freshness(mut self, freshness: Millis) -> Self {
+        self.freshness = freshness;
+        self
+    }
+
     /// Bounds the connections to one target, and with them its exchanges (default 20).
     #[must_use]
     pub fn connections_per_target(mut self, limit: usize) -> Self {
@@ -80,6 +90,7 @@
             clock,
             connect_timeout: DEFAULT_CONNECT_TIMEOUT,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            freshness: DEFAULT_FRESHNESS,
             connections_per_target: DEFAULT_CONNECTIONS_PER_TARGET,
         }
     }
@@ -95,25 +106,25 @@
         limits: &Limits,
         deadline: Timestamp,
     ) -> Exchange {
-        let mut encoded = Vec::new();
-        encode_request(request, &mut encoded);
-        let target = self.target(address);
-        loop {
-            let lease = match self.lease(address, &target, deadline).await {
-                Ok(lease) => lease,
-                Err(reason) => return Exchange::not_sent(reason),
-            };
-            let is_reused = lease.is_reused;
-            let info = RequestInfo::from(request);
-            let exchange = self
-                .run_lease(lease, &target, &encoded, info, limits, deadline)
-                .await;
-            match exchange.result {
-                // The idle connection closed under us; no byte was written, so another will do.
-                ExchangeResult::NotSent(NotSent::Closed) if is_reused => {}
-                _ => return exchange,
-            }
-        }
+        let freshness = self.options.idle_timeout;
+        self.exchange_within(address, request, limits, deadline, freshness)
+            .await
+    }
+
+    /// Like [`Pool::exchange`], for a request that must not be resent.
+    ///
+    /// It uses only connections that were used a short time ago, since a target may close an older
+    /// one while the request is on its way, which leaves the outcome unknown.
+    pub async fn exchange_fresh(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+        limits: &Limits,
+        deadline: Timestamp,
+    ) -> Exchange {
+        let freshness = self.options.freshness.min(self.options.idle_timeout);
+        self.exchange_within(address, request, limits, deadline, freshness)
+            .await
     }
 
     /// Closes the connections that have been idle for too long, and forgets unused targets.
@@ -141,6 +152,35 @@
         target.map_or(0, |target| target.idle_count())
     }
 
+    async fn exchange_within(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+        limits: &Limits,
+        deadline: Timestamp,
+        freshness: Millis,
+    ) -> Exchange {
+        let mut encoded = Vec::new();
+        encode_request(request, &mut encoded);
+        let target = self.target(address);
+        loop {
+            let lease = match self.lease(address, &target, deadline, freshness).await {
+                Ok(lease) => lease,
+                Err(reason) => return Exchange::not_sent(reason),
+            };
+            let is_reused = lease.is_reused;
+            let info = RequestInfo::from(request);
+            let exchange = self
+                .run_lease(lease, &target, &encoded, info, limits, deadline)
+                .await;
+            match exchange.result {
+                // The idle connection closed under us; no byte was written, so another will do.
+                ExchangeResult::NotSent(NotSent::Closed) if is_reused => {}
+                _ => return exchange,
+            }
+        }
+    }
+
     fn target(&self, address: SocketAddr) -> Arc<TargetConnections> {
         let limit = self.options.connections_per_target;
         let mut targets = self.targets.lock();
@@ -155,6 +195,7 @@
         address: SocketAddr,
         target: &TargetConnections,
         deadline: Timestamp,
+        freshness: Millis,
     ) -> Result<Lease, NotSent> {
         if self.options.clock.now() >= deadline {
             return Err(NotSent::Deadline);
@@ -165,7 +206,7 @@
         if now >= deadline {
             return Err(NotSent::AllInUse);
         }
-        if let Some(connection) = target.take_live(now, self.options.idle_timeout) {
+        if let Some(connection) = target.take_live(now, freshness) {
             return Ok(Lease {
                 connection,
                 is_reused: true,
--- a/crates/auburnbridge_target/tests/reuse.rs
+++ b/crates/auburnbridge_target/tests/reuse.rs
@@ -4,11 +4,14 @@
 
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
-use auburnbridge_http::{Connection, Limits};
-use auburnbridge_types::Millis;
+use auburnbridge_http::{Connection, Limits, Request};
+use auburnbridge_types::{Clock, Millis};
 use futures_lite::future::{poll_once, zip};
-use support::{CLOSE_WAIT, Fixture, OK, TIME_LIMIT, answer, answered, beside, wait_for_socket};
+use support::{
+    CLOSE_WAIT, Fixture, OK, TIME_LIMIT, answer, answered, beside, describe, wait_for_socket,
+};
 
+const FRESHNESS: Millis = Millis(1_000);
 const IDLE_TIMEOUT: Millis = Millis(30_000);
 
 /// Runs one exchange on a new connection and gives the target's end of it.
@@ -83,6 +86,35 @@
     }
 }
 
+/// Guards against a request that must not be resent on a connection that the target may be about to
+/// close, and against more connections than the bound because an older one stays open.
+#[async_std::test]
+async fn a_request_that_must_not_be_resent_uses_a_fresh_connection() {
+    let target = Fixture::new(1).await;
+    let request = Request::new("POST", "/slips");
+    let send_fresh = async || {
+        let limits = Limits::default();
+        let deadline = target.clock.now().after(TIME_LIMIT);
+        let exchange = target
+            .pool
+            .exchange_fresh(target.address, &request, &limits, deadline);
+        describe(exchange.await)
+    };
+    let mut old = connect(&target).await;
+    target.clock.advance(Millis(FRESHNESS.0 - 1));
+    let result = beside(send_fresh(), answer(&mut old, OK)).await;
+    assert_eq!(result, answered("ok", true));
+    target.clock.advance(FRESHNESS);
+    let serving = async {
+        let mut new = target.accept().await;
+        answer(&mut new, OK).await;
+        new
+    };
+    let result = beside(send_fresh(), zip(serving, old.wait_for_bytes())).await;
+    assert_eq!(result, answered("ok", false));
+    assert_eq!(old.wait_for_bytes().await, Ok(false));
+}
+
 /// Guards against a resend, or a claim of `not-run`, when a reused connection dies after the write.
 #[async_std::test]
 async fn a_reused_connection_that_dies_after_the_write_is_unknown() {
