--- a/crates/auburnbridge_http/tests/support/mod.rs
+++ b/crates/auburnbridge_http/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
 use std::collections::VecDeque;
+use std::fmt::Debug;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -36,9 +37,10 @@
 }
 
 /// A stream that gives the parts, one per read, and records what is written.
-struct Script {
+pub struct Script {
     parts: VecDeque<Vec<u8>>,
     written: Vec<u8>,
+    writes: usize,
 }
 
 impl Read for Script {
@@ -67,6 +69,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.written.extend_from_slice(buf);
+        self.writes += 1;
         Poll::Ready(Ok(buf.len()))
     }
 
@@ -86,7 +89,7 @@
     pub written: Vec<u8>,
 }
 
-impl<M> Outcome<M> {
+impl<M: Debug> Outcome<M> {
     fn of(message: Result<M, FramingError>, connection: &Connection<Script>) -> Self {
         Self {
             message,
@@ -95,12 +98,11 @@
         }
     }
 
-    fn describe_with(&self, line: impl Fn(&M) -> String) -> String {
+    pub fn describe(&self) -> String {
         match &self.message {
             Err(error) => format!("rejected: {error}"),
             Ok(message) => format!(
-                "{}, leftover \"{}\", wrote \"{}\"",
-                line(message),
+                "{message:?}, leftover \"{}\", wrote \"{}\"",
                 self.leftover.escape_ascii(),
                 self.written.escape_ascii()
             ),
@@ -108,36 +110,6 @@
     }
 }
 
-impl Outcome<Request> {
-    pub fn describe(&self) -> String {
-        self.describe_with(|request| {
-            let Request {
-                method,
-                path,
-                headers,
-                body,
-                verdict,
-            } = request;
-            format!("{method} {path} {headers:?} {body:?} {verdict:?}")
-        })
-    }
-}
-
-impl Outcome<Response> {
-    pub fn describe(&self) -> String {
-        self.describe_with(|response| {
-            let Response {
-                status,
-                headers,
-                body,
-                announced_length,
-                verdict,
-            } = response;
-            format!("{status} {headers:?} {body:?} {announced_length:?} {verdict:?}")
-        })
-    }
-}
-
 /// Limits small enough for the cases to reach them.
 pub fn small_limits() -> Limits {
     Limits::default()
@@ -150,6 +122,7 @@
     Connection::new(Script {
         parts: parts.0.into(),
         written: Vec::new(),
+        writes: 0,
     })
 }
 
@@ -164,3 +137,12 @@
     let message = task::block_on(connection.read_response(info, limits));
     Outcome::of(message, &connection)
 }
+
+/// The number of writes to the stream that `write` makes.
+pub fn writes(
+    write: impl AsyncFnOnce(&mut Connection<Script>) -> Result<(), FramingError>,
+) -> usize {
+    let mut connection = connection(Parts(Vec::new()));
+    task::block_on(write(&mut connection)).unwrap();
+    connection.get_ref().writes
+}
