Tell failures of this process from those of a target

Cause: a lack of ports, file descriptors or answer memory in an entry, and a deadline that passes while all connections are in use, would count against a healthy target. A 408 with which a target closes an idle connection could be taken for the answer to a request that crossed it. Change: is_local on NotSent and Unknown; a closing 408 on a reused connection is Unknown::IdleTimeout. Conclusion: the entry can report such failures as not attributable.

--- a/crates/auburnbridge_target/src/exchange.rs
+++ b/crates/auburnbridge_target/src/exchange.rs
@@ -57,6 +57,11 @@
 pub enum Unknown {
     /// The connection closed or failed, or the answer violates a framing rule or limit.
     Framing(FramingError),
+    /// A reused connection brought a 408 and closes.
+    ///
+    /// Servers close idle connections in this way, so it may have been on its way before the
+    /// request was, and is not taken for the request's answer.
+    IdleTimeout,
     /// The deadline passed.
     Deadline,
 }
@@ -71,6 +76,22 @@
             }
         }
     }
+
+    /// Whether the failure is no evidence about the target's health, such as a lack of file
+    /// descriptors or ports in this process.
+    pub const fn is_local(self) -> bool {
+        match self {
+            Self::Refused | Self::ConnectTimeout | Self::Closed => false,
+            Self::AllInUse | Self::Deadline => true,
+            Self::ConnectFailed(kind) => !matches!(
+                kind,
+                io::ErrorKind::ConnectionAborted
+                    | io::ErrorKind::ConnectionReset
+                    | io::ErrorKind::HostUnreachable
+                    | io::ErrorKind::TimedOut
+            ),
+        }
+    }
 }
 
 impl Unknown {
@@ -78,9 +99,20 @@
     pub const fn kind(self) -> ErrorKind {
         match self {
             Self::Framing(error) => error.response_kind(),
+            Self::IdleTimeout => ErrorKind::AnswerIncomplete,
             Self::Deadline => ErrorKind::DeadlineAfterDispatch,
         }
     }
+
+    /// Whether the failure is no evidence about the target's health: this process ran out of
+    /// memory for answers, or the target closed an idle connection.
+    pub const fn is_local(self) -> bool {
+        match self {
+            Self::Framing(error) => matches!(error, FramingError::MemoryExhausted),
+            Self::IdleTimeout => true,
+            Self::Deadline => false,
+        }
+    }
 }
 
 /// How a run on one connection ended.
--- a/crates/auburnbridge_target/src/pool.rs
+++ b/crates/auburnbridge_target/src/pool.rs
@@ -23,6 +23,8 @@
 /// A target accepts about 350 connections, shared by all entries; there are 13 to 16 of them.
 const DEFAULT_CONNECTIONS_PER_TARGET: usize = 20;
 
+const REQUEST_TIMEOUT_STATUS: u16 = 408;
+
 /// Settings of a [`Pool`].
 pub struct PoolBuilder {
     clock: Arc<dyn Clock>,
@@ -260,6 +262,11 @@
             answer_started,
         };
         let result = match run {
+            Some(Run::Answered(response, Verdict::Retire))
+                if lease.is_reused && response.status == REQUEST_TIMEOUT_STATUS =>
+            {
+                unknown(Unknown::IdleTimeout)
+            }
             Some(Run::Answered(response, verdict)) => {
                 if verdict == Verdict::Reuse {
                     target.put_back(lease.connection, self.options.clock.now());
--- a/crates/auburnbridge_target/tests/exchange.rs
+++ b/crates/auburnbridge_target/tests/exchange.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::Arc;
 
@@ -65,13 +66,18 @@
     }
 }
 
-/// Guards against a request that is reported as possibly run although no connection existed.
-#[async_std::test]
-async fn a_refused_connection_is_not_sent() {
+fn bind_without_listening() -> (Socket, SocketAddr) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     socket.bind(&SockAddr::from(any_port)).unwrap();
     let address = socket.local_addr().unwrap().as_socket().unwrap();
+    (socket, address)
+}
+
+/// Guards against a request that is reported as possibly run although no connection existed.
+#[async_std::test]
+async fn a_refused_connection_is_not_sent() {
+    let (_socket, address) = bind_without_listening();
     let clock = PausedClock::new(START);
     let exchange = send(&pool(&clock, 1), &clock, address, &Request::new("GET", "/")).await;
     assert_eq!(describe(exchange), ("not sent: Refused".to_owned(), false));
@@ -80,11 +86,8 @@
 /// Guards against waiting for a connection beyond the connect timeout or the deadline.
 #[async_std::test]
 async fn a_connection_that_is_not_established_is_not_sent() {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    socket.bind(&SockAddr::from(any_port)).unwrap();
+    let (socket, address) = bind_without_listening();
     socket.listen(0).unwrap();
-    let address = socket.local_addr().unwrap().as_socket().unwrap();
     // One connection that is not accepted fills the backlog; the kernel ignores further ones.
     let _waiting = TcpStream::connect(address).unwrap();
     wait_for_socket(address, |state| state.received_bytes == 1);
@@ -196,25 +199,33 @@
     assert_eq!(target.pool.idle_connections(target.address), 0);
 }
 
-/// Guards against a caller that is told `not-run` for a result that is not certain, or the reverse.
+/// Guards against a caller that is told `not-run` for a result that is not certain, or the reverse,
+/// and against a fault of this process that counts against a target.
 #[test]
-fn error_kinds_agree_with_certainty() {
+fn reasons_agree_with_certainty_and_attribution() {
     let not_sent = [
-        NotSent::Refused,
-        NotSent::ConnectTimeout,
-        NotSent::ConnectFailed(std::io::ErrorKind::Other),
-        NotSent::Closed,
-        NotSent::AllInUse,
-        NotSent::Deadline,
+        (NotSent::Refused, false),
+        (NotSent::ConnectTimeout, false),
+        (NotSent::ConnectFailed(ErrorKind::HostUnreachable), false),
+        (NotSent::ConnectFailed(ErrorKind::AddrNotAvailable), true),
+        (NotSent::ConnectFailed(ErrorKind::Other), true),
+        (NotSent::Closed, false),
+        (NotSent::AllInUse, true),
+        (NotSent::Deadline, true),
     ];
-    for reason in not_sent {
+    for (reason, is_local) in not_sent {
         assert_eq!(reason.kind().answer().outcome, Outcome::NotRun);
+        assert_eq!(reason.is_local(), is_local, "{reason:?}");
     }
-    for reason in [
-        Unknown::Deadline,
-        Unknown::Framing(FramingError::ClosedInBody),
-        Unknown::Framing(FramingError::BodyTooLarge),
-    ] {
+    let unknown = [
+        (Unknown::Deadline, false),
+        (Unknown::IdleTimeout, true),
+        (Unknown::Framing(FramingError::ClosedInBody), false),
+        (Unknown::Framing(FramingError::BodyTooLarge), false),
+        (Unknown::Framing(FramingError::MemoryExhausted), true),
+    ];
+    for (reason, is_local) in unknown {
         assert_eq!(reason.kind().answer().outcome, Outcome::Unknown);
+        assert_eq!(reason.is_local(), is_local, "{reason:?}");
     }
 }
--- a/crates/auburnbridge_target/tests/reuse.rs
+++ b/crates/auburnbridge_target/tests/reuse.rs
@@ -131,6 +131,23 @@
     assert!(poll_once(target.listener.accept()).await.is_none());
 }
 
+/// Guards against the 408 of a target that closes an idle connection, taken for the answer to the
+/// request that crossed it.
+#[async_std::test]
+async fn an_idle_timeout_on_a_reused_connection_is_no_answer() {
+    let raw = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    let target = Fixture::new(1).await;
+    let mut connection = connect(&target).await;
+    let result = beside(target.exchange(), answer(&mut connection, raw)).await;
+    let expected = "unknown: IdleTimeout, answer started: true";
+    assert_eq!(result, (expected.to_owned(), true));
+    let answering = async {
+        answer(&mut target.accept().await, raw).await;
+    };
+    let result = beside(target.exchange(), answering).await;
+    assert_eq!(result, ("408 ".to_owned(), false));
+}
+
 /// Guards against more connections than a target accepts, and a waiting request that is stuck.
 #[async_std::test]
 async fn connections_are_bounded_and_handed_on() {
