Use fresh connections for keyed requests; report isolation; reload keys

Cause: an idle connection that a target closes at the same moment leaves a keyed request unknown; an entry that reaches nobody stayed ready; replaced key files needed a restart.

--- a/crates/auburnbridge_entry/src/entry.rs
+++ b/crates/auburnbridge_entry/src/entry.rs
@@ -230,7 +230,13 @@
         let exchange = self
             .ports
             .targets
-            .exchange(address, &message, &limits, req.deadline)
+            .exchange(
+                address,
+                &message,
+                request_class(req.route.class),
+                &limits,
+                req.deadline,
+            )
             .await;
         let now = clock.now();
         let attempted = match exchange.result {
--- a/crates/auburnbridge_entry/src/neighbours.rs
+++ b/crates/auburnbridge_entry/src/neighbours.rs
@@ -3,6 +3,7 @@
 //! Lock order: `targets`, then `entries`, then a rumour queue. None is held over an await.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use auburnbridge_config::{Delta, RulesCopy};
@@ -25,6 +26,9 @@
 /// Time for which a crash report waits for acknowledgements.
 const CRASH_WAIT: Millis = Millis(100);
 const CALL_TIMEOUT: Millis = Millis(500);
+/// Silence of all other processes after which an entry counts as cut off. Each is asked about once
+/// a second.
+const ISOLATION_TIMEOUT: Millis = Millis(5_000);
 /// Steps of one comparison; it needs four, and more only if both sides change meanwhile.
 const SYNC_STEPS: usize = 8;
 
@@ -39,6 +43,8 @@
     target_rumours: Mutex<Gossip<Announcement>>,
     entry_rumours: Mutex<Gossip<EntryAnnouncement>>,
     rules: Mutex<RulesCopy>,
+    /// When a keeper or another entry last answered, in milliseconds.
+    last_contact: AtomicU64,
 }
 
 impl Neighbours {
@@ -50,6 +56,7 @@
         clock: Arc<dyn Clock>,
     ) -> Self {
         let seed = own.boot;
+        let clock_now = clock.now();
         Self {
             seeds: seeds
                 .into_iter()
@@ -63,9 +70,24 @@
             target_rumours: Mutex::new(Gossip::new(FANOUT, seed)),
             entry_rumours: Mutex::new(Gossip::new(FANOUT, seed.wrapping_add(1))),
             rules: Mutex::default(),
+            last_contact: AtomicU64::new(clock_now.0),
         }
     }
 
+    /// Notes that a keeper or another entry answered.
+    pub fn note_contact(&self) {
+        let now = self.clock.now();
+        self.last_contact.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Whether this entry is cut off: it should know others, and none has answered for a while.
+    ///
+    /// Entries that lost only the keepers still answer each other and go on.
+    pub fn is_isolated(&self) -> bool {
+        let last_contact = Timestamp(self.last_contact.load(Ordering::Relaxed));
+        self.clock.now().since(last_contact) >= ISOLATION_TIMEOUT
+    }
+
     /// Takes an announcement from a target.
     pub fn announce(&self, announcement: Announcement) -> Verdict {
         let verdict = self
@@ -258,6 +280,7 @@
             .await
             .inspect_err(|error| debug!("entry {} did not answer: {error}", peer.vm))
             .ok()?;
+        self.note_contact();
         Reply::decode(&reply)
             .inspect_err(|error| warn!("entry {} sent no valid reply: {error}", peer.vm))
             .ok()
--- a/crates/auburnbridge_entry/src/rules_feed.rs
+++ b/crates/auburnbridge_entry/src/rules_feed.rs
@@ -86,6 +86,7 @@
         let Some(delta) = self.keepers.fetch_rules(&keepers[at], have).await else {
             return;
         };
+        self.neighbours.note_contact();
         if !self.apply(&delta) {
             // The delta does not fit this copy, so the whole text is fetched from the start.
             let nothing = Revision(0);
--- a/crates/auburnbridge_entry/src/run.rs
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -31,6 +31,8 @@
 
 /// Interval of the comparison with one other entry and of decisions that depend on time.
 const MAINTENANCE_INTERVAL: Millis = Millis(1_000);
+/// Maintenance intervals between two loads of the keys, which picks up replaced files.
+const KEY_RELOAD_TURNS: usize = 30;
 /// Interval at which new announcements reach the fleets.
 const PLACEMENT_INTERVAL: Millis = Millis(100);
 
@@ -130,8 +132,13 @@
             Arc::clone(&entry),
             Arc::clone(&neighbours),
         ));
-        let peer_server = PeerServer::bind(options.peer_address, keys, server, peer_options)
-            .change_context(EntryError)?;
+        let peer_server = PeerServer::bind(
+            options.peer_address,
+            Arc::clone(&keys),
+            server,
+            peer_options,
+        )
+        .change_context(EntryError)?;
         let feed = RulesFeed::new(
             Arc::clone(&entry),
             keepers,
@@ -146,7 +153,7 @@
             options,
         });
         shared.listen(budget).await?;
-        shared.spawn_tasks(feed, pool);
+        shared.spawn_tasks(feed, pool, keys);
         Ok(Self {
             shared,
             peer_server,
@@ -222,7 +229,7 @@
         Ok(())
     }
 
-    fn spawn_tasks(self: &Arc<Self>, feed: RulesFeed, pool: Arc<Pool>) {
+    fn spawn_tasks(self: &Arc<Self>, feed: RulesFeed, pool: Arc<Pool>, keys: Arc<KeyRing>) {
         task::spawn(async move {
             let reached = feed.catch_up().await;
             info!("rules caught up with {reached} processes");
@@ -243,7 +250,7 @@
             }
         });
         let shared = Arc::clone(self);
-        task::spawn(async move { shared.maintain(&pool).await });
+        task::spawn(async move { shared.maintain(&pool, &keys).await });
     }
 
     /// Brings announcements into the fleets.
@@ -255,16 +262,21 @@
         }
     }
 
-    async fn maintain(&self, pool: &Pool) {
+    async fn maintain(&self, pool: &Pool, keys: &KeyRing) {
         let mut turn = 0;
         loop {
+            if turn % KEY_RELOAD_TURNS == 0
+                && let Err(error) = keys.reload(self.clock.now())
+            {
+                warn!("the keys in force stay, since the folder can't be loaded: {error}");
+            }
             let peers = self.neighbours.peers();
             if !peers.is_empty() {
                 self.neighbours
                     .compare_with(&peers[turn % peers.len()])
                     .await;
-                turn += 1;
             }
+            turn += 1;
             self.neighbours.expire();
             pool.close_expired();
             self.clock.sleep(MAINTENANCE_INTERVAL).await;
@@ -280,6 +292,9 @@
         if self.entry.rules().is_none() {
             return Err("no rules have arrived yet");
         }
+        if self.neighbours.is_isolated() {
+            return Err("no keeper and no other entry answers");
+        }
         Ok(())
     }
 
--- a/crates/auburnbridge_entry/src/target_port.rs
+++ b/crates/auburnbridge_entry/src/target_port.rs
@@ -7,6 +7,7 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use auburnbridge_http::{Limits, Request};
+use auburnbridge_policy::RequestClass;
 use auburnbridge_target::{Exchange, Pool};
 use auburnbridge_types::{BoxFuture, Timestamp};
 
@@ -21,10 +22,14 @@
 /// Sends single requests to targets.
 pub trait TargetPort: Send + Sync {
     /// Sends `req` to `address`; dropping the future cancels the exchange.
+    ///
+    /// A request of the class `Once` uses only connections that were used a short time ago, since a
+    /// target that closes an idle one at the same moment leaves the outcome unknown.
     fn exchange<'a>(
         &'a self,
         address: SocketAddr,
         req: &'a Request,
+        class: RequestClass,
         limits: &'a Limits,
         deadline: Timestamp,
     ) -> BoxFuture<'a, Exchange>;
@@ -38,10 +43,14 @@
         &'a self,
         address: SocketAddr,
         req: &'a Request,
+        class: RequestClass,
         limits: &'a Limits,
         deadline: Timestamp,
     ) -> BoxFuture<'a, Exchange> {
-        Box::pin(self.exchange(address, req, limits, deadline))
+        match class {
+            RequestClass::Idempotent => Box::pin(self.exchange(address, req, limits, deadline)),
+            RequestClass::Once => Box::pin(self.exchange_fresh(address, req, limits, deadline)),
+        }
     }
 
     fn refuses_connections(&self, address: SocketAddr) -> BoxFuture<'_, bool> {
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -16,7 +16,7 @@
 use auburnbridge_peer::keys::KeyRing;
 use auburnbridge_peer::{Options, PeerAddress, PeerServer, PeerTransport, Transport};
 use auburnbridge_store::{Store, StoreError};
-use auburnbridge_types::{ByteSize, Clock, RuntimeClock, VmId};
+use auburnbridge_types::{ByteSize, Clock, Millis, RuntimeClock, VmId};
 use error_stack::{Report, ResultExt};
 use log::{info, warn};
 
@@ -25,6 +25,8 @@
 use crate::operator_store::OperatorStore;
 use crate::server::KeeperServer;
 
+const KEY_RELOAD_INTERVAL: Millis = Millis(30_000);
+
 /// What a keeper needs to run.
 #[derive(Clone, Debug)]
 pub struct KeeperOptions {
@@ -105,7 +107,7 @@
         ));
         let peer_server = PeerServer::bind(
             options.peer_address,
-            keys,
+            Arc::clone(&keys),
             Arc::clone(&server) as Arc<dyn auburnbridge_peer::Handler>,
             peer_options,
         )
@@ -124,6 +126,7 @@
             );
             serve_operators(address, store, options.operator_keys, Arc::clone(&clock)).await?;
         }
+        let reload_clock = Arc::clone(&clock);
         let formation = Formation {
             vm: options.vm,
             replica: replica_id,
@@ -133,6 +136,7 @@
             core: handle.clone(),
         };
         task::spawn(formation.run());
+        task::spawn(reload_keys(keys, reload_clock));
         Ok(Self {
             core: handle,
             thread,
@@ -166,6 +170,16 @@
     }
 }
 
+/// Picks up replaced key files; a folder that can't be loaded leaves the keys in force.
+async fn reload_keys(keys: Arc<KeyRing>, clock: Arc<dyn Clock>) {
+    loop {
+        clock.sleep(KEY_RELOAD_INTERVAL).await;
+        if let Err(error) = keys.reload(clock.now()) {
+            warn!("the keys in force stay, since the folder can't be loaded: {error}");
+        }
+    }
+}
+
 async fn serve_operators(
     address: SocketAddr,
     store: OperatorStore,
