Write each frame at once and bound the growth of received bodies

Cause: a frame took two writes, and a body was buffered by the library in one piece or allocated by its claimed length.

Change: length and body go out in one write without a copy; bodies grow in steps of 64 KiB as bytes arrive.

Ruled out: returning a body before the end of its stream.

--- a/crates/auburnbridge_peer/src/client.rs
+++ b/crates/auburnbridge_peer/src/client.rs
@@ -64,13 +64,14 @@
     async fn call_until(
         &self,
         to: &PeerAddress,
-        body: &[u8],
+        body: Vec<u8>,
         timeout: Millis,
     ) -> Result<Vec<u8>, PeerError> {
         let options = &self.connector.options;
         let deadline = options.clock.sleep(timeout);
-        if body.len() as u64 > options.message_limit.0 {
-            return Err(too_large(body));
+        let size = ByteSize(body.len() as u64);
+        if size > options.message_limit {
+            return Err(PeerError::TooLarge { size });
         }
         let phase = CallPhase::default();
         let (link, _wake) = self.link(to);
@@ -117,7 +118,7 @@
         Box::pin(async move {
             let options = &self.connector.options;
             let started_at = options.clock.now();
-            let reply = self.call_until(&to, &body, timeout).await;
+            let reply = self.call_until(&to, body, timeout).await;
             Event::CallEnded {
                 to: &to,
                 error: reply.as_ref().err(),
@@ -466,7 +467,11 @@
         .report(&*options.observer);
     }
 
-    async fn call(self: &Arc<Self>, body: &[u8], phase: &CallPhase) -> Result<Vec<u8>, PeerError> {
+    async fn call(
+        self: &Arc<Self>,
+        body: Vec<u8>,
+        phase: &CallPhase,
+    ) -> Result<Vec<u8>, PeerError> {
         let mut connection = self.connection().await?;
         phase.enter(CallPhase::WAITING_FOR_STREAM);
         let opened = if let Ok(opened) = connection.open_bi().await {
@@ -478,11 +483,12 @@
         };
         phase.enter(CallPhase::SENT);
         let (mut send, mut recv) = opened;
+        let size = ByteSize(body.len() as u64);
         write_call(&mut send, body).await?;
         let limit = self.connector.options.message_limit;
         wire::read_single_frame(&mut recv, limit)
             .await
-            .map_err(|error| reply_error(error, body))
+            .map_err(|error| reply_error(error, size))
     }
 
     fn next_message(&self) -> Option<Vec<u8>> {
@@ -493,7 +499,7 @@
     async fn send_message(
         self: &Arc<Self>,
         stream: &mut Option<(usize, SendStream)>,
-        message: &[u8],
+        message: Vec<u8>,
     ) -> Result<(), PeerError> {
         let connection = self.connection().await?;
         let current = match stream.take() {
@@ -507,28 +513,24 @@
     }
 }
 
-async fn write_call(send: &mut SendStream, body: &[u8]) -> Result<(), PeerError> {
-    let error = match wire::write_frame(send, body).await {
+async fn write_call(send: &mut SendStream, body: Vec<u8>) -> Result<(), PeerError> {
+    match wire::write_frame(send, body).await {
         Ok(()) => {
             // It fails only for a stream that was finished or reset, which this one was not.
             let _ = send.finish();
-            return Ok(());
+            Ok(())
         }
-        Err(error) => error,
-    };
-    match error {
-        WriteError::Stopped(wire::TOO_LARGE) => Err(too_large(body)),
         // The peer has answered or refused without reading to the end; the reply tells which.
-        WriteError::Stopped(_) => Ok(()),
-        other => Err(connection_lost(other)),
+        Err(WriteError::Stopped(_)) => Ok(()),
+        Err(error) => Err(connection_lost(error)),
     }
 }
 
-fn reply_error(error: FrameError, body: &[u8]) -> PeerError {
+fn reply_error(error: FrameError, size: ByteSize) -> PeerError {
     match error {
         FrameError::TooLarge | FrameError::Reset(wire::REPLY_TOO_LARGE) => PeerError::ReplyTooLarge,
         FrameError::Reset(wire::NO_REPLY) => PeerError::NoReply,
-        FrameError::Reset(wire::TOO_LARGE) => too_large(body),
+        FrameError::Reset(wire::TOO_LARGE) => PeerError::TooLarge { size },
         FrameError::Reset(wire::STOPPING) => PeerError::Stopping,
         FrameError::Reset(code) => connection_lost(format!("the reply was reset, code {code}")),
         FrameError::Incomplete => connection_lost("the reply broke off"),
@@ -536,12 +538,6 @@
     }
 }
 
-fn too_large(body: &[u8]) -> PeerError {
-    PeerError::TooLarge {
-        size: ByteSize(body.len() as u64),
-    }
-}
-
 fn connection_lost(error: impl std::fmt::Display) -> PeerError {
     PeerError::ConnectionLost {
         reason: error.to_string(),
@@ -553,7 +549,7 @@
     let mut stream = None;
     while woken.recv().await.is_ok() {
         while let Some(message) = link.next_message() {
-            if link.send_message(&mut stream, &message).await.is_ok() {
+            if link.send_message(&mut stream, message).await.is_ok() {
                 continue;
             }
             stream = None;
--- a/crates/auburnbridge_peer/src/server.rs
+++ b/crates/auburnbridge_peer/src/server.rs
@@ -288,7 +288,7 @@
         return;
     }
     // A failure means that the client has given up or that the connection is lost.
-    if wire::write_frame(&mut send, &reply).await.is_ok() && send.finish().is_ok() {
+    if wire::write_frame(&mut send, reply).await.is_ok() && send.finish().is_ok() {
         // Ends once the client has the whole reply, so that a stop of the server waits for that.
         let _ = send.stopped().await;
     }
--- a/crates/auburnbridge_peer/src/wire.rs
+++ b/crates/auburnbridge_peer/src/wire.rs
@@ -4,13 +4,16 @@
 //! were complete, so without the length a cancelled call could arrive as a shorter one.
 
 use auburnbridge_types::ByteSize;
+use bytes::Bytes;
 use quinn::{
-    ConnectionError, ReadError, ReadExactError, ReadToEndError, RecvStream, SendStream, VarInt,
-    WriteError,
+    ConnectionError, ReadError, ReadExactError, RecvStream, SendStream, VarInt, WriteError,
 };
 
 const LENGTH_BYTES: usize = 4;
 
+/// Step by which the buffer of a body grows, so that a length that is only claimed costs little.
+const GROWTH_BYTES: usize = 64 << 10;
+
 /// Version of the stream layout, which the server sends as soon as it has accepted a client.
 pub(crate) const GREETING: [u8; 1] = [1];
 
@@ -31,7 +34,7 @@
 pub(crate) enum FrameError {
     /// The frame is over the limit.
     TooLarge,
-    /// The stream ended inside a frame, or holds more than one.
+    /// The stream ended inside a frame, or goes on after its only one.
     Incomplete,
     /// The sender reset the stream.
     Reset(VarInt),
@@ -39,6 +42,15 @@
     Lost(ConnectionError),
 }
 
+impl From<ReadExactError> for FrameError {
+    fn from(error: ReadExactError) -> Self {
+        match error {
+            ReadExactError::FinishedEarly(_) => Self::Incomplete,
+            ReadExactError::ReadError(error) => error.into(),
+        }
+    }
+}
+
 impl From<ReadError> for FrameError {
     fn from(error: ReadError) -> Self {
         match error {
@@ -52,34 +64,34 @@
 }
 
 /// Writes one frame; `body` must be within the message limit, which fits four bytes.
-pub(crate) async fn write_frame(stream: &mut SendStream, body: &[u8]) -> Result<(), WriteError> {
+///
+/// Both parts go out in one write, which otherwise wakes the connection's task twice.
+pub(crate) async fn write_frame(stream: &mut SendStream, body: Vec<u8>) -> Result<(), WriteError> {
     let length = u32::try_from(body.len()).map_err(|_| WriteError::ClosedStream)?;
-    stream.write_all(&length.to_be_bytes()).await?;
-    stream.write_all(body).await
+    let mut parts = [
+        Bytes::copy_from_slice(&length.to_be_bytes()),
+        Bytes::from(body),
+    ];
+    stream.write_all_chunks(&mut parts).await
 }
 
-/// Reads the only frame of a stream. Memory grows with the bytes that arrive.
+/// Reads the only frame of a stream, up to the end of the stream.
+///
+/// A stream that is dropped before its end was read tells its sender to stop, which costs a packet.
 pub(crate) async fn read_single_frame(
     stream: &mut RecvStream,
     limit: ByteSize,
 ) -> Result<Vec<u8>, FrameError> {
-    let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
-    let mut frame = match stream.read_to_end(limit.saturating_add(LENGTH_BYTES)).await {
-        Ok(frame) => frame,
-        Err(ReadToEndError::TooLong) => return Err(FrameError::TooLarge),
-        Err(ReadToEndError::Read(error)) => return Err(error.into()),
-    };
-    let Some((length, body)) = frame.split_first_chunk::<LENGTH_BYTES>() else {
-        return Err(FrameError::Incomplete);
-    };
-    if u32::from_be_bytes(*length) as usize != body.len() {
-        return Err(FrameError::Incomplete);
+    let body = read_next_frame(stream, limit)
+        .await?
+        .ok_or(FrameError::Incomplete)?;
+    match stream.read(&mut [0]).await? {
+        None => Ok(body),
+        Some(_) => Err(FrameError::Incomplete),
     }
-    frame.drain(..LENGTH_BYTES);
-    Ok(frame)
 }
 
-/// Reads the next frame of a stream, or `None` at its end.
+/// Reads the next frame of a stream, or `None` at its end. Memory grows with the bytes that arrive.
 pub(crate) async fn read_next_frame(
     stream: &mut RecvStream,
     limit: ByteSize,
@@ -88,17 +100,18 @@
     match stream.read_exact(&mut length).await {
         Ok(()) => {}
         Err(ReadExactError::FinishedEarly(0)) => return Ok(None),
-        Err(ReadExactError::FinishedEarly(_)) => return Err(FrameError::Incomplete),
-        Err(ReadExactError::ReadError(error)) => return Err(error.into()),
+        Err(error) => return Err(error.into()),
     }
     let length = u32::from_be_bytes(length);
     if u64::from(length) > limit.0 {
         return Err(FrameError::TooLarge);
     }
-    let mut body = vec![0; length as usize];
-    match stream.read_exact(&mut body).await {
-        Ok(()) => Ok(Some(body)),
-        Err(ReadExactError::FinishedEarly(_)) => Err(FrameError::Incomplete),
-        Err(ReadExactError::ReadError(error)) => Err(error.into()),
+    let length = length as usize;
+    let mut body = Vec::new();
+    while body.len() < length {
+        let start = body.len();
+        body.resize(length.min(start + GROWTH_BYTES), 0);
+        stream.read_exact(&mut body[start..]).await?;
     }
+    Ok(Some(body))
 }
