Send metrics, and count only what a target is to blame for

Cause: no metrics were sent; a caller with a deadline of a few milliseconds, or a lack of file descriptors here, counted against healthy targets; a caller that reads nothing held its request for ever. Change: auburnbridge_metrics declares counters and timers over cadence; local failures and short deadlines are no evidence; responses have a write timeout of 15 s.

--- a/crates/auburnbridge_caller/src/listener.rs
+++ b/crates/auburnbridge_caller/src/listener.rs
@@ -39,6 +39,7 @@
     clock: Arc<dyn Clock>,
     idle_timeout: Millis,
     request_timeout: Millis,
+    write_timeout: Millis,
     connection_limit: usize,
 }
 
@@ -50,6 +51,7 @@
             clock: Arc::new(RuntimeClock),
             idle_timeout: Millis(60_000),
             request_timeout: Millis(15_000),
+            write_timeout: Millis(15_000),
             connection_limit: 10_000,
         })
     }
@@ -87,6 +89,13 @@
         self
     }
 
+    /// Sets the time within which a response must be taken.
+    #[must_use]
+    pub fn write_timeout(mut self, timeout: Millis) -> Self {
+        self.0.write_timeout = timeout;
+        self
+    }
+
     /// Sets the number of connections beyond which new ones are closed at once.
     #[must_use]
     pub fn connection_limit(mut self, limit: usize) -> Self {
@@ -252,7 +261,13 @@
         } else {
             Verdict::Retire
         };
-        match connection.write_response(&response, info, verdict).await {
+        // A caller that reads nothing would hold the request, and with it a planned stop.
+        let write = connection.write_response(&response, info, verdict);
+        let late = async {
+            self.options.clock.sleep(self.options.write_timeout).await;
+            Err(FramingError::Io(std::io::ErrorKind::TimedOut))
+        };
+        match write.or(late).await {
             Ok(()) => verdict,
             Err(error) => {
                 debug!("can't write the response to {caller}: {error}");
--- a/crates/auburnbridge_entry/src/entry.rs
+++ b/crates/auburnbridge_entry/src/entry.rs
@@ -7,6 +7,8 @@
 use arc_swap::ArcSwapOption;
 use auburnbridge_caller::{Disconnect, Problem, Service};
 use auburnbridge_http::{FramingError, Limits, Request, Response};
+use auburnbridge_ledger::{Command, Reply};
+use auburnbridge_metrics::{Counter, Metrics, Timer};
 use auburnbridge_policy::{
     AccountLimit, AccountLimiter, CrashReport, Observation, PoisonTable, RequestClass,
 };
@@ -19,7 +21,7 @@
 use parking_lot::Mutex;
 
 use crate::fleets::{Assignment, Fleets};
-use crate::ledger_client::LedgerClient;
+use crate::ledger_client::{LedgerClient, LedgerUnavailable};
 use crate::request::CallerRequest;
 use crate::target_port::TargetPort;
 use crate::{idempotent, keyed};
@@ -29,6 +31,9 @@
 /// Header of a target's answer that says that it did not run the request.
 pub const SHED_HEADER: &str = "Auburnbridge-Shed";
 
+/// Time without an answer that counts against a target even if the route allows more.
+const SILENCE: Millis = Millis(1_000);
+
 /// Rules that are in force on this entry.
 #[derive(Debug)]
 pub struct RulesInForce {
@@ -54,6 +59,8 @@
     pub targets: Arc<dyn TargetPort>,
     /// The other entries.
     pub crashes: Arc<dyn CrashReporter>,
+    /// Counters and timers.
+    pub metrics: Arc<Metrics>,
 }
 
 /// An entry's state.
@@ -87,8 +94,8 @@
     /// Creates an entry without rules.
     pub fn new(vm: VmId, answer_limits: Limits, ports: Ports) -> Self {
         Self {
+            fleets: Fleets::new(Arc::clone(&ports.metrics)),
             ports,
-            fleets: Fleets::default(),
             rules: ArcSwapOption::empty(),
             accounts: Mutex::default(),
             poison: Mutex::default(),
@@ -169,9 +176,27 @@
         if let Err(problem) = self.admit(&req, &rules.rules) {
             return self.refuse(&req, &req.refuse_unread(problem));
         }
-        match req.route.class {
+        let served = match req.route.class {
             Class::Idempotent => idempotent::serve(self, &req, &disconnect).await,
             Class::Once => keyed::serve(self, &req).await,
+        };
+        self.conclude(&req, served)
+    }
+
+    /// The response to the caller, counted.
+    fn conclude(&self, req: &CallerRequest, served: Result<Response, Problem>) -> Response {
+        let tags = [
+            ("service", req.route.service.as_str()),
+            ("class", req.route.class.into()),
+        ];
+        let time = self.ports.clock.now().since(req.arrived);
+        self.ports.metrics.time(Timer::RequestTime, time, &tags);
+        match served {
+            Ok(response) => {
+                self.ports.metrics.count(Counter::RequestAnswered, &tags);
+                response
+            }
+            Err(problem) => self.refuse(req, &problem),
         }
     }
 
@@ -189,8 +214,8 @@
         })
     }
 
-    /// Logs a rejection and gives its response.
-    pub(crate) fn refuse(&self, req: &CallerRequest, problem: &Problem) -> Response {
+    /// Logs and counts a rejection and gives its response.
+    fn refuse(&self, req: &CallerRequest, problem: &Problem) -> Response {
         let waited = self.ports.clock.now().since(req.arrived);
         info!(
             "request refused service={} account={} method={} path={} kind={} outcome={} after={waited} detail={:?}",
@@ -202,6 +227,12 @@
             problem.outcome(),
             problem.detail
         );
+        let tags = [
+            ("service", req.route.service.as_str()),
+            ("kind", problem.kind.into()),
+            ("outcome", problem.outcome().into()),
+        ];
+        self.ports.metrics.count(Counter::RequestRefused, &tags);
         problem.to_response()
     }
 
@@ -262,16 +293,37 @@
             now.since(start),
             attempted.summary()
         );
-        assignment.finish(now, attempted.observation(now.since(start)));
+        let service = ("service", req.route.service.as_str());
+        let metrics = &self.ports.metrics;
+        metrics.count(Counter::Exchange, &[service, ("result", attempted.name())]);
+        metrics.time(Timer::ExchangeTime, now.since(start), &[service]);
+        assignment.finish(
+            now,
+            attempted.observation(now.since(start), req.route.timeout),
+        );
         attempted
     }
 
+    /// Applies a command to the ledger, timed and counted.
+    pub(crate) async fn apply(&self, command: Command) -> Result<Reply, LedgerUnavailable> {
+        let name: &'static str = (&command).into();
+        let start = self.ports.clock.now();
+        let reply = self.ports.ledger.apply(command).await;
+        let time = self.ports.clock.now().since(start);
+        let reply_name = reply.as_ref().map_or("unavailable", <&'static str>::from);
+        let tags = [("command", name), ("reply", reply_name)];
+        self.ports.metrics.time(Timer::LedgerTime, time, &tags[..1]);
+        self.ports.metrics.count(Counter::Ledger, &tags);
+        reply
+    }
+
     /// Records the crash of a target and tells the other entries.
     pub(crate) async fn report_crash(&self, report: CrashReport) {
         info!(
             "crash target={} incarnation={} request={}",
             report.target, report.incarnation, report.request
         );
+        self.ports.metrics.count(Counter::Crash, &[]);
         self.record_crash(report.clone());
         self.ports.crashes.report(report).await;
     }
@@ -289,6 +341,15 @@
 }
 
 impl Attempted {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Shed => "shed",
+            Self::NotSent(_) => "not-sent",
+            Self::Unknown { .. } => "unknown",
+        }
+    }
+
     fn summary(&self) -> String {
         match self {
             Self::Answered(response) => format!("answered status={}", response.status),
@@ -300,16 +361,22 @@
         }
     }
 
-    fn observation(&self, time: Millis) -> Observation {
+    /// What the result says about the target after `time`; the route allows `timeout`.
+    fn observation(&self, time: Millis, timeout: Millis) -> Observation {
         match self {
             Self::Answered(response) if response.status >= 500 => Observation::ServerError,
             Self::Answered(_) => Observation::Answered(time),
             Self::Shed => Observation::Shed,
-            // A request that crashes targets is no evidence; later refused connections are.
-            Self::NotSent(NotSent::Deadline) | Self::Unknown { crashed: true, .. } => {
-                Observation::NotAttributable
-            }
+            Self::NotSent(reason) if reason.is_local() => Observation::NotAttributable,
             Self::NotSent(_) => Observation::ConnectFailed,
+            // A request that crashes targets is no evidence; later refused connections are.
+            Self::Unknown { crashed: true, .. } => Observation::NotAttributable,
+            Self::Unknown { reason, .. } if reason.is_local() => Observation::NotAttributable,
+            // A caller with a short deadline must not make a healthy target look sick.
+            Self::Unknown {
+                reason: Unknown::Deadline,
+                ..
+            } if time < timeout.min(SILENCE) => Observation::NotAttributable,
             Self::Unknown {
                 reason: Unknown::Deadline,
                 ..
--- a/crates/auburnbridge_entry/src/fleets.rs
+++ b/crates/auburnbridge_entry/src/fleets.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use auburnbridge_metrics::{Counter, Metrics};
 use auburnbridge_policy::{
     Action, Choice, Decision, Fleet, Member, Observation, RequestClass, RetryBudget, ServicePolicy,
     TargetKey, TargetView,
@@ -20,6 +21,7 @@
 pub struct ServiceFleet {
     name: ServiceName,
     state: Mutex<ServiceState>,
+    metrics: Arc<Metrics>,
 }
 
 #[derive(Debug)]
@@ -115,17 +117,43 @@
 
     fn finish(&self, now: Timestamp, key: TargetKey, observation: Observation) {
         let decisions = self.state.lock().fleet.finish(now, key, observation);
-        log_decisions(&self.name, &decisions);
+        self.report(&decisions);
+    }
+
+    /// Logs and counts decisions.
+    fn report(&self, decisions: &[Decision]) {
+        for decision in decisions {
+            if decision.action == Action::Keep {
+                debug!("placement service={} {decision}", self.name);
+            } else {
+                info!("placement service={} {decision}", self.name);
+            }
+            let tags = [
+                ("service", self.name.as_str()),
+                ("action", decision.action.into()),
+                ("reason", decision.reason.into()),
+            ];
+            self.metrics.count(Counter::Placement, &tags);
+        }
     }
 }
 
 /// The targets of all services.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Fleets {
     services: RwLock<HashMap<ServiceName, Arc<ServiceFleet>>>,
+    metrics: Arc<Metrics>,
 }
 
 impl Fleets {
+    /// Creates the table without services.
+    pub fn new(metrics: Arc<Metrics>) -> Self {
+        Self {
+            services: RwLock::default(),
+            metrics,
+        }
+    }
+
     /// The fleet of a service.
     pub fn get(&self, service: &ServiceName) -> Option<Arc<ServiceFleet>> {
         self.services.read().get(service).cloned()
@@ -142,10 +170,12 @@
                 let mut state = fleet.state.lock();
                 let decisions = state.fleet.set_policy(now, policy);
                 state.retries = retries;
-                log_decisions(&service.name, &decisions);
+                drop(state);
+                fleet.report(&decisions);
             } else {
                 let fleet = ServiceFleet {
                     name: service.name.clone(),
+                    metrics: Arc::clone(&self.metrics),
                     state: Mutex::new(ServiceState {
                         fleet: Fleet::new(policy),
                         retries,
@@ -165,7 +195,7 @@
         let mut decisions = state.fleet.reconcile(now, members);
         decisions.extend(state.fleet.decide(now));
         drop(state);
-        log_decisions(service, &decisions);
+        fleet.report(&decisions);
     }
 
     /// Names of the services.
@@ -188,13 +218,3 @@
         .dial(dial.parse().expect("the grammar bounds the dial to 100"))
         .build()
 }
-
-fn log_decisions(service: &ServiceName, decisions: &[Decision]) {
-    for decision in decisions {
-        if decision.action == Action::Keep {
-            debug!("placement service={service} {decision}");
-        } else {
-            info!("placement service={service} {decision}");
-        }
-    }
-}
--- a/crates/auburnbridge_entry/src/idempotent.rs
+++ b/crates/auburnbridge_entry/src/idempotent.rs
@@ -2,6 +2,7 @@
 
 use auburnbridge_caller::{Disconnect, Problem};
 use auburnbridge_http::Response;
+use auburnbridge_metrics::Counter;
 use auburnbridge_policy::{CrashReport, TargetKey};
 use auburnbridge_types::ErrorKind;
 use futures_lite::FutureExt;
@@ -11,19 +12,17 @@
 use crate::request::CallerRequest;
 
 /// Serves a request unless its caller goes away, which cancels the exchange at the target.
-pub(crate) async fn serve(entry: &Entry, req: &CallerRequest, disconnect: &Disconnect) -> Response {
+pub(crate) async fn serve(
+    entry: &Entry,
+    req: &CallerRequest,
+    disconnect: &Disconnect,
+) -> Result<Response, Problem> {
     let gone = async {
         disconnect.wait().await;
         let detail = "the caller disconnected";
-        entry.refuse(req, &Problem::new(ErrorKind::AnswerIncomplete, detail))
-    };
-    let served = async {
-        match serve_with_retries(entry, req).await {
-            Ok(response) => response,
-            Err(problem) => entry.refuse(req, &problem),
-        }
+        Err(Problem::new(ErrorKind::AnswerIncomplete, detail))
     };
-    served.or(gone).await
+    serve_with_retries(entry, req).or(gone).await
 }
 
 async fn serve_with_retries(entry: &Entry, req: &CallerRequest) -> Result<Response, Problem> {
@@ -95,6 +94,8 @@
                 if clock.now() >= req.deadline || !service.try_retry(clock.now()) {
                     return Err(failure);
                 }
+                let service = ("service", req.route.service.as_str());
+                entry.ports.metrics.count(Counter::Retry, &[service]);
             }
         }
         if clock.now() >= req.deadline {
--- a/crates/auburnbridge_entry/src/keyed.rs
+++ b/crates/auburnbridge_entry/src/keyed.rs
@@ -3,9 +3,9 @@
 use async_std::io::Cursor;
 use auburnbridge_caller::Problem;
 use auburnbridge_http::{Connection, Limits, RequestInfo, Response, Verdict, encode_response};
-use auburnbridge_ledger::{Command, LedgerKey, Reply, StoredAnswer};
+use auburnbridge_ledger::{Command, LedgerKey, MAX_ANSWER, Reply, StoredAnswer};
 use auburnbridge_policy::TargetKey;
-use auburnbridge_types::{AttemptId, ErrorKind};
+use auburnbridge_types::{AttemptId, ByteSize, ErrorKind};
 use log::{info, warn};
 
 use crate::backoff::Backoff;
@@ -16,15 +16,11 @@
 const REPLAYED_HEADER: &str = "Auburnbridge-Replayed";
 
 /// Serves a keyed request. It goes on when its caller disconnects, so that a resend gets the answer.
-pub(crate) async fn serve(entry: &Entry, req: &CallerRequest) -> Response {
-    let served = match acquire(entry, req).await {
+pub(crate) async fn serve(entry: &Entry, req: &CallerRequest) -> Result<Response, Problem> {
+    match acquire(entry, req).await {
         Ok(Grant::Held { key, attempt }) => run_granted(entry, req, key, attempt).await,
         Ok(Grant::Replay(answer)) => replay(&answer).await,
         Err(problem) => Err(problem),
-    };
-    match served {
-        Ok(response) => response,
-        Err(problem) => entry.refuse(req, &problem),
     }
 }
 
@@ -54,7 +50,7 @@
             deadline: req.deadline,
             previous_attempts: req.previous_attempts,
         };
-        let reply = entry.ports.ledger.apply(command).await.map_err(|error| {
+        let reply = entry.apply(command).await.map_err(|error| {
             let problem = Problem::new(ErrorKind::LedgerUnavailable, error.to_string());
             req.refuse_unread(problem)
         })?;
@@ -182,7 +178,7 @@
 /// reads `unknown` after its deadline, which is safe.
 async fn settle(entry: &Entry, command: Command) {
     let name = command.to_string();
-    match entry.ports.ledger.apply(command).await {
+    match entry.apply(command).await {
         Ok(Reply::Done) => {}
         Ok(reply) => warn!("ledger command={name} reply={reply}"),
         Err(error) => warn!("ledger command={name} failed: {error}"),
@@ -196,7 +192,11 @@
         return Err(Problem::new(ErrorKind::AnswerNotKept, detail));
     };
     let mut connection = Connection::new(Cursor::new(bytes.as_ref()));
-    let limits = Limits::default().with_headers(128);
+    // The encoder adds a length to the head that the target's answer had.
+    let limits = Limits::default()
+        .with_headers(128)
+        .with_head_bytes(ByteSize(2 * MAX_ANSWER.0))
+        .with_body_bytes(MAX_ANSWER);
     match connection
         .read_response(RequestInfo::default(), &limits)
         .await
--- a/crates/auburnbridge_entry/src/run.rs
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -12,6 +12,7 @@
 use auburnbridge_http::{Limits, MemoryBudget, Request, Response};
 use auburnbridge_membership::{Announcement, EntryAnnouncement, State, Verdict};
 use auburnbridge_messages::MESSAGE_LIMIT;
+use auburnbridge_metrics::Metrics;
 use auburnbridge_peer::keys::KeyRing;
 use auburnbridge_peer::{Handler, Options, PeerAddress, PeerServer, PeerTransport, Transport};
 use auburnbridge_platform::{Platform, READY_PATH, announcement_app, readiness_app};
@@ -67,6 +68,8 @@
     pub answer_memory: ByteSize,
     /// Connections to one target.
     pub connections_per_target: usize,
+    /// Statsd server that gets the metrics, if any.
+    pub metrics_address: Option<SocketAddr>,
 }
 
 /// Reason why an entry can't start.
@@ -125,6 +128,7 @@
             ledger: Arc::clone(&keepers) as Arc<dyn crate::LedgerClient>,
             targets: Arc::clone(&pool) as Arc<dyn crate::TargetPort>,
             crashes: Arc::clone(&neighbours) as Arc<dyn crate::CrashReporter>,
+            metrics: Arc::new(Metrics::new(options.metrics_address).change_context(EntryError)?),
         };
         let answer_limits = Limits::default().with_budget(budget.clone());
         let entry = Arc::new(Entry::new(options.vm.clone(), answer_limits, ports));
--- a/crates/auburnbridge_policy/src/decision.rs
+++ b/crates/auburnbridge_policy/src/decision.rs
@@ -3,10 +3,10 @@
 use std::fmt;
 
 use auburnbridge_types::{Slots, TargetId};
-use strum::Display;
+use strum::{Display, IntoStaticStr};
 
 /// What happened to a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Action {
     /// The target became known.
@@ -24,7 +24,7 @@
 }
 
 /// Why it happened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Reason {
     /// The target announced itself.
