Limit connections exactly and send one-way messages ahead of call bodies

Cause: the server admitted one connection over its limit; the limits had no test; a large call body could hold up heartbeats on the same connection; and a lost handshake packet was resent only after about a second, by the default of the library, which is the whole time for an attempt to connect.

Change: the bound is exact, the stream of one-way messages has priority, and the assumed round-trip time of a new connection is 50 ms.

The priority and the resend after loss were not measured.

--- a/crates/auburnbridge_peer/src/client.rs
+++ b/crates/auburnbridge_peer/src/client.rs
@@ -155,6 +155,7 @@
 struct CallPhase(AtomicU8);
 
 impl CallPhase {
+    const CONNECTING: u8 = 0;
     const WAITING_FOR_STREAM: u8 = 1;
     const SENT: u8 = 2;
 
@@ -478,7 +479,9 @@
             opened
         } else {
             // The connection broke before anything was sent, so another attempt is safe.
+            phase.enter(CallPhase::CONNECTING);
             connection = self.connection().await?;
+            phase.enter(CallPhase::WAITING_FOR_STREAM);
             connection.open_bi().await.map_err(unreachable)?
         };
         phase.enter(CallPhase::SENT);
@@ -504,7 +507,7 @@
         let connection = self.connection().await?;
         let current = match stream.take() {
             Some((id, current)) if id == connection.stable_id() => current,
-            _ => connection.open_uni().await.map_err(unreachable)?,
+            _ => open_message_stream(&connection).await?,
         };
         let (_, current) = stream.insert((connection.stable_id(), current));
         wire::write_frame(current, message)
@@ -513,6 +516,14 @@
     }
 }
 
+/// Opens the stream of one-way messages, which goes ahead of the bodies of calls.
+async fn open_message_stream(connection: &Connection) -> Result<SendStream, PeerError> {
+    const AHEAD_OF_CALLS: i32 = 1;
+    let stream = connection.open_uni().await.map_err(unreachable)?;
+    stream.set_priority(AHEAD_OF_CALLS).map_err(unreachable)?;
+    Ok(stream)
+}
+
 async fn write_call(send: &mut SendStream, body: Vec<u8>) -> Result<(), PeerError> {
     match wire::write_frame(send, body).await {
         Ok(()) => {
--- a/crates/auburnbridge_peer/src/server.rs
+++ b/crates/auburnbridge_peer/src/server.rs
@@ -170,7 +170,7 @@
 
 async fn accept_connections(endpoint: Endpoint, shared: Arc<Shared>) {
     while let Some(incoming) = endpoint.accept().await {
-        if endpoint.open_connections() > shared.options.connection_limit {
+        if endpoint.open_connections() >= shared.options.connection_limit {
             shared.report_refused(incoming.remote_address(), "too many connections");
             incoming.refuse();
             continue;
--- a/crates/auburnbridge_peer/src/tls.rs
+++ b/crates/auburnbridge_peer/src/tls.rs
@@ -18,6 +18,10 @@
 /// Protocol name in the handshake; its number changes with the layout of the streams.
 const PROTOCOL: &[u8] = b"auburnbridge-peer/1";
 
+/// Assumed round-trip time of a new connection. The library's 333 ms would resend a lost handshake
+/// packet only after about a second, which is the whole time for an attempt to connect.
+const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(50);
+
 pub(crate) fn provider() -> &'static Arc<CryptoProvider> {
     static PROVIDER: OnceLock<Arc<CryptoProvider>> = OnceLock::new();
     PROVIDER.get_or_init(|| Arc::new(rustls::crypto::ring::default_provider()))
@@ -104,6 +108,7 @@
         // A client needs one stream for its one-way messages, and one more while it reopens it; a
         // server needs one for its greeting.
         .max_concurrent_uni_streams(VarInt::from_u32(2))
+        .initial_rtt(INITIAL_ROUND_TRIP)
         .max_idle_timeout(Some(IdleTimeout::from(idle_timeout)))
         .datagram_receive_buffer_size(None);
     transport
--- a/crates/auburnbridge_peer/tests/transport.rs
+++ b/crates/auburnbridge_peer/tests/transport.rs
@@ -441,3 +441,34 @@
     assert_eq!(events, expected);
     assert_eq!(seen.len(), 2);
 }
+
+/// Guards against a client that takes more than its share of a server, and against calls that wait
+/// for a stream beyond their timeout.
+#[async_std::test]
+async fn calls_and_connections_are_limited() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let options = Options::builder()
+        .clock(Arc::new(fleet.clock.clone()))
+        .concurrent_calls(1)
+        .connection_limit(1)
+        .build();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, options).unwrap();
+    let to = address("b", &server);
+    let first = fleet.transport(fleet.keys("authority", "a"));
+    let second = fleet.transport(fleet.keys("authority", "c"));
+    let running = first.call(&to, b"wait".into(), LONG);
+    let (reply, ()) = future::zip(running, async {
+        seen.recv().await.unwrap();
+        let mut waiting = first.call(&to, b"x".into(), Millis(100));
+        assert!(future::poll_once(&mut waiting).await.is_none());
+        fleet.clock.advance(Millis(100));
+        assert_eq!(waiting.await, Err(PeerError::Busy));
+        let error = second.call(&to, b"x".into(), LONG).await.unwrap_err();
+        assert_eq!(<&str>::from(&error), "unreachable", "{error}");
+        first.send(&to, b"release".into());
+    })
+    .await;
+    assert_eq!(reply, Ok(b"wait".into()));
+}
