--- a/crates/auburnbridge_standin/src/load.rs
+++ b/crates/auburnbridge_standin/src/load.rs
@@ -119,7 +119,11 @@
             let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
             let result = &mut shared.results.lock()[usize::from(keyed)];
             *result.statuses.entry(status).or_default() += 1;
-            result.times.saturating_record(micros);
+            // A saturating record would cut values at the initial range of an auto-resizing histogram.
+            result
+                .times
+                .record(micros)
+                .expect("the histogram grows with its values");
         }));
         sent += 1;
     }
