Bound the memory of the calls that a server has received

Cause: the limits per message (4 MiB) and per connection (256 calls) allowed one client to fill 1 GiB, and the sum over clients had no bound.

Change: a server reserves the length of a call before it reads the body, out of 64 MiB by default, until the handler has finished. A call that doesn't fit is refused as overloaded, which is certain to mean that it was not handled. One-way messages are handled one at a time per client and don't count.

--- a/crates/auburnbridge_peer/src/client.rs
+++ b/crates/auburnbridge_peer/src/client.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use quinn::{
     AsyncStdRuntime, ClientConfig, Connection, ConnectionError, Endpoint, EndpointConfig,
-    SendStream, WriteError,
+    RecvStream, SendStream, WriteError,
 };
 
 use crate::certificate::PeerCertificate;
@@ -489,7 +489,7 @@
         let size = ByteSize(body.len() as u64);
         write_call(&mut send, body).await?;
         let limit = self.connector.options.message_limit;
-        wire::read_single_frame(&mut recv, limit)
+        read_reply(&mut recv, limit)
             .await
             .map_err(|error| reply_error(error, size))
     }
@@ -537,11 +537,19 @@
     }
 }
 
+async fn read_reply(recv: &mut RecvStream, limit: ByteSize) -> Result<Vec<u8>, FrameError> {
+    let length = wire::read_length(recv, limit)
+        .await?
+        .ok_or(FrameError::Incomplete)?;
+    wire::read_last_body(recv, length).await
+}
+
 fn reply_error(error: FrameError, size: ByteSize) -> PeerError {
     match error {
         FrameError::TooLarge | FrameError::Reset(wire::REPLY_TOO_LARGE) => PeerError::ReplyTooLarge,
         FrameError::Reset(wire::NO_REPLY) => PeerError::NoReply,
         FrameError::Reset(wire::TOO_LARGE) => PeerError::TooLarge { size },
+        FrameError::Reset(wire::OVERLOADED) => PeerError::Overloaded,
         FrameError::Reset(wire::STOPPING) => PeerError::Stopping,
         FrameError::Reset(code) => connection_lost(format!("the reply was reset, code {code}")),
         FrameError::Incomplete => connection_lost("the reply broke off"),
--- a/crates/auburnbridge_peer/src/error.rs
+++ b/crates/auburnbridge_peer/src/error.rs
@@ -43,6 +43,8 @@
     },
     /// This transport was closed.
     Closed,
+    /// The peer has no memory left for the call.
+    Overloaded,
     /// The peer is stopping and takes no new calls.
     Stopping,
     /// The reply did not arrive in time.
@@ -68,6 +70,7 @@
             | Self::Busy
             | Self::TooLarge { .. }
             | Self::Closed
+            | Self::Overloaded
             | Self::Stopping => Delivery::NotReceived,
             Self::TimedOut | Self::ConnectionLost { .. } => Delivery::Unknown,
             Self::NoReply | Self::ReplyTooLarge => Delivery::Received,
@@ -84,6 +87,7 @@
             Self::Busy => f.write_str("all streams to the peer are in use"),
             Self::TooLarge { size } => write!(f, "the body of {size} is over the limit"),
             Self::Closed => f.write_str("the transport is closed"),
+            Self::Overloaded => f.write_str("the peer has no memory left for the call"),
             Self::Stopping => f.write_str("the peer is stopping"),
             Self::TimedOut => f.write_str("no reply arrived in time"),
             Self::ConnectionLost { reason } => write!(f, "the connection was lost: {reason}"),
--- a/crates/auburnbridge_peer/src/lib.rs
+++ b/crates/auburnbridge_peer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod codec;
 pub mod keys;
 
+mod budget;
 mod certificate;
 mod client;
 mod error;
--- a/crates/auburnbridge_peer/src/options.rs
+++ b/crates/auburnbridge_peer/src/options.rs
@@ -13,6 +13,7 @@
     pub(crate) observer: Arc<dyn Observer>,
     pub(crate) message_limit: ByteSize,
     pub(crate) concurrent_calls: u32,
+    pub(crate) received_bytes: ByteSize,
     pub(crate) connection_limit: usize,
     pub(crate) idle_timeout: Millis,
     pub(crate) keep_alive: Millis,
@@ -30,6 +31,7 @@
             observer: Arc::new(NoObserver),
             message_limit: ByteSize(4 << 20),
             concurrent_calls: 256,
+            received_bytes: ByteSize(64 << 20),
             connection_limit: 8_192,
             idle_timeout: Millis(3_000),
             // Two keep-alives may be lost before the idle timeout ends the connection.
@@ -85,6 +87,8 @@
     message_limit: ByteSize,
     /// Most calls in flight on one connection.
     concurrent_calls: u32,
+    /// Most bytes of calls that a server has received and not yet answered.
+    received_bytes: ByteSize,
     /// Most connections that a server accepts.
     connection_limit: usize,
     /// Silence after which a connection counts as dead.
--- a/crates/auburnbridge_peer/src/server.rs
+++ b/crates/auburnbridge_peer/src/server.rs
@@ -11,9 +11,10 @@
 use parking_lot::Mutex;
 use quinn::{
     AsyncStdRuntime, Connection, ConnectionError, Endpoint, EndpointConfig, Incoming, RecvStream,
-    SendStream, ServerConfig,
+    SendStream, ServerConfig, VarInt,
 };
 
+use crate::budget::Budget;
 use crate::certificate::PeerCertificate;
 use crate::keys::{KeyRing, Keys};
 use crate::options::Options;
@@ -68,11 +69,13 @@
         )
         .map_err(failed)?;
         let (running, finished) = async_channel::bounded(1);
+        let received = Budget::new(options.received_bytes);
         let shared = Arc::new(Shared {
             keys,
             handler,
             options,
             config: Mutex::new((current, config)),
+            received,
             running: Mutex::new(Some(running)),
             finished,
         });
@@ -130,6 +133,8 @@
     options: Options,
     /// TLS configuration made from these keys.
     config: Mutex<(Arc<Keys>, ServerConfig)>,
+    /// Memory for the calls that are not answered yet.
+    received: Arc<Budget>,
     /// Cloned into each running call; `None` once the server takes no more calls.
     running: Mutex<Option<Sender<Infallible>>>,
     /// Closed when no call runs any more.
@@ -262,23 +267,33 @@
 
 async fn serve_call(client: Arc<Client>, mut send: SendStream, mut recv: RecvStream) {
     let limit = client.shared.options.message_limit;
-    let body = match wire::read_single_frame(&mut recv, limit).await {
-        Ok(body) => body,
+    let length = match wire::read_length(&mut recv, limit).await {
+        Ok(Some(length)) => length,
         Err(FrameError::TooLarge) => {
             client.report_oversize(OversizeKind::Call);
-            let _ = recv.stop(wire::TOO_LARGE);
-            let _ = send.reset(wire::TOO_LARGE);
+            refuse_call(&mut send, &mut recv, wire::TOO_LARGE);
             return;
         }
         // The client has given up.
-        Err(FrameError::Incomplete | FrameError::Reset(_) | FrameError::Lost(_)) => return,
+        Ok(None) | Err(FrameError::Incomplete | FrameError::Reset(_) | FrameError::Lost(_)) => {
+            return;
+        }
+    };
+    let Some(reservation) = client.shared.received.reserve(length) else {
+        refuse_call(&mut send, &mut recv, wire::OVERLOADED);
+        return;
+    };
+    let Ok(body) = wire::read_last_body(&mut recv, length).await else {
+        return;
     };
     let Some(_running) = client.shared.begin_call() else {
         let _ = send.reset(wire::STOPPING);
         return;
     };
     let from = client.certificate.identity();
-    let Some(reply) = client.shared.handler.handle(from, body).await else {
+    let reply = client.shared.handler.handle(from, body).await;
+    drop(reservation);
+    let Some(reply) = reply else {
         let _ = send.reset(wire::NO_REPLY);
         return;
     };
@@ -294,6 +309,12 @@
     }
 }
 
+fn refuse_call(send: &mut SendStream, recv: &mut RecvStream, code: VarInt) {
+    // Both fail only on a stream that has ended, whose client needs no answer.
+    let _ = recv.stop(code);
+    let _ = send.reset(code);
+}
+
 async fn accept_messages(client: &Arc<Client>) {
     while let Ok(recv) = client.connection.accept_uni().await {
         task::spawn(serve_messages(Arc::clone(client), recv));
@@ -301,9 +322,8 @@
 }
 
 async fn serve_messages(client: Arc<Client>, mut recv: RecvStream) {
-    let limit = client.shared.options.message_limit;
     loop {
-        match wire::read_next_frame(&mut recv, limit).await {
+        match read_message(&client, &mut recv).await {
             Ok(Some(body)) => {
                 if !client.is_still_accepted() {
                     return;
@@ -322,3 +342,14 @@
         }
     }
 }
+
+async fn read_message(
+    client: &Client,
+    recv: &mut RecvStream,
+) -> Result<Option<Vec<u8>>, FrameError> {
+    let limit = client.shared.options.message_limit;
+    let Some(length) = wire::read_length(recv, limit).await? else {
+        return Ok(None);
+    };
+    wire::read_body(recv, length).await.map(Some)
+}
--- a/crates/auburnbridge_peer/src/wire.rs
+++ b/crates/auburnbridge_peer/src/wire.rs
@@ -23,6 +23,8 @@
 pub(crate) const TOO_LARGE: VarInt = VarInt::from_u32(2);
 /// Reset code: the reply is over the limit.
 pub(crate) const REPLY_TOO_LARGE: VarInt = VarInt::from_u32(3);
+/// Reset code: the server has no memory left for the call and did not handle it.
+pub(crate) const OVERLOADED: VarInt = VarInt::from_u32(6);
 /// Reset code: the server is stopping and did not handle the call.
 pub(crate) const STOPPING: VarInt = VarInt::from_u32(5);
 /// Close code: the process stops.
@@ -75,43 +77,49 @@
     stream.write_all_chunks(&mut parts).await
 }
 
-/// Reads the only frame of a stream, up to the end of the stream.
-///
-/// A stream that is dropped before its end was read tells its sender to stop, which costs a packet.
-pub(crate) async fn read_single_frame(
+/// Reads the length of the next frame, or `None` at the end of the stream.
+pub(crate) async fn read_length(
     stream: &mut RecvStream,
     limit: ByteSize,
-) -> Result<Vec<u8>, FrameError> {
-    let body = read_next_frame(stream, limit)
-        .await?
-        .ok_or(FrameError::Incomplete)?;
-    match stream.read(&mut [0]).await? {
-        None => Ok(body),
-        Some(_) => Err(FrameError::Incomplete),
-    }
-}
-
-/// Reads the next frame of a stream, or `None` at its end. Memory grows with the bytes that arrive.
-pub(crate) async fn read_next_frame(
-    stream: &mut RecvStream,
-    limit: ByteSize,
-) -> Result<Option<Vec<u8>>, FrameError> {
+) -> Result<Option<ByteSize>, FrameError> {
     let mut length = [0; LENGTH_BYTES];
     match stream.read_exact(&mut length).await {
         Ok(()) => {}
         Err(ReadExactError::FinishedEarly(0)) => return Ok(None),
         Err(error) => return Err(error.into()),
     }
-    let length = u32::from_be_bytes(length);
-    if u64::from(length) > limit.0 {
+    let length = ByteSize(u32::from_be_bytes(length).into());
+    if length > limit {
         return Err(FrameError::TooLarge);
     }
-    let length = length as usize;
+    Ok(Some(length))
+}
+
+/// Reads the body of a frame. Memory grows with the bytes that arrive.
+pub(crate) async fn read_body(
+    stream: &mut RecvStream,
+    length: ByteSize,
+) -> Result<Vec<u8>, FrameError> {
+    let length = usize::try_from(length.0).map_err(|_| FrameError::TooLarge)?;
     let mut body = Vec::new();
     while body.len() < length {
         let start = body.len();
         body.resize(length.min(start + GROWTH_BYTES), 0);
         stream.read_exact(&mut body[start..]).await?;
     }
-    Ok(Some(body))
+    Ok(body)
+}
+
+/// Reads the body of the only frame of a stream, up to the end of the stream.
+///
+/// A stream that is dropped before its end was read tells its sender to stop, which costs a packet.
+pub(crate) async fn read_last_body(
+    stream: &mut RecvStream,
+    length: ByteSize,
+) -> Result<Vec<u8>, FrameError> {
+    let body = read_body(stream, length).await?;
+    match stream.read(&mut [0]).await? {
+        None => Ok(body),
+        Some(_) => Err(FrameError::Incomplete),
+    }
 }
--- a/crates/auburnbridge_peer/tests/transport.rs
+++ b/crates/auburnbridge_peer/tests/transport.rs
@@ -472,3 +472,32 @@
     .await;
     assert_eq!(reply, Ok(b"wait".into()));
 }
+
+/// Guards against calls that together exhaust the memory of a server, and against memory that is
+/// not released.
+#[async_std::test]
+async fn received_calls_share_a_memory_limit() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let options = Options::builder()
+        .clock(Arc::new(fleet.clock.clone()))
+        .received_bytes(ByteSize(100))
+        .build();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, options).unwrap();
+    let to = address("b", &server);
+    let transport = fleet.transport(fleet.keys("authority", "a"));
+    let running = transport.call(&to, b"wait".into(), LONG);
+    let (reply, ()) = future::zip(running, async {
+        seen.recv().await.unwrap();
+        let over = transport.call(&to, vec![b'x'; 97], LONG).await.unwrap_err();
+        assert_eq!(over, PeerError::Overloaded);
+        assert_eq!(over.delivery(), Delivery::NotReceived);
+        for _ in 0..3 {
+            assert!(transport.call(&to, vec![b'x'; 96], LONG).await.is_ok());
+        }
+        transport.send(&to, b"release".into());
+    })
+    .await;
+    assert_eq!(reply, Ok(b"wait".into()));
+}
