Test settings against damaged files

Cause: the errors were tested on chosen files only.

Change: property tests over damaged samples and over lists with one wrong item.

--- a/crates/auburnbridge_settings/tests/settings.rs
+++ b/crates/auburnbridge_settings/tests/settings.rs
@@ -7,6 +7,7 @@
     EntrySettings, KeeperSettings, Presence, ServiceScope, Settings, SettingsError, reference,
 };
 use auburnbridge_types::{ByteSize, Millis};
+use proptest::prelude::*;
 
 const ENTRY: &str = include_str!("../examples/entry.json");
 const KEEPER: &str = include_str!("../examples/keeper.json");
@@ -219,3 +220,52 @@
         "docs/settings.md is stale; run `cargo run -p auburnbridge_settings --example reference > docs/settings.md`"
     );
 }
+
+proptest! {
+    /// Guards against a panic on a damaged file, and against an error that points outside of it.
+    #[test]
+    fn damaged_files_have_located_errors(
+        sample in prop::sample::select(vec![ENTRY, KEEPER]),
+        damages in prop::collection::vec((any::<prop::sample::Index>(), any::<char>()), 1..4),
+        cut in prop::option::of(any::<prop::sample::Index>()),
+    ) {
+        let mut characters: Vec<char> = sample.chars().collect();
+        for (position, character) in damages {
+            let position = position.index(characters.len());
+            characters[position] = character;
+        }
+        if let Some(cut) = cut {
+            characters.truncate(cut.index(characters.len()));
+        }
+        let text: String = characters.into_iter().collect();
+        let last_line = text.matches('\n').count() + 1;
+        for error in [entry(&text).err(), keeper(&text).err()].into_iter().flatten() {
+            let SettingsError::Invalid(_, problems) = error else {
+                return Err(TestCaseError::fail("a text was read from a file"));
+            };
+            prop_assert!(!problems.is_empty());
+            for problem in problems {
+                prop_assert!((1..=last_line).contains(&problem.line), "{}", problem);
+                prop_assert!(!problem.reason.is_empty() && !problem.fix.is_empty());
+            }
+        }
+    }
+
+    /// Guards against lists whose items are attributed to other lines than their own.
+    #[test]
+    fn items_are_found_on_their_lines(count in 1_usize..9, wrong in any::<prop::sample::Index>()) {
+        let wrong = wrong.index(count);
+        let items: Vec<String> = (0..count)
+            .map(|number| {
+                let port = if number == wrong { "none" } else { "7400" };
+                format!(r#"  {{"vm": "k{number}", "address": "10.0.0.{number}:{port}"}}"#)
+            })
+            .collect();
+        let text = format!("{{\n\"members\": [\n{}\n]\n}}\n", items.join(",\n"));
+        let Err(SettingsError::Invalid(_, problems)) = keeper(&text) else {
+            return Err(TestCaseError::fail("accepted"));
+        };
+        let problem = problems.iter().find(|problem| problem.reason.starts_with("`members`:"));
+        prop_assert_eq!(problem.map(|problem| problem.line), Some(wrong + 3));
+    }
+}
