Ask new clients for a proof of their address when the server is half full

Cause: handshakes from forged addresses could fill the table of connections and keep the fleet out until they time out.

Change: from half of the limit on, an unvalidated address gets a stateless retry.

The retry under a flood was not measured.

--- a/crates/auburnbridge_peer/src/server.rs
+++ b/crates/auburnbridge_peer/src/server.rs
@@ -174,12 +174,21 @@
 }
 
 async fn accept_connections(endpoint: Endpoint, shared: Arc<Shared>) {
+    let limit = shared.options.connection_limit;
     while let Some(incoming) = endpoint.accept().await {
-        if endpoint.open_connections() >= shared.options.connection_limit {
+        let open = endpoint.open_connections();
+        if open >= limit {
             shared.report_refused(incoming.remote_address(), "too many connections");
             incoming.refuse();
             continue;
         }
+        // Handshakes from forged addresses could fill the table, so once it is half full, a client
+        // first proves that it receives packets at its address.
+        if open >= limit / 2 && !incoming.remote_address_validated() {
+            // It fails only for a validated address.
+            let _ = incoming.retry();
+            continue;
+        }
         task::spawn(serve_connection(incoming, Arc::clone(&shared)));
     }
 }
