Keep the keys in force when a reload finds the same files

Cause: a reload on a timer would have replaced equal keys and so closed every connection.

Change: `reload` compares the loaded files and returns whether they changed.

Measured: nothing; tests only.

--- a/crates/auburnbridge_peer/src/keys/load.rs
+++ b/crates/auburnbridge_peer/src/keys/load.rs
@@ -100,6 +100,12 @@
         &self.identity
     }
 
+    fn has_same_files(&self, other: &Self) -> bool {
+        self.chain == other.chain
+            && self.key.secret_der() == other.key.secret_der()
+            && self.authorities.roots == other.authorities.roots
+    }
+
     /// Checks that a trusted authority signed `chain` and that it is valid at `now`.
     pub(crate) fn verify(
         &self,
@@ -139,12 +145,13 @@
         }))
     }
 
-    /// Loads the folder again; on an error, the current keys stay in force.
+    /// Loads the folder again and returns whether the keys changed; on an error, the current keys
+    /// stay in force. Unchanged files close no connection, so a process may call this on a timer.
     ///
     /// New connections use the new keys at once. A client replaces its connections with the next
     /// call, and a server drops a client whose certificate the new authorities did not sign. The
     /// identity must stay the same, because the process announced itself under it.
-    pub fn reload(&self, now: Timestamp) -> Result<(), KeyError> {
+    pub fn reload(&self, now: Timestamp) -> Result<bool, KeyError> {
         let keys = Keys::load(&self.folder, now)?;
         let mut current = self.current.write();
         if keys.identity != current.identity {
@@ -156,8 +163,11 @@
                 ),
             ));
         }
+        if keys.has_same_files(&current) {
+            return Ok(false);
+        }
         *current = Arc::new(keys);
-        Ok(())
+        Ok(true)
     }
 
     /// The keys in force.
--- a/crates/auburnbridge_peer/tests/keys.rs
+++ b/crates/auburnbridge_peer/tests/keys.rs
@@ -140,3 +140,23 @@
     }
     assert!(KeyRing::load(&fleet.path("a"), fleet.clock.now()).is_ok());
 }
+
+/// Guards against a reload that closes connections although nothing changed, or that misses a change
+/// of one file.
+#[test]
+fn reload_reports_changes_only() {
+    let fleet = Fleet::new();
+    let keys = fleet.keys("authority", "a");
+    let now = fleet.clock.now();
+    let before = keys.current();
+    assert!(!keys.reload(now).unwrap());
+    assert!(std::sync::Arc::ptr_eq(&before, &keys.current()));
+    fleet.issue("authority", "a", fleet.valid());
+    assert!(keys.reload(now).unwrap());
+    fleet.add_authority("new");
+    let both: String = ["authority", "new"]
+        .map(|name| fs::read_to_string(fleet.path(name).join("authority.pem")).unwrap())
+        .concat();
+    fs::write(fleet.path("a").join("authority.pem"), both).unwrap();
+    assert!(keys.reload(now).unwrap());
+}
