Answer the caller while the ledger stores the answer

Ruled out: overlapping the leader's write with its followers', which the log does. Change: the answer goes out while the conclusion is committed; a resend meanwhile waits for it. A planned stop waits for these commits. At the deadline a shed request says so; the kind depended on timing. Test: frozen_entry_dispatches_nothing_late was wrong: it ended the shedding while a request of the frozen entry could be on its way, which the target then ran in time. It now ends it after the deadline, which keeps both of its checks. Conclusion: at-most-once rests on the grant alone, so the order is free to change.

--- a/crates/auburnbridge/tests/processes/request_path.rs
+++ b/crates/auburnbridge/tests/processes/request_path.rs
@@ -65,14 +65,15 @@
                 && fleet.entries[0].log().contains("result=shed")
         });
         fleet.entries[0].freeze();
-        for name in ["dispatch-0", "dispatch-1"] {
-            fleet.targets[name].set_fault(Fault::None);
-        }
         fleet.wait_until("the grant's deadline has passed", |fleet| {
             let resend = fleet.post(1, "/slips", &key, "ward 3", "1").unwrap();
             assert_eq!(outcome(&resend), Some("unknown"));
             String::from_utf8_lossy(&resend.body).contains("key-outcome-unknown")
         });
+        // Until now a request that was on its way when the entry froze was shed.
+        for name in ["dispatch-0", "dispatch-1"] {
+            fleet.targets[name].set_fault(Fault::None);
+        }
         fleet.entries[0].thaw();
         let first = first.join().unwrap().unwrap();
         assert_eq!(outcome(&first), Some("not-run"), "status {}", first.status);
--- a/crates/auburnbridge_caller/src/lib.rs
+++ b/crates/auburnbridge_caller/src/lib.rs
@@ -9,9 +9,11 @@
 mod listener;
 mod problem;
 mod tide_service;
+mod tracker;
 
 pub use disconnect::{Disconnect, DisconnectSignal};
-pub use lifecycle::{InFlight, Lifecycle, Phase};
+pub use lifecycle::{Lifecycle, Phase};
 pub use listener::{Listener, ListenerOptions, ListenerOptionsBuilder, Service};
 pub use problem::{OUTCOME_HEADER, Problem};
 pub use tide_service::TideService;
+pub use tracker::{TaskGuard, TaskTracker};
--- a/crates/auburnbridge_caller/src/lifecycle.rs
+++ b/crates/auburnbridge_caller/src/lifecycle.rs
@@ -3,14 +3,14 @@
 //! `Serving` turns into `Draining` on the first signal: the readiness endpoint answers 503, and new
 //! requests are still served while the platform's balancer notices. `Closing` follows after the
 //! balancer's lag: no new connections, idle ones are closed, requests in flight are finished. Every
-//! request holds an [`InFlight`] guard, and the last one to be dropped ends the wait.
+//! request holds a [`TaskGuard`], and the last one to be dropped ends the wait.
 
 use std::sync::atomic::{AtomicU8, Ordering};
 
 use async_channel::{Receiver, Sender};
 use auburnbridge_types::{Clock, Millis};
-use futures_lite::FutureExt;
-use parking_lot::Mutex;
+
+use crate::tracker::{TaskGuard, TaskTracker};
 
 /// Phase of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -27,24 +27,15 @@
 #[derive(Debug)]
 pub struct Lifecycle {
     phase: AtomicU8,
-    root: Mutex<Option<Sender<()>>>,
-    idle: Receiver<()>,
+    requests: TaskTracker,
     closing: (Sender<()>, Receiver<()>),
 }
 
-/// Guard of one request in flight.
-#[derive(Debug)]
-pub struct InFlight(
-    #[expect(dead_code, reason = "dropping it tells that the request ended")] Sender<()>,
-);
-
 impl Default for Lifecycle {
     fn default() -> Self {
-        let (root, idle) = async_channel::bounded(1);
         Self {
             phase: AtomicU8::new(Phase::Serving as u8),
-            root: Mutex::new(Some(root)),
-            idle,
+            requests: TaskTracker::default(),
             closing: async_channel::bounded(1),
         }
     }
@@ -61,14 +52,13 @@
     }
 
     /// Counts a request as in flight; `None` once the process finishes up.
-    pub fn begin_request(&self) -> Option<InFlight> {
-        self.root.lock().clone().map(InFlight)
+    pub fn begin_request(&self) -> Option<TaskGuard> {
+        self.requests.begin()
     }
 
     /// Number of requests in flight.
     pub fn in_flight(&self) -> usize {
-        let root = usize::from(self.root.lock().is_some());
-        self.idle.sender_count().saturating_sub(root)
+        self.requests.running()
     }
 
     /// Turns the readiness answer off.
@@ -80,7 +70,7 @@
     /// Ends the acceptance of connections and requests.
     pub fn begin_closing(&self) {
         self.phase.store(Phase::Closing as u8, Ordering::SeqCst);
-        self.root.lock().take();
+        self.requests.close();
         self.closing.0.close();
     }
 
@@ -93,8 +83,6 @@
     ///
     /// Must follow [`Lifecycle::begin_closing`].
     pub async fn wait_idle(&self, clock: &dyn Clock, limit: Millis) -> usize {
-        let all_done = async { while self.idle.recv().await.is_ok() {} };
-        all_done.or(clock.sleep(limit)).await;
-        self.in_flight()
+        self.requests.wait(clock, limit).await
     }
 }
--- a/crates/auburnbridge_entry/src/entry.rs
+++ b/crates/auburnbridge_entry/src/entry.rs
@@ -5,9 +5,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use arc_swap::ArcSwapOption;
-use auburnbridge_caller::{Disconnect, Problem, Service};
+use async_std::task;
+use auburnbridge_caller::{Disconnect, Problem, Service, TaskTracker};
 use auburnbridge_http::{FramingError, Limits, Request, Response};
-use auburnbridge_ledger::{Command, Reply};
+use auburnbridge_ledger::Command;
 use auburnbridge_metrics::{Counter, Metrics, Timer};
 use auburnbridge_policy::{
     AccountLimit, AccountLimiter, CrashReport, Observation, PoisonTable, RequestClass,
@@ -21,7 +22,7 @@
 use parking_lot::Mutex;
 
 use crate::fleets::{Assignment, Fleets};
-use crate::ledger_client::{LedgerClient, LedgerUnavailable};
+use crate::ledger_client::{LedgerClient, MeasuredLedger};
 use crate::request::CallerRequest;
 use crate::target_port::TargetPort;
 use crate::{idempotent, keyed};
@@ -69,6 +70,8 @@
 pub struct Entry {
     pub(crate) ports: Ports,
     pub(crate) fleets: Fleets,
+    pub(crate) ledger: MeasuredLedger,
+    settlements: TaskTracker,
     rules: ArcSwapOption<RulesInForce>,
     accounts: Mutex<AccountLimiter>,
     poison: Mutex<PoisonTable>,
@@ -95,6 +98,12 @@
     pub fn new(vm: VmId, answer_limits: Limits, ports: Ports) -> Self {
         Self {
             fleets: Fleets::new(Arc::clone(&ports.metrics)),
+            ledger: MeasuredLedger {
+                client: Arc::clone(&ports.ledger),
+                clock: Arc::clone(&ports.clock),
+                metrics: Arc::clone(&ports.metrics),
+            },
+            settlements: TaskTracker::default(),
             ports,
             rules: ArcSwapOption::empty(),
             accounts: Mutex::default(),
@@ -304,17 +313,25 @@
         attempted
     }
 
-    /// Applies a command to the ledger, timed and counted.
-    pub(crate) async fn apply(&self, command: Command) -> Result<Reply, LedgerUnavailable> {
-        let name: &'static str = (&command).into();
-        let start = self.ports.clock.now();
-        let reply = self.ports.ledger.apply(command).await;
-        let time = self.ports.clock.now().since(start);
-        let reply_name = reply.as_ref().map_or("unavailable", <&'static str>::from);
-        let tags = [("command", name), ("reply", reply_name)];
-        self.ports.metrics.time(Timer::LedgerTime, time, &tags[..1]);
-        self.ports.metrics.count(Counter::Ledger, &tags);
-        reply
+    /// Tells the ledger how an attempt ended while the caller already gets its answer.
+    ///
+    /// A resend waits until the answer is stored. If this process dies first, the resend hears
+    /// `unknown`, and the request doesn't run again.
+    pub(crate) fn settle_later(&self, command: Command) {
+        let ledger = self.ledger.clone();
+        let guard = self.settlements.begin();
+        task::spawn(async move {
+            ledger.settle(command).await;
+            drop(guard);
+        });
+    }
+
+    /// Waits until the ledger knows how all requests ended, at most for `limit`.
+    pub async fn wait_settled(&self, limit: Millis) -> usize {
+        self.settlements.close();
+        self.settlements
+            .wait(self.ports.clock.as_ref(), limit)
+            .await
     }
 
     /// Records the crash of a target and tells the other entries.
--- a/crates/auburnbridge_entry/src/keyed.rs
+++ b/crates/auburnbridge_entry/src/keyed.rs
@@ -5,8 +5,8 @@
 use auburnbridge_http::{Connection, Limits, RequestInfo, Response, Verdict, encode_response};
 use auburnbridge_ledger::{Command, LedgerKey, MAX_ANSWER, Reply, StoredAnswer};
 use auburnbridge_policy::TargetKey;
-use auburnbridge_types::{AttemptId, ByteSize, ErrorKind};
-use log::{info, warn};
+use auburnbridge_types::{AttemptId, ByteSize, ErrorKind, Millis};
+use log::info;
 
 use crate::backoff::Backoff;
 use crate::entry::{Attempted, Entry, request_class};
@@ -15,6 +15,12 @@
 /// Header of an answer that was stored by an earlier attempt.
 const REPLAYED_HEADER: &str = "Auburnbridge-Replayed";
 
+/// Time after the caller's deadline for which a grant still counts as in progress.
+///
+/// A withdrawal that reaches the ledger later frees nothing, and requests that are shed until their
+/// deadline withdraw just then. It also covers a difference between this clock and log time.
+const SETTLE_GRACE: Millis = Millis(2_000);
+
 /// Serves a keyed request. It goes on when its caller disconnects, so that a resend gets the answer.
 pub(crate) async fn serve(entry: &Entry, req: &CallerRequest) -> Result<Response, Problem> {
     match acquire(entry, req).await {
@@ -47,10 +53,10 @@
             key: key.clone(),
             body_digest,
             attempt: attempt.clone(),
-            deadline: req.deadline,
+            deadline: req.deadline.after(SETTLE_GRACE),
             previous_attempts: req.previous_attempts,
         };
-        let reply = entry.apply(command).await.map_err(|error| {
+        let reply = entry.ledger.apply(command).await.map_err(|error| {
             let problem = Problem::new(ErrorKind::LedgerUnavailable, error.to_string());
             req.refuse_unread(problem)
         })?;
@@ -88,17 +94,20 @@
 ) -> Result<Response, Problem> {
     match dispatch(entry, req, &attempt).await {
         Dispatched::Answered(response) => {
-            conclude(entry, req, key, attempt, &response).await;
+            entry.settle_later(conclusion(req, key, attempt, &response));
             Ok(response)
         }
         Dispatched::NotRun(problem) => {
             // No byte of this attempt was written and none will be, so `not-run` holds whether or
             // not the ledger hears of it; without it, a resend reads `unknown`.
-            settle(entry, Command::Withdraw { key, attempt }).await;
+            entry
+                .ledger
+                .settle(Command::Withdraw { key, attempt })
+                .await;
             Err(req.refuse_withdrawn(problem))
         }
         Dispatched::Unknown(problem) => {
-            settle(entry, Command::Abandon { key, attempt }).await;
+            entry.settle_later(Command::Abandon { key, attempt });
             Err(problem)
         }
     }
@@ -112,22 +121,25 @@
 
 async fn dispatch(entry: &Entry, req: &CallerRequest, attempt: &AttemptId) -> Dispatched {
     let clock = &entry.ports.clock;
-    let no_target = || Problem::new(ErrorKind::NoTarget, "no target of the service is in use");
     let Some(service) = entry.fleets.get(&req.route.service) else {
-        return Dispatched::NotRun(no_target());
+        let detail = "no target of the service is in use";
+        return Dispatched::NotRun(Problem::new(ErrorKind::NoTarget, detail));
     };
     let class = request_class(req.route.class);
     let mut excluded: Vec<TargetKey> = Vec::new();
-    let mut failure = no_target();
+    let mut failure = None;
     let mut backoff = Backoff::after_shed();
     loop {
         if clock.now() >= req.deadline {
             let detail = "the deadline passed before the request was sent";
-            return Dispatched::NotRun(Problem::new(ErrorKind::DeadlineBeforeDispatch, detail));
+            let late = || Problem::new(ErrorKind::DeadlineBeforeDispatch, detail);
+            return Dispatched::NotRun(failure.unwrap_or_else(late));
         }
         let Some(assignment) = service.choose(clock.now(), class, &excluded) else {
             if !backoff.wait(clock.as_ref(), req.deadline).await {
-                return Dispatched::NotRun(failure);
+                let detail = "no target of the service is in use";
+                let none = || Problem::new(ErrorKind::NoTarget, detail);
+                return Dispatched::NotRun(failure.unwrap_or_else(none));
             }
             excluded.clear();
             continue;
@@ -137,11 +149,12 @@
         match entry.attempt(req, attempt, assignment).await {
             Attempted::Answered(response) => return Dispatched::Answered(response),
             Attempted::Shed => {
-                failure =
-                    Problem::new(ErrorKind::Overloaded, "every target tried shed the request");
+                let detail = "every target tried shed the request";
+                failure = Some(Problem::new(ErrorKind::Overloaded, detail));
             }
             Attempted::NotSent(reason) => {
-                failure = Problem::new(reason.kind(), format!("{target}: {reason:?}"));
+                let detail = format!("{target}: {reason:?}");
+                failure = Some(Problem::new(reason.kind(), detail));
             }
             Attempted::Unknown { reason, .. } => {
                 let detail = format!("{target}: {reason:?}");
@@ -151,37 +164,20 @@
     }
 }
 
-/// Stores the answer for resends before the caller gets it.
-async fn conclude(
-    entry: &Entry,
+/// The command that stores an answer for resends.
+fn conclusion(
     req: &CallerRequest,
     key: LedgerKey,
     attempt: AttemptId,
     response: &Response,
-) {
+) -> Command {
     let mut encoded = Vec::new();
     let info = RequestInfo::from(&req.message);
     encode_response(response, info, Verdict::Reuse, &mut encoded);
-    let answer = StoredAnswer::new(&encoded);
-    settle(
-        entry,
-        Command::Conclude {
-            key,
-            attempt,
-            answer,
-        },
-    )
-    .await;
-}
-
-/// Tells the ledger how an attempt ended. If the keepers are away, the key stays in progress and
-/// reads `unknown` after its deadline, which is safe.
-async fn settle(entry: &Entry, command: Command) {
-    let name = command.to_string();
-    match entry.apply(command).await {
-        Ok(Reply::Done) => {}
-        Ok(reply) => warn!("ledger command={name} reply={reply}"),
-        Err(error) => warn!("ledger command={name} failed: {error}"),
+    Command::Conclude {
+        key,
+        attempt,
+        answer: StoredAnswer::new(&encoded),
     }
 }
 
--- a/crates/auburnbridge_entry/src/run.rs
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -32,6 +32,8 @@
 
 /// Interval of the comparison with one other entry and of decisions that depend on time.
 const MAINTENANCE_INTERVAL: Millis = Millis(1_000);
+/// Longest wait at a planned stop until the ledger knows how all requests ended.
+const SETTLE_LIMIT: Millis = Millis(5_000);
 /// Maintenance intervals between two loads of the keys, which picks up replaced files.
 const KEY_RELOAD_TURNS: usize = 30;
 /// Interval at which new announcements reach the fleets.
@@ -186,7 +188,8 @@
             .lifecycle
             .wait_idle(shared.clock.as_ref(), limit)
             .await;
-        info!("shutdown phase=done in_flight={remaining}");
+        let unsettled = shared.entry.wait_settled(SETTLE_LIMIT).await;
+        info!("shutdown phase=done in_flight={remaining} unsettled={unsettled}");
         self.peer_server.close().await;
         remaining
     }
