--- a/crates/auburnbridge_log/tests/scenarios.rs
+++ b/crates/auburnbridge_log/tests/scenarios.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 
 use auburnbridge_log::{
-    Body, Boot, Config, DecodeError, Input, LogIndex, MAX_MEMBERS, MESSAGE_VERSION, Member,
-    MemberChange, MemberRole, Members, Message, Output, PeerBoot, RejectReason, ReplicaId, Round,
-    Status, Term, Token,
+    Body, Boot, Config, DecodeError, HardState, Input, LogIndex, MAX_MEMBERS, MESSAGE_VERSION,
+    Member, MemberChange, MemberRole, Members, Message, Output, Payload, PeerBoot, Record,
+    Recovered, RejectReason, Replica, ReplicaId, Round, SnapshotMeta, Status, Term, Token,
 };
+use auburnbridge_types::Timestamp;
 use network::{Network, config};
 
 fn group(nodes: usize, voters: usize) -> Network {
@@ -219,7 +220,9 @@
 /// before a record of the leader's term is committed.
 #[test]
 fn changes_one_member_at_a_time() {
-    let mut network = Network::new(5, 3, 1, config());
+    let mut network = group(5, 3);
+    network.run(10);
+    network.crash(network.leader().unwrap());
     run_until(&mut network, |network| network.leader().is_some());
     let leader = network.leader().unwrap();
     network.add_learner(leader, 3);
@@ -337,6 +340,97 @@
     assert!(status(&network, lagging).boot_confirmed);
 }
 
+fn record(index: u64, term: u64) -> Record {
+    Record {
+        index: LogIndex(index),
+        term: Term(term),
+        time: Timestamp(0),
+        payload: Payload::Noop,
+    }
+}
+
+/// A follower in term 2 with 20 synced records of term 1.
+fn follower_with_old_records() -> Replica {
+    let recovered = Recovered {
+        replica: ReplicaId(1),
+        hard_state: HardState {
+            term: Term(2),
+            ..HardState::default()
+        },
+        snapshot: None,
+        records: (1..=20).map(|index| record(index, 1)).collect(),
+    };
+    let vm = "vm-1".parse().unwrap();
+    Replica::recover(config(), vm, recovered, 1, Timestamp(1_000)).0
+}
+
+/// Passes on a message of the leader of term 2.
+fn receive(replica: &mut Replica, body: Body) -> Vec<Output> {
+    let message = Message {
+        version: MESSAGE_VERSION,
+        from: ReplicaId(2),
+        to: ReplicaId(1),
+        term: Term(2),
+        body,
+    };
+    let from = "vm-2".parse().unwrap();
+    replica.step(Timestamp(1_000), Input::Message { from, message })
+}
+
+/// Sends two records after the tenth, which has `prev_term`, and then a heartbeat. Returns what the
+/// follower states in its answer to be synced.
+fn synced_after_append(replica: &mut Replica, prev_term: u64) -> Option<LogIndex> {
+    let append = |prev_index, prev_term, records| Body::Append {
+        prev_index: LogIndex(prev_index),
+        prev_term: Term(prev_term),
+        records,
+        commit: LogIndex(0),
+        round: Round::default(),
+    };
+    let records = vec![record(11, 2), record(12, 2)];
+    let outputs = receive(replica, append(10, prev_term, records));
+    let sends = |output: &Output| matches!(output, Output::Send { .. });
+    assert!(!outputs.iter().any(sends), "sent before the sync");
+    let outputs = receive(replica, append(12, 2, Vec::new()));
+    outputs.iter().find_map(|output| match output {
+        Output::Send { message, .. } => match message.body {
+            Body::AppendReply { matched, .. } => matched,
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+/// Guards against an answer that counts records as synced because those that they replace were.
+#[test]
+fn replaced_records_are_not_synced() {
+    let mut replica = follower_with_old_records();
+    let synced = synced_after_append(&mut replica, 1);
+    assert_eq!(synced, Some(LogIndex(10)));
+}
+
+/// Guards against an answer that counts records as synced because a longer log, which a snapshot
+/// has replaced, was.
+#[test]
+fn records_after_a_received_snapshot_are_not_synced() {
+    let mut replica = follower_with_old_records();
+    let chunk = Body::SnapshotChunk {
+        meta: SnapshotMeta {
+            index: LogIndex(10),
+            term: Term(2),
+            time: Timestamp(0),
+            members: Members::default(),
+        },
+        total: 1,
+        offset: 0,
+        data: Arc::from([0].as_slice()),
+        round: Round::default(),
+    };
+    receive(&mut replica, chunk);
+    let synced = synced_after_append(&mut replica, 2);
+    assert_eq!(synced, Some(LogIndex(0)));
+}
+
 /// Guards against a restart that loses state once the log is long and has snapshots.
 #[test]
 fn recovers_exactly_after_a_thousand_changes() {
@@ -363,7 +457,7 @@
 fn groups_proposals_into_one_write() {
     let mut network = group(1, 1);
     let process = network.nodes[0].process.as_mut().unwrap();
-    let now = auburnbridge_types::Timestamp(network.now);
+    let now = Timestamp(network.now);
     let mut writes = Vec::new();
     let mut propose = |token: u64| {
         let data: Arc<[u8]> = Arc::from([1_u8].as_slice());
@@ -393,7 +487,7 @@
     network.run(10);
     let leader = network.leader().unwrap();
     let follower = (leader + 1) % 3;
-    let now = auburnbridge_types::Timestamp(network.now + 5_000 * follower as u64);
+    let now = Timestamp(network.now + 5_000 * follower as u64);
     let expected = RejectReason::NotLeader {
         leader: Some(network.nodes[leader].vm.clone()),
     };
@@ -475,11 +569,11 @@
         message(Body::Append {
             prev_index: LogIndex(4),
             prev_term: Term(1),
-            records: vec![auburnbridge_log::Record {
+            records: vec![Record {
                 index: LogIndex(index),
                 term: Term(1),
-                time: auburnbridge_types::Timestamp(0),
-                payload: auburnbridge_log::Payload::Noop,
+                time: Timestamp(0),
+                payload: Payload::Noop,
             }],
             commit: LogIndex(0),
             round: Round::default(),
