Test that a replica that misses the leader starts no term

Cause: a pre-vote that ignores the present leader went unseen among seeded faults. Change: a scenario with one cut link.

--- a/crates/auburnbridge_log/tests/scenarios.rs
+++ b/crates/auburnbridge_log/tests/scenarios.rs
@@ -292,6 +292,22 @@
     assert_eq!(term(&network, deaf), before, "the healed replica follows");
 }
 
+/// Guards against a replica that forces elections because it alone misses the leader's messages.
+#[test]
+fn a_replica_that_misses_the_leader_starts_no_term() {
+    let mut network = group(3, 3);
+    let leader = network.leader().unwrap();
+    let before = term(&network, leader);
+    let missing = (leader + 1) % 3;
+    network.cuts.insert((leader, missing));
+    network.run(200);
+    assert_eq!(term(&network, missing), before);
+    network.cuts.clear();
+    network.run(30);
+    assert_eq!(network.leader(), Some(leader));
+    assert_eq!(term(&network, leader), before);
+}
+
 /// Guards against a stale read: a leader that is cut off answers none from its old state, unless its
 /// lease still keeps the others from electing a new leader.
 #[test]
