Keep the timeouts running when the clock goes back

Cause: a replica whose wall clock was set back by an hour would have stood still for an hour, since its time never went back. Change: timeouts add up the advances of the clock; log time follows the clock and the last record. Conclusion: log time stands still until the clock catches up with it.

--- a/crates/auburnbridge_log/src/config.rs
+++ b/crates/auburnbridge_log/src/config.rs
@@ -88,8 +88,8 @@
 
     /// Whether a leader with a lease answers reads without a round of messages. Default no.
     ///
-    /// A lease is sound only if the clock passed to `step` never goes back and runs at the same
-    /// rate on all replicas, which a wall clock doesn't promise.
+    /// A lease is sound only if the clock passed to `step` runs at the same rate on all replicas,
+    /// which a wall clock that is being corrected doesn't promise.
     #[must_use]
     pub fn lease_reads(mut self, enabled: bool) -> Self {
         self.config.lease_reads = enabled;
--- a/crates/auburnbridge_log/src/replica/follower.rs
+++ b/crates/auburnbridge_log/src/replica/follower.rs
@@ -87,7 +87,7 @@
     /// Adds the record that follows the last one.
     pub(super) fn push_record(&mut self, term: Term, payload: Payload) -> LogIndex {
         let index = self.log.last_index().next();
-        let time = self.log.last_time().max(self.now);
+        let time = self.log.last_time().max(self.clock);
         self.log.push(Record {
             index,
             term,
--- a/crates/auburnbridge_log/src/replica/mod.rs
+++ b/crates/auburnbridge_log/src/replica/mod.rs
@@ -34,7 +34,10 @@
     vm: VmId,
     config: Config,
     rng: ChaCha8Rng,
+    /// Time for timeouts, which stands still when the clock goes back.
     now: Timestamp,
+    /// The clock's latest reading, for the log time.
+    clock: Timestamp,
     hard: HardState,
     log: RecordLog,
     snapshot: Option<Snapshot>,
@@ -105,6 +108,7 @@
             config,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now,
+            clock: now,
             hard: recovered.hard_state,
             writer: Writer::new(log.last_index()),
             log,
@@ -132,9 +136,11 @@
         (replica, outputs)
     }
 
-    /// Takes one input at time `now`; time that goes back counts as standing still.
+    /// Takes one input at time `now`. A clock that goes back doesn't stop the timeouts, which go on
+    /// from its new reading.
     pub fn step(&mut self, now: Timestamp, input: Input) -> Vec<Output> {
-        self.now = self.now.max(now);
+        self.now = self.now.after(now.since(self.clock));
+        self.clock = now;
         match input {
             Input::Tick => self.tick(),
             Input::Message { from, message } => self.receive(&from, message),
--- a/crates/auburnbridge_log/tests/network/mod.rs
+++ b/crates/auburnbridge_log/tests/network/mod.rs
@@ -21,6 +21,8 @@
     pub files: MemoryFiles,
     pub id: ReplicaId,
     pub process: Option<Process>,
+    /// The VMs' clocks differ, so that log time is tested against leaders with late clocks.
+    pub clock_offset: u64,
     /// Copies of the folder taken so far, with the boot counter of each.
     copies: Vec<(u64, MemoryFiles)>,
     boot_counter: u64,
@@ -72,7 +74,7 @@
     pub fn new(nodes: usize, voters: usize, seed: u64, config: Config) -> Self {
         let mut network = Self {
             nodes: Vec::new(),
-            now: 1_000_000,
+            now: 10_000_000,
             queue: Vec::new(),
             cuts: BTreeSet::new(),
             has_lost_disks: false,
@@ -93,6 +95,7 @@
                 files: MemoryFiles::new(),
                 id: ReplicaId(0),
                 process: None,
+                clock_offset: 5_000 * node as u64,
                 copies: Vec::new(),
                 boot_counter: 0,
                 is_restored: false,
@@ -139,9 +142,8 @@
         self.handle(node, outputs);
     }
 
-    /// The VMs' clocks differ, so that log time is tested against leaders with late clocks.
     fn clock(&self, node: usize) -> Timestamp {
-        Timestamp(self.now + 5_000 * node as u64)
+        Timestamp(self.now + self.nodes[node].clock_offset)
     }
 
     pub fn step(&mut self, node: usize, input: Input) {
--- a/crates/auburnbridge_log/tests/scenarios.rs
+++ b/crates/auburnbridge_log/tests/scenarios.rs
@@ -292,6 +292,22 @@
     assert_eq!(term(&network, deaf), before, "the healed replica follows");
 }
 
+/// Guards against a replica that stops working when its clock is set back, by an hour here.
+#[test]
+fn a_clock_may_go_back() {
+    let mut network = group(3, 3);
+    for node in &mut network.nodes {
+        node.clock_offset += 3_600_000;
+    }
+    assert!(network.run_until_accepted(20));
+    for node in &mut network.nodes {
+        node.clock_offset -= 3_600_000;
+    }
+    assert!(network.run_until_accepted(20));
+    network.crash(network.leader().unwrap());
+    assert!(network.run_until_accepted(40), "the others elect a leader");
+}
+
 /// Guards against a replica that forces elections because it alone misses the leader's messages.
 #[test]
 fn a_replica_that_misses_the_leader_starts_no_term() {
@@ -503,7 +519,7 @@
     network.run(10);
     let leader = network.leader().unwrap();
     let follower = (leader + 1) % 3;
-    let now = Timestamp(network.now + 5_000 * follower as u64);
+    let now = Timestamp(network.now + network.nodes[follower].clock_offset);
     let expected = RejectReason::NotLeader {
         leader: Some(network.nodes[leader].vm.clone()),
     };
