--- a/crates/auburnbridge_log/tests/network/mod.rs
+++ b/crates/auburnbridge_log/tests/network/mod.rs
@@ -21,6 +21,8 @@
     pub files: MemoryFiles,
     pub id: ReplicaId,
     pub process: Option<Process>,
+    /// The VMs' clocks differ, so that log time is tested against leaders with late clocks.
+    pub clock_offset: u64,
     /// Copies of the folder taken so far, with the boot counter of each.
     copies: Vec<(u64, MemoryFiles)>,
     boot_counter: u64,
@@ -72,7 +74,7 @@
     pub fn new(nodes: usize, voters: usize, seed: u64, config: Config) -> Self {
         let mut network = Self {
             nodes: Vec::new(),
-            now: 1_000_000,
+            now: 10_000_000,
             queue: Vec::new(),
             cuts: BTreeSet::new(),
             has_lost_disks: false,
@@ -93,6 +95,7 @@
                 files: MemoryFiles::new(),
                 id: ReplicaId(0),
                 process: None,
+                clock_offset: 5_000 * node as u64,
                 copies: Vec::new(),
                 boot_counter: 0,
                 is_restored: false,
@@ -139,9 +142,8 @@
         self.handle(node, outputs);
     }
 
-    /// The VMs' clocks differ, so that log time is tested against leaders with late clocks.
     fn clock(&self, node: usize) -> Timestamp {
-        Timestamp(self.now + 37 * node as u64)
+        Timestamp(self.now + self.nodes[node].clock_offset)
     }
 
     pub fn step(&mut self, node: usize, input: Input) {
@@ -304,10 +306,9 @@
         node.copies.push((node.boot_counter, node.files.copy()));
     }
 
-    /// Puts a copy of the folder from before its latest confirmed boot in its place, if the peers
-    /// know that boot. One copy per run: two old folders at once are beyond what peers can tell, as
-    /// is the folder of a sole voter, which has no peers.
-    pub fn restore_copy(&mut self, node: usize) {
+    /// Whether the rules promise that an older copy of a node's folder is found out: its boot is
+    /// confirmed and known to all peers, it has peers, and no other folder is an old copy.
+    pub fn detects_copy_of(&self, node: usize) -> bool {
         let counter = self.nodes[node].boot_counter;
         let is_confirmed = self.nodes[node]
             .process
@@ -321,9 +322,21 @@
             .filter_map(|other| knows_boot(other, id, counter))
             .collect();
         let is_known = !peers.is_empty() && peers.iter().all(|knows| *knows);
-        if !is_confirmed || !is_known || self.nodes.iter().any(|node| node.is_restored) {
-            return;
-        }
+        let has_voting_peers = self.nodes[node]
+            .copies
+            .iter()
+            .map(|(_, copy)| copy)
+            .chain([&self.nodes[node].files])
+            .all(|files| voters_on_disk(files) > 1);
+        is_confirmed
+            && is_known
+            && has_voting_peers
+            && self.nodes.iter().all(|node| !node.is_restored)
+    }
+
+    /// Puts a copy of the folder from before its latest boot in its place.
+    pub fn restore_copy(&mut self, node: usize) {
+        let counter = self.nodes[node].boot_counter;
         let older = self.nodes[node]
             .copies
             .iter()
@@ -331,9 +344,6 @@
         let Some((_, copy)) = older.cloned() else {
             return;
         };
-        if voters_on_disk(&copy) < 2 || voters_on_disk(&self.nodes[node].files) < 2 {
-            return;
-        }
         self.crash(node);
         self.nodes[node].files = copy.crash(|_| 0);
         self.nodes[node].is_restored = true;
@@ -425,6 +435,13 @@
         }
     }
 
+    /// Cuts all links of a node.
+    pub fn isolate(&mut self, node: usize) {
+        for other in (0..self.nodes.len()).filter(|other| *other != node) {
+            self.cuts.extend([(node, other), (other, node)]);
+        }
+    }
+
     /// Runs until there is a leader and it has accepted a new command.
     pub fn run_until_accepted(&mut self, rounds: usize) -> bool {
         let before = self.accepted.len();
