--- a/crates/auburnbridge_entry/src/backoff.rs
+++ b/crates/auburnbridge_entry/src/backoff.rs
@@ -1,7 +1,8 @@
 //! Waiting between attempts.
 
-use auburnbridge_types::{Clock, Millis, Timestamp};
-use rand::Rng;
+use auburnbridge_types::{Millis, Timestamp};
+
+use crate::entry::Entry;
 
 const SHED_FIRST: Millis = Millis(4);
 const SHED_LAST: Millis = Millis(64);
@@ -34,8 +35,9 @@
     }
 
     /// Waits before the next attempt; `false` if the deadline would pass meanwhile.
-    pub(crate) async fn wait(&mut self, clock: &dyn Clock, deadline: Timestamp) -> bool {
-        let wait = Millis(rand::rng().random_range(self.next.0 / 2..=self.next.0));
+    pub(crate) async fn wait(&mut self, entry: &Entry, deadline: Timestamp) -> bool {
+        let clock = &entry.ports.clock;
+        let wait = Millis(entry.random_in(self.next.0 / 2..=self.next.0));
         self.next = Millis((self.next.0 * 2).min(self.last.0));
         if clock.now().after(wait) >= deadline {
             return false;
--- /dev/null
+++ b/crates/auburnbridge_entry/src/dispatch.rs
@@ -0,0 +1,170 @@
+//! Targets tried one after the other until one of them may have run the request.
+
+use std::sync::Arc;
+
+use auburnbridge_caller::{Disconnect, Problem};
+use auburnbridge_http::Response;
+use auburnbridge_policy::{CrashReport, TargetKey};
+use auburnbridge_rules::Class;
+use auburnbridge_types::{AttemptId, BodyDigest, ErrorKind};
+
+use crate::attempt::{Attempted, request_class, unless_disconnected};
+use crate::backoff::Backoff;
+use crate::entry::Entry;
+use crate::fleets::{Assignment, ServiceFleet};
+use crate::request::CallerRequest;
+
+/// What became of a request.
+pub(crate) enum Dispatched {
+    /// A target's whole answer.
+    Answered(Response),
+    /// No target ran the request since the last dispatch.
+    NotRun(Problem),
+    /// A target may have run the request.
+    Unknown(Problem),
+    /// The caller disconnected.
+    Cancelled,
+}
+
+/// Dispatches one request; a target that was tried is tried again only after a wait.
+pub(crate) struct Dispatcher<'a> {
+    entry: &'a Entry,
+    req: &'a CallerRequest,
+    service: Arc<ServiceFleet>,
+    digest: BodyDigest,
+    /// Whose disconnect cancels the request.
+    disconnect: Option<&'a Disconnect>,
+    tried: Vec<TargetKey>,
+    backoff: Backoff,
+    /// Why the last target tried gave no answer.
+    failure: Option<Problem>,
+}
+
+impl<'a> Dispatcher<'a> {
+    /// Prepares the dispatch of a request, which fails if its service has no targets.
+    pub(crate) fn new(
+        entry: &'a Entry,
+        req: &'a CallerRequest,
+        disconnect: Option<&'a Disconnect>,
+    ) -> Result<Self, Problem> {
+        let service = entry.fleets.get(&req.route.service).ok_or_else(no_target)?;
+        Ok(Self {
+            entry,
+            req,
+            service,
+            digest: req.digest(),
+            disconnect,
+            tried: Vec::new(),
+            backoff: Backoff::after_shed(),
+            failure: None,
+        })
+    }
+
+    /// The targets of the request's service.
+    pub(crate) fn service(&self) -> &ServiceFleet {
+        &self.service
+    }
+
+    /// Tries targets until one may have run the request; `attempt` gives the id for each of them.
+    pub(crate) async fn dispatch(&mut self, attempt: impl Fn() -> AttemptId) -> Dispatched {
+        loop {
+            if let Some(refusal) = self.refusal() {
+                return Dispatched::NotRun(refusal);
+            }
+            let class = request_class(self.req.route.class);
+            let now = self.entry.ports.clock.now();
+            let Some(assignment) = self.service.choose(now, class, &self.tried) else {
+                match self.wait().await {
+                    Some(true) => continue,
+                    Some(false) => return Dispatched::NotRun(self.last_failure()),
+                    None => return Dispatched::Cancelled,
+                }
+            };
+            if let Some(dispatched) = self.try_target(&attempt(), assignment).await {
+                return dispatched;
+            }
+        }
+    }
+
+    /// Why the request must not go to any target now.
+    fn refusal(&self) -> Option<Problem> {
+        if self.entry.is_poisoned(&self.digest) {
+            let detail = "it crashed two targets";
+            return Some(Problem::new(ErrorKind::RequestPoisoned, detail));
+        }
+        // After a wait or a freeze of this process, nobody may be waiting for the answer.
+        if self.entry.ports.clock.now() < self.req.deadline {
+            return None;
+        }
+        Some(self.failure.clone().unwrap_or_else(|| {
+            let detail = "the deadline passed before the request was sent";
+            Problem::new(ErrorKind::DeadlineBeforeDispatch, detail)
+        }))
+    }
+
+    /// Waits until every target may be tried again; `false` if the request doesn't wait, `None` if
+    /// the caller disconnected.
+    async fn wait(&mut self) -> Option<bool> {
+        let failure = self.failure.as_ref();
+        let is_shed = failure.is_some_and(|failure| failure.kind == ErrorKind::Overloaded);
+        // A request that holds a grant waits also for a target to appear.
+        if !is_shed && self.req.route.class == Class::Idempotent {
+            return Some(false);
+        }
+        let wait = self.backoff.wait(self.entry, self.req.deadline);
+        let has_waited = match self.disconnect {
+            Some(disconnect) => unless_disconnected(disconnect, wait).await?,
+            None => wait.await,
+        };
+        self.tried.clear();
+        Some(has_waited)
+    }
+
+    /// Tries one target; `None` if it did not run the request.
+    async fn try_target(
+        &mut self,
+        attempt: &AttemptId,
+        assignment: Assignment,
+    ) -> Option<Dispatched> {
+        self.tried.push(assignment.key());
+        let target = assignment.target().clone();
+        let incarnation = assignment.incarnation();
+        let attempted = self
+            .entry
+            .attempt(self.req, attempt, assignment, self.disconnect)
+            .await;
+        let failure = match attempted {
+            Attempted::Answered(response) => return Some(Dispatched::Answered(response)),
+            Attempted::Cancelled => return Some(Dispatched::Cancelled),
+            Attempted::Shed => {
+                Problem::new(ErrorKind::Overloaded, "every target tried shed the request")
+            }
+            Attempted::NotSent(reason) => {
+                Problem::new(reason.kind(), format!("{target}: {reason:?}"))
+            }
+            Attempted::Unknown { reason, crashed } => {
+                let failure = Problem::new(reason.kind(), format!("{target}: {reason:?}"));
+                self.failure = Some(failure.clone());
+                if crashed {
+                    let report = CrashReport {
+                        request: self.digest,
+                        target,
+                        incarnation,
+                    };
+                    self.entry.report_crash(report).await;
+                }
+                return Some(Dispatched::Unknown(failure));
+            }
+        };
+        self.failure = Some(failure);
+        None
+    }
+
+    fn last_failure(&self) -> Problem {
+        self.failure.clone().unwrap_or_else(no_target)
+    }
+}
+
+fn no_target() -> Problem {
+    Problem::new(ErrorKind::NoTarget, "no target of the service is in use")
+}
--- a/crates/auburnbridge_entry/src/entry.rs
+++ b/crates/auburnbridge_entry/src/entry.rs
@@ -1,39 +1,31 @@
 //! State shared by all requests of an entry, and the path of one request.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use arc_swap::ArcSwapOption;
 use auburnbridge_caller::{Disconnect, Problem, Service};
-use auburnbridge_http::{FramingError, Limits, Request, Response};
+use auburnbridge_http::{Limits, Request, Response};
 use auburnbridge_ledger::{Command, Reply};
 use auburnbridge_metrics::{Counter, Metrics, Timer};
-use auburnbridge_policy::{
-    AccountLimit, AccountLimiter, CrashReport, Observation, PoisonTable, RequestClass,
-};
+use auburnbridge_policy::{AccountLimit, AccountLimiter, CrashReport, PoisonTable};
 use auburnbridge_rules::{Class, Rules};
-use auburnbridge_target::{ExchangeResult, NotSent, Unknown};
 use auburnbridge_types::{
-    AttemptId, BodyDigest, BoxFuture, Clock, ErrorKind, Millis, Revision, Timestamp, VmId,
+    AttemptId, BodyDigest, BoxFuture, Clock, ErrorKind, Revision, Timestamp, VmId,
 };
 use log::info;
 use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
-use crate::fleets::{Assignment, Fleets};
+use crate::fleets::Fleets;
 use crate::ledger_client::{LedgerClient, LedgerUnavailable};
 use crate::request::CallerRequest;
 use crate::target_port::TargetPort;
 use crate::{idempotent, keyed};
 
-/// Header that tells a target which attempt it runs.
-pub const ATTEMPT_HEADER: &str = "Auburnbridge-Attempt";
-/// Header of a target's answer that says that it did not run the request.
-pub const SHED_HEADER: &str = "Auburnbridge-Shed";
-
-/// Time without an answer that counts against a target even if the route allows more.
-const SILENCE: Millis = Millis(1_000);
-
 /// Rules that are in force on this entry.
 #[derive(Debug)]
 pub struct RulesInForce {
@@ -61,48 +53,45 @@
     pub crashes: Arc<dyn CrashReporter>,
     /// Counters and timers.
     pub metrics: Arc<Metrics>,
+    /// Seed of the entry's random choices, which tests repeat.
+    pub seed: u64,
 }
 
 /// An entry's state.
 ///
-/// Lock order: `accounts`, `poison` and the fleets' locks are never held together.
+/// Lock order: `rules_change`, then the fleets' locks. `accounts`, `poison` and `random` are
+/// never held with another lock.
 pub struct Entry {
     pub(crate) ports: Ports,
     pub(crate) fleets: Fleets,
     rules: ArcSwapOption<RulesInForce>,
+    /// Held while rules are put in force, so that the fleets and `rules` change in the same order.
+    rules_change: Mutex<()>,
     accounts: Mutex<AccountLimiter>,
     poison: Mutex<PoisonTable>,
-    answer_limits: Limits,
+    pub(crate) answer_limits: Limits,
     vm: VmId,
     boot: u64,
     attempts: AtomicU64,
-}
-
-/// Result of one exchange with a target.
-pub(crate) enum Attempted {
-    /// The target's whole answer.
-    Answered(Response),
-    /// The target did not run the request, because no slot was free.
-    Shed,
-    /// No byte was written.
-    NotSent(NotSent),
-    /// The request may have run.
-    Unknown { reason: Unknown, crashed: bool },
+    random: Mutex<StdRng>,
 }
 
 impl Entry {
     /// Creates an entry without rules.
     pub fn new(vm: VmId, answer_limits: Limits, ports: Ports) -> Self {
+        let mut random = StdRng::seed_from_u64(ports.seed);
         Self {
-            fleets: Fleets::new(Arc::clone(&ports.metrics)),
+            fleets: Fleets::new(Arc::clone(&ports.metrics), ports.seed),
             ports,
             rules: ArcSwapOption::empty(),
+            rules_change: Mutex::default(),
             accounts: Mutex::default(),
             poison: Mutex::default(),
             answer_limits,
             vm,
-            boot: rand::random(),
+            boot: random.random(),
             attempts: AtomicU64::new(0),
+            random: Mutex::new(random),
         }
     }
 
@@ -123,18 +112,16 @@
 
     /// Puts rules in force unless the ones in force are as new; a revision never reverts.
     pub fn put_in_force(&self, now: Timestamp, new: RulesInForce) -> bool {
+        let _changing = self.rules_change.lock();
         let revision = new.revision;
-        let new = Arc::new(new);
-        let previous = self.rules.rcu(|current| match current {
-            Some(current) if current.revision >= revision => Some(Arc::clone(current)),
-            _ => Some(Arc::clone(&new)),
-        });
-        let is_newer = previous.is_none_or(|previous| previous.revision < revision);
-        if is_newer {
-            self.fleets.apply_rules(now, &new.rules);
-            info!("rules revision={revision} in_force=true");
+        if self.rules().is_some_and(|rules| rules.revision >= revision) {
+            return false;
         }
-        is_newer
+        // The fleets come first, so that no request meets a route without its service.
+        self.fleets.apply_rules(now, &new.rules);
+        self.rules.store(Some(Arc::new(new)));
+        info!("rules revision={revision} in_force=true");
+        true
     }
 
     /// Takes over a crash report of another entry.
@@ -148,6 +135,10 @@
         self.poison.lock().is_poisoned(now, digest)
     }
 
+    pub(crate) fn random_in(&self, range: RangeInclusive<u64>) -> u64 {
+        self.random.lock().random_range(range)
+    }
+
     pub(crate) fn next_attempt(&self) -> AttemptId {
         AttemptId {
             vm: self.vm.clone(),
@@ -236,74 +227,6 @@
         problem.to_response()
     }
 
-    /// Runs one exchange on the assigned target and takes its result as evidence.
-    pub(crate) async fn attempt(
-        &self,
-        req: &CallerRequest,
-        attempt: &AttemptId,
-        assignment: Assignment,
-    ) -> Attempted {
-        let clock = &self.ports.clock;
-        let start = clock.now();
-        let message = outgoing(req, attempt, start);
-        let limits = self
-            .answer_limits
-            .clone()
-            .with_body_bytes(req.route.largest_answer);
-        info!(
-            "routing service={} target={} attempt={attempt} class={} {}",
-            req.route.service,
-            assignment.target(),
-            req.route.class,
-            assignment.figures()
-        );
-        let address = assignment.address();
-        let exchange = self
-            .ports
-            .targets
-            .exchange(
-                address,
-                &message,
-                request_class(req.route.class),
-                &limits,
-                req.deadline,
-            )
-            .await;
-        let now = clock.now();
-        let attempted = match exchange.result {
-            ExchangeResult::Answered(response) if is_shed(&response) => Attempted::Shed,
-            ExchangeResult::Answered(response) => Attempted::Answered(response),
-            ExchangeResult::NotSent(reason) => Attempted::NotSent(reason),
-            ExchangeResult::Unknown {
-                reason,
-                answer_started,
-            } => {
-                let broke = matches!(reason, Unknown::Framing(error) if is_disconnect(error));
-                let crashed = broke
-                    && !answer_started
-                    && self.ports.targets.refuses_connections(address).await;
-                Attempted::Unknown { reason, crashed }
-            }
-        };
-        info!(
-            "exchange service={} target={} attempt={attempt} reused={} time={} result={}",
-            req.route.service,
-            assignment.target(),
-            exchange.reused,
-            now.since(start),
-            attempted.summary()
-        );
-        let service = ("service", req.route.service.as_str());
-        let metrics = &self.ports.metrics;
-        metrics.count(Counter::Exchange, &[service, ("result", attempted.name())]);
-        metrics.time(Timer::ExchangeTime, now.since(start), &[service]);
-        assignment.finish(
-            now,
-            attempted.observation(now.since(start), req.route.timeout),
-        );
-        attempted
-    }
-
     /// Applies a command to the ledger, timed and counted.
     pub(crate) async fn apply(&self, command: Command) -> Result<Reply, LedgerUnavailable> {
         let name: &'static str = (&command).into();
@@ -339,81 +262,3 @@
         Box::pin(self.handle(req, disconnect))
     }
 }
-
-impl Attempted {
-    fn name(&self) -> &'static str {
-        match self {
-            Self::Answered(_) => "answered",
-            Self::Shed => "shed",
-            Self::NotSent(_) => "not-sent",
-            Self::Unknown { .. } => "unknown",
-        }
-    }
-
-    fn summary(&self) -> String {
-        match self {
-            Self::Answered(response) => format!("answered status={}", response.status),
-            Self::Shed => "shed".to_owned(),
-            Self::NotSent(reason) => format!("not-sent reason={reason:?}"),
-            Self::Unknown { reason, crashed } => {
-                format!("unknown reason={reason:?} crashed={crashed}")
-            }
-        }
-    }
-
-    /// What the result says about the target after `time`; the route allows `timeout`.
-    fn observation(&self, time: Millis, timeout: Millis) -> Observation {
-        match self {
-            Self::Answered(response) if response.status >= 500 => Observation::ServerError,
-            Self::Answered(_) => Observation::Answered(time),
-            Self::Shed => Observation::Shed,
-            Self::NotSent(reason) if reason.is_local() => Observation::NotAttributable,
-            Self::NotSent(_) => Observation::ConnectFailed,
-            // A request that crashes targets is no evidence; later refused connections are.
-            Self::Unknown { crashed: true, .. } => Observation::NotAttributable,
-            Self::Unknown { reason, .. } if reason.is_local() => Observation::NotAttributable,
-            // A caller with a short deadline must not make a healthy target look sick.
-            Self::Unknown {
-                reason: Unknown::Deadline,
-                ..
-            } if time < timeout.min(SILENCE) => Observation::NotAttributable,
-            Self::Unknown {
-                reason: Unknown::Deadline,
-                ..
-            } => Observation::TimedOut,
-            Self::Unknown { .. } => Observation::AnswerBroken,
-        }
-    }
-}
-
-fn is_disconnect(error: FramingError) -> bool {
-    matches!(
-        error,
-        FramingError::ClosedBetweenMessages | FramingError::ClosedInHead | FramingError::Io(_)
-    )
-}
-
-fn is_shed(response: &Response) -> bool {
-    response.status == 503 && response.headers.text(SHED_HEADER) == Some("1")
-}
-
-/// The request as it goes to a target.
-fn outgoing(req: &CallerRequest, attempt: &AttemptId, now: Timestamp) -> Request {
-    let mut message = req.message.clone();
-    message.verdict = auburnbridge_http::Verdict::Reuse;
-    let left = req.deadline.since(now);
-    message
-        .headers
-        .set(crate::request::DEADLINE_HEADER, left.0.to_string());
-    message.headers.set(ATTEMPT_HEADER, attempt.to_string());
-    message.headers.append("Via", "1.1 auburnbridge");
-    message
-}
-
-/// The class as decisions about targets know it.
-pub(crate) fn request_class(class: Class) -> RequestClass {
-    match class {
-        Class::Idempotent => RequestClass::Idempotent,
-        Class::Once => RequestClass::Once,
-    }
-}
--- a/crates/auburnbridge_entry/src/fleets.rs
+++ b/crates/auburnbridge_entry/src/fleets.rs
@@ -15,6 +15,8 @@
 use auburnbridge_types::{Incarnation, ServiceName, TargetId, Timestamp};
 use log::{debug, info};
 use parking_lot::{Mutex, RwLock};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 /// Targets and retry budget of one service.
 #[derive(Debug)]
@@ -28,6 +30,7 @@
 struct ServiceState {
     fleet: Fleet,
     retries: RetryBudget,
+    random: StdRng,
 }
 
 /// A target chosen for one request; dropping it without a result counts as no evidence.
@@ -93,11 +96,10 @@
         class: RequestClass,
         exclude: &[TargetKey],
     ) -> Option<Assignment> {
-        let choice = self
-            .state
-            .lock()
-            .fleet
-            .choose(now, class, exclude, &mut rand::rng())?;
+        let choice = {
+            let state = &mut *self.state.lock();
+            state.fleet.choose(now, class, exclude, &mut state.random)?
+        };
         Some(Assignment {
             service: Arc::clone(self),
             choice,
@@ -143,14 +145,16 @@
 pub struct Fleets {
     services: RwLock<HashMap<ServiceName, Arc<ServiceFleet>>>,
     metrics: Arc<Metrics>,
+    seed: u64,
 }
 
 impl Fleets {
-    /// Creates the table without services.
-    pub fn new(metrics: Arc<Metrics>) -> Self {
+    /// Creates the table without services; `seed` is that of the choices of targets.
+    pub fn new(metrics: Arc<Metrics>, seed: u64) -> Self {
         Self {
             services: RwLock::default(),
             metrics,
+            seed,
         }
     }
 
@@ -179,6 +183,7 @@
                     state: Mutex::new(ServiceState {
                         fleet: Fleet::new(policy),
                         retries,
+                        random: StdRng::seed_from_u64(self.seed),
                     }),
                 };
                 services.insert(service.name.clone(), Arc::new(fleet));
--- a/crates/auburnbridge_entry/src/keyed.rs
+++ b/crates/auburnbridge_entry/src/keyed.rs
@@ -4,22 +4,22 @@
 use auburnbridge_caller::Problem;
 use auburnbridge_http::{Connection, Limits, RequestInfo, Response, Verdict, encode_response};
 use auburnbridge_ledger::{Command, LedgerKey, MAX_ANSWER, Reply, StoredAnswer};
-use auburnbridge_policy::TargetKey;
 use auburnbridge_types::{AttemptId, ByteSize, ErrorKind};
 use log::{info, warn};
 
 use crate::backoff::Backoff;
-use crate::entry::{Attempted, Entry, request_class};
+use crate::dispatch::{Dispatched, Dispatcher};
+use crate::entry::Entry;
 use crate::request::CallerRequest;
 
 /// Header of an answer that was stored by an earlier attempt.
-const REPLAYED_HEADER: &str = "Auburnbridge-Replayed";
+pub(crate) const REPLAYED_HEADER: &str = "Auburnbridge-Replayed";
 
 /// Serves a keyed request. It goes on when its caller disconnects, so that a resend gets the answer.
 pub(crate) async fn serve(entry: &Entry, req: &CallerRequest) -> Result<Response, Problem> {
     match acquire(entry, req).await {
         Ok(Grant::Held { key, attempt }) => run_granted(entry, req, key, attempt).await,
-        Ok(Grant::Replay(answer)) => replay(&answer).await,
+        Ok(Grant::Replay(answer)) => replay(&answer, RequestInfo::from(&req.message)).await,
         Err(problem) => Err(problem),
     }
 }
@@ -33,7 +33,6 @@
 
 /// Asks the ledger for the permission to dispatch; waits while another attempt is in progress.
 async fn acquire(entry: &Entry, req: &CallerRequest) -> Result<Grant, Problem> {
-    let clock = &entry.ports.clock;
     let key = LedgerKey {
         idempotency_key: req.key.expect("routes of the class `once` need a key"),
         account: req.account.clone(),
@@ -61,7 +60,7 @@
         let kind = match reply {
             Reply::Granted => return Ok(Grant::Held { key, attempt }),
             Reply::Answered(answer) => return Ok(Grant::Replay(answer)),
-            Reply::InProgress if backoff.wait(clock.as_ref(), req.deadline).await => continue,
+            Reply::InProgress if backoff.wait(entry, req.deadline).await => continue,
             Reply::InProgress => ErrorKind::KeyInProgress,
             Reply::Unknown => ErrorKind::KeyOutcomeUnknown,
             Reply::BodyMismatch => ErrorKind::KeyReused,
@@ -79,14 +78,18 @@
     }
 }
 
-/// Dispatches a granted request to one target after the other until one may have run it.
+/// Runs a granted request at most once.
 async fn run_granted(
     entry: &Entry,
     req: &CallerRequest,
     key: LedgerKey,
     attempt: AttemptId,
 ) -> Result<Response, Problem> {
-    match dispatch(entry, req, &attempt).await {
+    let dispatched = match Dispatcher::new(entry, req, None) {
+        Ok(mut dispatcher) => dispatcher.dispatch(|| attempt.clone()).await,
+        Err(problem) => Dispatched::NotRun(problem),
+    };
+    match dispatched {
         Dispatched::Answered(response) => {
             conclude(entry, req, key, attempt, &response).await;
             Ok(response)
@@ -101,53 +104,7 @@
             settle(entry, Command::Abandon { key, attempt }).await;
             Err(problem)
         }
-    }
-}
-
-enum Dispatched {
-    Answered(Response),
-    NotRun(Problem),
-    Unknown(Problem),
-}
-
-async fn dispatch(entry: &Entry, req: &CallerRequest, attempt: &AttemptId) -> Dispatched {
-    let clock = &entry.ports.clock;
-    let no_target = || Problem::new(ErrorKind::NoTarget, "no target of the service is in use");
-    let Some(service) = entry.fleets.get(&req.route.service) else {
-        return Dispatched::NotRun(no_target());
-    };
-    let class = request_class(req.route.class);
-    let mut excluded: Vec<TargetKey> = Vec::new();
-    let mut failure = no_target();
-    let mut backoff = Backoff::after_shed();
-    loop {
-        if clock.now() >= req.deadline {
-            let detail = "the deadline passed before the request was sent";
-            return Dispatched::NotRun(Problem::new(ErrorKind::DeadlineBeforeDispatch, detail));
-        }
-        let Some(assignment) = service.choose(clock.now(), class, &excluded) else {
-            if !backoff.wait(clock.as_ref(), req.deadline).await {
-                return Dispatched::NotRun(failure);
-            }
-            excluded.clear();
-            continue;
-        };
-        excluded.push(assignment.key());
-        let target = assignment.target().clone();
-        match entry.attempt(req, attempt, assignment).await {
-            Attempted::Answered(response) => return Dispatched::Answered(response),
-            Attempted::Shed => {
-                failure =
-                    Problem::new(ErrorKind::Overloaded, "every target tried shed the request");
-            }
-            Attempted::NotSent(reason) => {
-                failure = Problem::new(reason.kind(), format!("{target}: {reason:?}"));
-            }
-            Attempted::Unknown { reason, .. } => {
-                let detail = format!("{target}: {reason:?}");
-                return Dispatched::Unknown(Problem::new(reason.kind(), detail));
-            }
-        }
+        Dispatched::Cancelled => unreachable!("a keyed request goes on without its caller"),
     }
 }
 
@@ -186,7 +143,7 @@
 }
 
 /// The stored answer of an earlier attempt.
-async fn replay(answer: &StoredAnswer) -> Result<Response, Problem> {
+async fn replay(answer: &StoredAnswer, info: RequestInfo) -> Result<Response, Problem> {
     let StoredAnswer::Whole(bytes) = answer else {
         let detail = "the answer was too large to store";
         return Err(Problem::new(ErrorKind::AnswerNotKept, detail));
@@ -197,10 +154,7 @@
         .with_headers(128)
         .with_head_bytes(ByteSize(2 * MAX_ANSWER.0))
         .with_body_bytes(MAX_ANSWER);
-    match connection
-        .read_response(RequestInfo::default(), &limits)
-        .await
-    {
+    match connection.read_response(info, &limits).await {
         Ok(mut response) => {
             response.headers.set(REPLAYED_HEADER, "true");
             Ok(response)
--- a/crates/auburnbridge_entry/src/lib.rs
+++ b/crates/auburnbridge_entry/src/lib.rs
@@ -1,6 +1,8 @@
 //! The entry role: assembles the request path.
 
+mod attempt;
 mod backoff;
+mod dispatch;
 mod entry;
 mod fleets;
 mod idempotent;
@@ -14,7 +16,8 @@
 mod server;
 mod target_port;
 
-pub use entry::{ATTEMPT_HEADER, CrashReporter, Entry, Ports, RulesInForce, SHED_HEADER};
+pub use attempt::{ATTEMPT_HEADER, SHED_HEADER};
+pub use entry::{CrashReporter, Entry, Ports, RulesInForce};
 pub use fleets::{Assignment, Fleets, ServiceFleet};
 pub use keeper_client::KeeperClient;
 pub use ledger_client::{LedgerClient, LedgerUnavailable};
--- a/crates/auburnbridge_entry/src/request.rs
+++ b/crates/auburnbridge_entry/src/request.rs
@@ -40,8 +40,7 @@
     /// Reads a request against the rules.
     pub fn read(message: Request, rules: &Rules, now: Timestamp) -> Result<Self, Problem> {
         // An entry with other rules may have run an earlier attempt.
-        let may_be_resend = message.headers.get(KEY_HEADER).is_some()
-            && message.headers.text(PREVIOUS_ATTEMPTS_HEADER) != Some("0");
+        let may_be_resend = message.headers.get(KEY_HEADER).is_some() && !is_first_send(&message);
         Self::read_parts(message, rules, now).map_err(|problem| {
             if may_be_resend {
                 problem.for_possible_resend()
@@ -124,6 +123,12 @@
     }
 }
 
+/// Whether the caller states that it sent the request never before; a doubled header states nothing.
+fn is_first_send(message: &Request) -> bool {
+    let mut values = message.headers.get_all(PREVIOUS_ATTEMPTS_HEADER);
+    values.next() == Some(b"0") && values.next().is_none()
+}
+
 fn header<T: std::str::FromStr<Err: std::fmt::Display>>(
     message: &Request,
     name: &'static str,
--- a/crates/auburnbridge_entry/src/run.rs
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -129,6 +129,7 @@
             targets: Arc::clone(&pool) as Arc<dyn crate::TargetPort>,
             crashes: Arc::clone(&neighbours) as Arc<dyn crate::CrashReporter>,
             metrics: Arc::new(Metrics::new(options.metrics_address).change_context(EntryError)?),
+            seed: rand::random(),
         };
         let answer_limits = Limits::default().with_budget(budget.clone());
         let entry = Arc::new(Entry::new(options.vm.clone(), answer_limits, ports));
--- a/crates/auburnbridge_entry/src/target_port.rs
+++ b/crates/auburnbridge_entry/src/target_port.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_std::net::TcpStream;
-use async_std::task;
+use async_std::{future, task};
 use auburnbridge_http::{Limits, Request};
 use auburnbridge_policy::RequestClass;
 use auburnbridge_target::{Exchange, Pool};
@@ -19,6 +19,9 @@
     Duration::from_millis(80),
 ];
 
+/// Time for one check; a VM that is gone answers a connection attempt with nothing at all.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Sends single requests to targets.
 pub trait TargetPort: Send + Sync {
     /// Sends `req` to `address`; dropping the future cancels the exchange.
@@ -57,8 +60,10 @@
         Box::pin(async move {
             for wait in CRASH_CHECKS {
                 task::sleep(wait).await;
-                let connected = TcpStream::connect(address).await;
-                if connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused) {
+                let connect = future::timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(address));
+                if let Ok(Err(error)) = connect.await
+                    && error.kind() == ErrorKind::ConnectionRefused
+                {
                     return true;
                 }
             }
--- /dev/null
+++ b/crates/auburnbridge_entry/tests/request_path/fakes.rs
@@ -0,0 +1,349 @@
+//! Fakes of the ledger, the targets and the other entries, which reach the planned faults.
+
+use std::collections::{HashSet, VecDeque};
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::task::Poll;
+
+use auburnbridge_entry::{CrashReporter, Entry, LedgerClient, LedgerUnavailable, TargetPort};
+use auburnbridge_http::{FramingError, Limits, Request, Response};
+use auburnbridge_ledger::{Command, Ledger, Reply};
+use auburnbridge_policy::{CrashReport, RequestClass};
+use auburnbridge_target::{Exchange, ExchangeResult, NotSent, Unknown};
+use auburnbridge_types::{BoxFuture, Clock, Millis, PausedClock, Timestamp};
+use futures_lite::FutureExt;
+use parking_lot::Mutex;
+
+use crate::fault::{Fault, Step};
+
+/// Header with the position of a send among those of its caller.
+pub const SEND_HEADER: &str = "X-Send";
+
+/// What the fakes share: one ledger, one set of targets, and the faults that are to happen.
+pub struct World {
+    pub clock: PausedClock,
+    pub state: Mutex<WorldState>,
+}
+
+#[derive(Default)]
+pub struct WorldState {
+    pub ledger: Ledger,
+    pub ledger_is_down: bool,
+    /// The faults to come; each is armed once the one before it has happened.
+    pub plan: VecDeque<(Step, Fault)>,
+    /// The send whose future is being polled.
+    pub polled_send: usize,
+    /// External faults that were reached and are not carried out yet.
+    pub reached: VecDeque<Reached>,
+    released: Vec<bool>,
+    /// Every execution at a target.
+    pub executions: Vec<Execution>,
+    /// Targets that refuse connections.
+    pub crashed: HashSet<SocketAddr>,
+    /// Requests whose execution ends the target's process.
+    pub crashing_bodies: HashSet<Vec<u8>>,
+    /// Whether every target breaks its answer.
+    pub breaks_every_answer: bool,
+    /// A header of every whole answer.
+    pub answer_header: Option<(&'static str, &'static str)>,
+    /// Whether the question if a target refuses connections stays open.
+    pub crash_check_is_held: bool,
+    /// Exchanges that were started.
+    pub exchanges: usize,
+    /// Exchanges that were started at or after their deadline.
+    pub late_exchanges: usize,
+    /// Seed of the random choices of all entries.
+    pub seed: u64,
+    pub entries_started: u64,
+    /// The entries that get crash reports.
+    pub entries: Vec<Arc<Entry>>,
+}
+
+/// The clock of an entry, whose backoff passes the step of choosing a target again.
+pub struct EntryClock(pub Arc<World>);
+
+/// Longer sleeps wait for a deadline rather than for another try.
+const LONGEST_BACKOFF: Millis = Millis(640);
+
+impl Clock for EntryClock {
+    fn now(&self) -> Timestamp {
+        self.0.clock.now()
+    }
+
+    fn sleep(&self, duration: Millis) -> BoxFuture<'static, ()> {
+        let sleep = self.0.clock.sleep(duration);
+        let world = Arc::clone(&self.0);
+        Box::pin(async move {
+            if duration <= LONGEST_BACKOFF {
+                world.pass(Step::ChooseTarget).await;
+            }
+            sleep.await;
+        })
+    }
+}
+
+/// One run of a request at a target.
+pub struct Execution {
+    pub body: Vec<u8>,
+    /// Position of the send among those of its caller.
+    pub send: usize,
+}
+
+/// An external fault whose step waits for [`World::release`].
+#[derive(Clone, Copy, Debug)]
+pub struct Reached {
+    pub send: usize,
+    pub step: Step,
+    pub fault: Fault,
+    pub ticket: usize,
+}
+
+impl World {
+    pub fn new(now: Timestamp, plan: &[(Step, Fault)]) -> Arc<Self> {
+        let state = WorldState {
+            plan: plan.iter().copied().collect(),
+            ..WorldState::default()
+        };
+        Arc::new(Self {
+            clock: PausedClock::new(now),
+            state: Mutex::new(state),
+        })
+    }
+
+    fn take_fault(&self, step: Step) -> Option<Fault> {
+        let mut state = self.state.lock();
+        let (_, fault) = state.plan.pop_front_if(|(planned, _)| *planned == step)?;
+        Some(fault)
+    }
+
+    /// Passes a step: waits for an external fault and gives one that the fake has to carry out.
+    pub async fn pass(&self, step: Step) -> Option<Fault> {
+        let fault = self.take_fault(step)?;
+        if fault.is_external() {
+            self.wait_for_release(step, fault).await;
+            return None;
+        }
+        Some(fault)
+    }
+
+    async fn wait_for_release(&self, step: Step, fault: Fault) {
+        let ticket = {
+            let mut state = self.state.lock();
+            let ticket = state.released.len();
+            let send = state.polled_send;
+            state.released.push(false);
+            state.reached.push_back(Reached {
+                send,
+                step,
+                fault,
+                ticket,
+            });
+            ticket
+        };
+        poll_fn(|_| {
+            if self.state.lock().released[ticket] {
+                Poll::Ready(())
+            } else {
+                Poll::Pending
+            }
+        })
+        .await;
+    }
+
+    pub fn release(&self, ticket: usize) {
+        self.state.lock().released[ticket] = true;
+    }
+}
+
+impl LedgerClient for World {
+    fn apply(&self, command: Command) -> BoxFuture<'_, Result<Reply, LedgerUnavailable>> {
+        Box::pin(async move {
+            let no_reply = || {
+                Err(LedgerUnavailable {
+                    reason: "the keepers gave no reply".to_owned(),
+                })
+            };
+            if self.state.lock().ledger_is_down {
+                return no_reply();
+            }
+            let step = match command {
+                Command::Grant { .. } => Step::LedgerGrant,
+                _ => Step::StoreAnswer,
+            };
+            let fault = self.take_fault(step);
+            match fault {
+                Some(Fault::NoQuorumBefore) => {
+                    self.state.lock().ledger_is_down = true;
+                    return no_reply();
+                }
+                Some(Fault::Slow) => self.wait_for_release(step, Fault::Slow).await,
+                _ => {}
+            }
+            let now = self.clock.now();
+            let reply = self.state.lock().ledger.apply(now, command);
+            match fault {
+                Some(Fault::NoQuorumAfter) => {
+                    self.state.lock().ledger_is_down = true;
+                    no_reply()
+                }
+                Some(Fault::LedgerReplyLost) => no_reply(),
+                Some(fault) if fault != Fault::Slow => {
+                    self.wait_for_release(step, fault).await;
+                    Ok(reply)
+                }
+                _ => Ok(reply),
+            }
+        })
+    }
+}
+
+impl World {
+    /// The exchange without its deadline. The request counts as run from its first byte on, which
+    /// is the worst case for a request that must run at most once.
+    async fn run_exchange(
+        &self,
+        address: SocketAddr,
+        req: &Request,
+        deadline: Timestamp,
+    ) -> ExchangeResult {
+        match self.pass(Step::Connect).await {
+            Some(Fault::TargetCrashes) => {
+                self.state.lock().crashed.insert(address);
+            }
+            Some(Fault::CutOneWay) => return ExchangeResult::NotSent(NotSent::ConnectTimeout),
+            _ => {}
+        }
+        if self.state.lock().crashed.contains(&address) {
+            return ExchangeResult::NotSent(NotSent::Refused);
+        }
+        if self.clock.now() >= deadline {
+            return ExchangeResult::NotSent(NotSent::Deadline);
+        }
+        match self.next_fault() {
+            Some((Step::Write, Fault::Shed)) => {
+                self.take_fault(Step::Write);
+                return ExchangeResult::Answered(shed());
+            }
+            // Only a request that every target shed waits to choose again.
+            Some((Step::ChooseTarget, _)) => return ExchangeResult::Answered(shed()),
+            _ => {}
+        }
+        let run = self.execute(req);
+        let is_poison = self.state.lock().crashing_bodies.contains(&*req.body);
+        for step in [Step::Write, Step::Wait, Step::ReadAnswer] {
+            let answer_started = step == Step::ReadAnswer;
+            let error = match self.pass(step).await {
+                Some(Fault::TargetCrashes) => {
+                    self.state.lock().crashed.insert(address);
+                    FramingError::ClosedInHead
+                }
+                Some(Fault::CutOneWay) => std::future::pending().await,
+                Some(Fault::HalfAnswer) => FramingError::ClosedInBody,
+                _ if is_poison => {
+                    self.state.lock().crashed.insert(address);
+                    FramingError::ClosedBetweenMessages
+                }
+                _ if self.state.lock().breaks_every_answer => FramingError::ClosedInBody,
+                _ => continue,
+            };
+            return ExchangeResult::Unknown {
+                reason: Unknown::Framing(error),
+                answer_started: answer_started || error == FramingError::ClosedInBody,
+            };
+        }
+        let mut response = Response::new(200);
+        if let Some((name, value)) = self.state.lock().answer_header {
+            response.headers.append(name, value);
+        }
+        if req.method == "HEAD" {
+            response.announced_length = Some(answer_to(&req.body, run).len() as u64);
+        } else {
+            response.body = answer_to(&req.body, run).into();
+        }
+        ExchangeResult::Answered(response)
+    }
+
+    fn next_fault(&self) -> Option<(Step, Fault)> {
+        self.state.lock().plan.front().copied()
+    }
+
+    /// Runs the request; gives the number of its run.
+    fn execute(&self, req: &Request) -> usize {
+        let send = req.headers.text(SEND_HEADER).unwrap().parse().unwrap();
+        let body = req.body.to_vec();
+        let mut state = self.state.lock();
+        state.executions.push(Execution { body, send });
+        state.executions.len()
+    }
+}
+
+/// The body of the answer to a request with `body` by its run number `run`.
+pub fn answer_to(body: &[u8], run: usize) -> Vec<u8> {
+    format!("answer to {} of run {run}", body.escape_ascii()).into_bytes()
+}
+
+fn shed() -> Response {
+    let mut response = Response::new(503);
+    response
+        .headers
+        .append(auburnbridge_entry::SHED_HEADER, "1");
+    response
+}
+
+impl TargetPort for World {
+    fn exchange<'a>(
+        &'a self,
+        address: SocketAddr,
+        req: &'a Request,
+        _class: RequestClass,
+        _limits: &'a Limits,
+        deadline: Timestamp,
+    ) -> BoxFuture<'a, Exchange> {
+        Box::pin(async move {
+            let now = self.clock.now();
+            let executions_before = {
+                let mut state = self.state.lock();
+                state.exchanges += 1;
+                state.late_exchanges += usize::from(now >= deadline);
+                state.executions.len()
+            };
+            let late = async {
+                self.clock.sleep(deadline.since(now)).await;
+                if self.state.lock().executions.len() == executions_before {
+                    return ExchangeResult::NotSent(NotSent::Deadline);
+                }
+                ExchangeResult::Unknown {
+                    reason: Unknown::Deadline,
+                    answer_started: false,
+                }
+            };
+            let result = self.run_exchange(address, req, deadline).or(late).await;
+            Exchange {
+                result,
+                reused: false,
+            }
+        })
+    }
+
+    fn refuses_connections(&self, address: SocketAddr) -> BoxFuture<'_, bool> {
+        Box::pin(poll_fn(move |_| {
+            let state = self.state.lock();
+            if state.crash_check_is_held {
+                return Poll::Pending;
+            }
+            Poll::Ready(state.crashed.contains(&address))
+        }))
+    }
+}
+
+impl CrashReporter for World {
+    fn report(&self, report: CrashReport) -> BoxFuture<'_, ()> {
+        Box::pin(async move {
+            let entries = self.state.lock().entries.clone();
+            for entry in entries {
+                entry.record_crash(report.clone());
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_entry/tests/request_path/fault.rs
@@ -0,0 +1,106 @@
+//! The steps of the request path and the faults that can happen at them.
+
+use strum::{Display, EnumIter};
+
+/// A step of the request path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Step {
+    Accept,
+    ReadRequest,
+    RuleLookup,
+    AccountLimit,
+    LedgerGrant,
+    ChooseTarget,
+    Connect,
+    Write,
+    Wait,
+    ReadAnswer,
+    StoreAnswer,
+    Reply,
+    Stop,
+}
+
+/// A fault at one step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Fault {
+    /// The entry dies; the caller resends through the other one.
+    Killed,
+    /// The entry stands still until the deadline is over; the caller resends meanwhile.
+    Frozen,
+    /// The ledger applies the command, and its reply is lost.
+    LedgerReplyLost,
+    /// The ledger refuses this command and all that follow.
+    NoQuorumBefore,
+    /// The ledger applies the command, gives no reply and refuses all that follow.
+    NoQuorumAfter,
+    /// What is sent arrives, and nothing comes back.
+    CutOneWay,
+    /// A ledger command arrives after the caller's resend; a target takes half of the timeout.
+    Slow,
+    /// The target closes in the middle of its answer.
+    HalfAnswer,
+    /// The target has no free slot.
+    Shed,
+    /// The target's process ends.
+    TargetCrashes,
+    /// Every target announces that it leaves, and a new one arrives.
+    TargetLeaves,
+    /// The caller closes its connection and resends through the other entry.
+    CallerDisconnects,
+    /// The caller resends through the other entry without waiting.
+    ResendAtOnce,
+}
+
+impl Fault {
+    /// Whether the scenario carries the fault out, rather than the fake that reached the step.
+    pub fn is_external(self) -> bool {
+        matches!(
+            self,
+            Self::Killed
+                | Self::Frozen
+                | Self::Slow
+                | Self::TargetLeaves
+                | Self::CallerDisconnects
+                | Self::ResendAtOnce
+        )
+    }
+}
+
+/// Why a fault can't happen at a step, or has no effect of its own there; `None` if it is run.
+pub fn reason_not_run(step: Step, fault: Fault) -> Option<&'static str> {
+    match step {
+        Step::ReadRequest => return Some("auburnbridge_caller hands over whole requests only"),
+        Step::RuleLookup | Step::AccountLimit => {
+            return Some("no await: the same as the fault at accept or at the next step");
+        }
+        Step::Stop => return Some("auburnbridge_caller counts requests in flight and ends them"),
+        _ => {}
+    }
+    let sends_command = matches!(step, Step::LedgerGrant | Step::StoreAnswer);
+    let has_target = matches!(
+        step,
+        Step::Connect | Step::Write | Step::Wait | Step::ReadAnswer
+    );
+    match fault {
+        Fault::LedgerReplyLost | Fault::NoQuorumBefore | Fault::NoQuorumAfter => {
+            (!sends_command).then_some("the step sends no ledger command")
+        }
+        Fault::CutOneWay => match step {
+            Step::LedgerGrant | Step::StoreAnswer => Some("the same as the loss of the reply"),
+            Step::ChooseTarget => Some("nothing is sent at this step"),
+            Step::Accept => Some("the same as a cut at the reply"),
+            _ => None,
+        },
+        Fault::Slow => (step == Step::Reply).then_some("the same as a frozen entry at the reply"),
+        Fault::HalfAnswer => (!matches!(step, Step::Wait | Step::ReadAnswer))
+            .then_some("the target's answer has not begun or is whole"),
+        Fault::Shed => (step != Step::Write).then_some("a target sheds when it gets the request"),
+        Fault::TargetCrashes => (!has_target).then_some("no target holds the request"),
+        Fault::TargetLeaves => {
+            (step == Step::Reply).then_some("the target has no further part in the request")
+        }
+        Fault::Killed | Fault::Frozen | Fault::CallerDisconnects | Fault::ResendAtOnce => None,
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_entry/tests/request_path/main.rs
@@ -0,0 +1,8 @@
+//! The request path of an entry over fakes of the ledger, the targets and the other entries.
+
+mod crashes_and_retries;
+mod fakes;
+mod fault;
+mod fault_matrix;
+mod headers;
+mod scenario;
--- /dev/null
+++ b/crates/auburnbridge_entry/tests/request_path/scenario.rs
@@ -0,0 +1,400 @@
+//! A caller that sends one request through two entries while planned faults happen.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, LazyLock};
+use std::task::{Context, Poll, Waker};
+
+use auburnbridge_caller::{Disconnect, DisconnectSignal, OUTCOME_HEADER, Service};
+use auburnbridge_entry::{
+    DEADLINE_HEADER, Entry, KEY_HEADER, PREVIOUS_ATTEMPTS_HEADER, Ports, RulesInForce,
+};
+use auburnbridge_http::{Limits, Request, Response};
+use auburnbridge_metrics::Metrics;
+use auburnbridge_policy::{Member, Presence};
+use auburnbridge_rules::Rules;
+use auburnbridge_types::{
+    Clock, IdempotencyKey, Incarnation, Millis, Revision, ServiceName, Slots, Timestamp,
+};
+use strum::{Display, EnumIter};
+
+use crate::fakes::{EntryClock, Reached, SEND_HEADER, World, answer_to};
+use crate::fault::{Fault, Step};
+
+pub const START: Timestamp = Timestamp(1_700_000_000_000);
+pub const TIMEOUT: Millis = Millis(2_000);
+const PAST_DEADLINE: Millis = Millis(2_500);
+const SLOW: Millis = Millis(1_200);
+const TICK: Millis = Millis(50);
+/// Clock steps after which a scenario without an answer has failed.
+const TICK_LIMIT: usize = 400;
+/// Polls of each future after which nothing moves without the clock.
+const POLLS: usize = 4;
+const SENDS: usize = 3;
+const ENTRIES: usize = 2;
+const RULES: &str = "\
+service stock slots-floor 1 slots-per-target 3 ejection careful # asked by the tests
+route GET /bins/* to stock idempotent timeout 2s # asked by the tests
+route POST /slips to stock once timeout 2s # asked by the tests
+route HEAD /slips to stock once timeout 2s # asked by the tests
+account default limit 5000/s burst 5000 # asked by the tests
+";
+
+/// What the caller sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Caller {
+    /// A keyed request, with the number of the earlier sends.
+    Numbered,
+    /// A keyed request.
+    Unnumbered,
+    /// An idempotent request.
+    Idempotent,
+}
+
+/// What the caller of one send knows of its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    Nothing,
+    Response(Response),
+}
+
+struct SendState {
+    entry: usize,
+    /// `None` once the send has ended.
+    future: Option<Pin<Box<dyn Future<Output = Option<Response>>>>>,
+    disconnect: Option<DisconnectSignal>,
+    told: Option<Told>,
+}
+
+/// The run of one request.
+pub struct Scenario {
+    pub world: Arc<World>,
+    pub entries: Vec<Arc<Entry>>,
+    caller: Caller,
+    body: Vec<u8>,
+    key: IdempotencyKey,
+    sends: Vec<SendState>,
+    frozen: Vec<usize>,
+}
+
+pub fn rules() -> Arc<Rules> {
+    static PARSED: LazyLock<Arc<Rules>> = LazyLock::new(|| Arc::new(Rules::parse(RULES).unwrap()));
+    Arc::clone(&PARSED)
+}
+
+pub fn stock() -> ServiceName {
+    "stock".parse().unwrap()
+}
+
+pub fn member(number: u16) -> Member {
+    Member {
+        id: format!("target-{number}").parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], number)),
+        data_centre: "north".parse().unwrap(),
+        incarnation: Incarnation(1),
+        slots: Slots(3),
+        presence: Presence::Ready,
+    }
+}
+
+pub fn start_entry(world: &Arc<World>, targets: &[Member]) -> Arc<Entry> {
+    let seed = {
+        let mut state = world.state.lock();
+        state.entries_started += 1;
+        state.seed + state.entries_started
+    };
+    let ports = Ports {
+        clock: Arc::new(EntryClock(Arc::clone(world))),
+        ledger: Arc::clone(world) as _,
+        targets: Arc::clone(world) as _,
+        crashes: Arc::clone(world) as _,
+        metrics: Arc::new(Metrics::new(None).unwrap()),
+        seed,
+    };
+    let entry = Entry::new("entry".parse().unwrap(), Limits::default(), ports);
+    let now = world.clock.now();
+    let in_force = RulesInForce {
+        revision: Revision(1),
+        rules: rules(),
+    };
+    assert!(entry.put_in_force(now, in_force));
+    entry.fleets().update(now, &stock(), targets);
+    Arc::new(entry)
+}
+
+/// Polls a future once, without a waker: the scenario polls until nothing moves.
+pub fn poll<T>(future: &mut Pin<Box<dyn Future<Output = T>>>) -> Option<T> {
+    match future
+        .as_mut()
+        .poll(&mut Context::from_waker(Waker::noop()))
+    {
+        Poll::Ready(value) => Some(value),
+        Poll::Pending => None,
+    }
+}
+
+impl Scenario {
+    pub fn new(caller: Caller, plan: &[(Step, Fault)]) -> Self {
+        let world = World::new(START, plan);
+        let targets = [member(1), member(2)];
+        let entries: Vec<_> = (0..ENTRIES)
+            .map(|_| start_entry(&world, &targets))
+            .collect();
+        world.state.lock().entries.clone_from(&entries);
+        Self {
+            world,
+            entries,
+            caller,
+            body: b"slip 7".to_vec(),
+            key: IdempotencyKey::from_parts(START, [7; 10]),
+            sends: Vec::new(),
+            frozen: Vec::new(),
+        }
+    }
+
+    fn request(&self, send: usize) -> Request {
+        let mut req = match self.caller {
+            Caller::Numbered | Caller::Unnumbered => Request::new("POST", "/slips"),
+            Caller::Idempotent => Request::new("GET", "/bins/7"),
+        };
+        req.body = self.body.clone().into();
+        req.headers.append(SEND_HEADER, send.to_string());
+        req.headers.append(DEADLINE_HEADER, TIMEOUT.0.to_string());
+        if self.caller != Caller::Idempotent {
+            req.headers.append(KEY_HEADER, self.key.to_string());
+        }
+        if self.caller == Caller::Numbered {
+            req.headers
+                .append(PREVIOUS_ATTEMPTS_HEADER, send.to_string());
+        }
+        req
+    }
+
+    /// Sends the request through an entry, as often as the caller does at most.
+    pub fn send(&mut self, entry: usize) {
+        if self.sends.len() >= SENDS {
+            return;
+        }
+        let req = self.request(self.sends.len());
+        let (signal, disconnect) = Disconnect::new();
+        let world = Arc::clone(&self.world);
+        let server = Arc::clone(&self.entries[entry]);
+        let caller = SocketAddr::from(([127, 0, 0, 1], 9));
+        let future = async move {
+            world.pass(Step::Accept).await;
+            let response = server.respond(req, caller, disconnect).await;
+            let cut = world.pass(Step::Reply).await;
+            (cut != Some(Fault::CutOneWay)).then_some(response)
+        };
+        self.sends.push(SendState {
+            entry,
+            future: Some(Box::pin(future)),
+            disconnect: Some(signal),
+            told: None,
+        });
+    }
+
+    /// Resends through the entry that the send did not go through.
+    pub fn resend(&mut self, send: usize) {
+        self.send(ENTRIES - 1 - self.sends[send].entry);
+    }
+
+    /// Runs the request and its resends to their ends.
+    pub fn run(mut self) -> Self {
+        self.send(0);
+        for _ in 0..TICK_LIMIT {
+            self.run_until_idle();
+            if self.sends.iter().all(|send| send.future.is_none()) {
+                // Nothing may run later on.
+                self.world.clock.advance(Millis(60_000));
+                return self;
+            }
+            self.world.clock.advance(TICK);
+        }
+        panic!("a send got no answer in {TICK_LIMIT} ticks of {TICK}");
+    }
+
+    /// Runs until only the clock can move anything.
+    pub fn run_until_idle(&mut self) {
+        loop {
+            let sends = self.sends.len();
+            for _ in 0..POLLS {
+                self.poll_sends();
+            }
+            let reached = self.world.state.lock().reached.pop_front();
+            match reached {
+                Some(reached) => self.carry_out(reached),
+                None if self.sends.len() == sends => return,
+                None => {}
+            }
+        }
+    }
+
+    fn poll_sends(&mut self) {
+        for at in 0..self.sends.len() {
+            if self.frozen.contains(&self.sends[at].entry) {
+                continue;
+            }
+            let Some(future) = &mut self.sends[at].future else {
+                continue;
+            };
+            self.world.state.lock().polled_send = at;
+            if let Some(response) = poll(future) {
+                self.end(at, response);
+            }
+        }
+    }
+
+    fn end(&mut self, at: usize, response: Option<Response>) {
+        self.world.state.lock().ledger_is_down = false;
+        let send = &mut self.sends[at];
+        send.future = None;
+        send.told
+            .get_or_insert(response.map_or(Told::Nothing, Told::Response));
+        let is_known = self.sends.iter().any(|send| match &send.told {
+            Some(Told::Response(response)) => {
+                response.headers.text(OUTCOME_HEADER) != Some("unknown")
+            }
+            Some(Told::Nothing) | None => false,
+        });
+        let is_last = at + 1 == self.sends.len();
+        if is_last && !is_known {
+            self.resend(at);
+        }
+    }
+
+    /// Kills an entry with all its requests; another process takes its place.
+    pub fn kill(&mut self, entry: usize) {
+        for send in self.sends.iter_mut().filter(|send| send.entry == entry) {
+            if send.future.take().is_some() {
+                send.told.get_or_insert(Told::Nothing);
+            }
+        }
+        self.entries[entry] = start_entry(&self.world, &[member(1), member(2)]);
+        self.world.state.lock().entries.clone_from(&self.entries);
+    }
+
+    fn carry_out(&mut self, reached: Reached) {
+        let send = reached.send;
+        let entry = self.sends[send].entry;
+        let is_ledger = matches!(reached.step, Step::LedgerGrant | Step::StoreAnswer);
+        match reached.fault {
+            Fault::Killed => {
+                self.kill(entry);
+                self.resend(send);
+            }
+            Fault::Frozen => {
+                self.frozen.push(entry);
+                self.world.clock.advance(PAST_DEADLINE);
+                self.resend(send);
+                self.run_until_idle();
+                self.frozen.retain(|frozen| *frozen != entry);
+            }
+            Fault::Slow if is_ledger => {
+                self.resend(send);
+                self.run_until_idle();
+            }
+            Fault::Slow => self.world.clock.advance(SLOW),
+            Fault::TargetLeaves => {
+                let now = self.world.clock.now();
+                for entry in &self.entries {
+                    entry.fleets().update(now, &stock(), &[member(3)]);
+                }
+            }
+            Fault::CallerDisconnects => {
+                if let Some(signal) = self.sends[send].disconnect.take() {
+                    signal.report();
+                }
+                self.sends[send].told = Some(Told::Nothing);
+                self.resend(send);
+            }
+            Fault::ResendAtOnce => self.resend(send),
+            fault => unreachable!("{fault} is carried out by the fake that reaches it"),
+        }
+        self.world.release(reached.ticket);
+    }
+
+    /// Checks what holds for every request whatever happens.
+    pub fn check(&self) -> Result<(), String> {
+        let state = self.world.state.lock();
+        let runs = state.executions.len();
+        if self.caller != Caller::Idempotent && runs > 1 {
+            return Err(format!("a keyed request ran {runs} times"));
+        }
+        if state.late_exchanges > 0 {
+            return Err("a request was dispatched after its deadline".to_owned());
+        }
+        for (at, send) in self.sends.iter().enumerate() {
+            let Some(Told::Response(response)) = &send.told else {
+                continue;
+            };
+            match response.headers.text(OUTCOME_HEADER) {
+                None => {
+                    let is_whole =
+                        (1..=runs).any(|run| *response.body == *answer_to(&self.body, run));
+                    if !is_whole {
+                        return Err(format!("send {at} got another answer than its own"));
+                    }
+                }
+                Some("not-run") => {
+                    // A later send is the caller's own decision to run the request after all.
+                    let ran = state.executions.iter().any(|run| match self.caller {
+                        Caller::Idempotent => run.send == at,
+                        Caller::Numbered | Caller::Unnumbered => run.send <= at,
+                    });
+                    if ran {
+                        return Err(format!("send {at} was told not-run, and the request ran"));
+                    }
+                }
+                Some(_) => {}
+            }
+        }
+        drop(state);
+        for entry in &self.entries {
+            for target in entry.fleets().view(&stock()) {
+                if target.in_flight != 0 {
+                    let id = target.member.id;
+                    return Err(format!(
+                        "{} requests stay in flight on {id}",
+                        target.in_flight
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// What each send was told, and the number of runs, in one line.
+    pub fn summary(&self) -> String {
+        let told: Vec<String> = self
+            .sends
+            .iter()
+            .map(|send| tell(send.told.as_ref()))
+            .collect();
+        let runs = self.world.state.lock().executions.len();
+        format!("runs {runs}; told {}", told.join(", "))
+    }
+}
+
+fn tell(told: Option<&Told>) -> String {
+    let Some(Told::Response(response)) = told else {
+        return "nothing".to_owned();
+    };
+    let Some(outcome) = response.headers.text(OUTCOME_HEADER) else {
+        let is_replayed = response.headers.get("Auburnbridge-Replayed").is_some();
+        let replayed = if is_replayed { " replayed" } else { "" };
+        return format!("{}{replayed}", response.status);
+    };
+    let kind = kind_of(response);
+    format!("{} {kind} {outcome}", response.status)
+}
+
+/// Name of the error kind of a rejection.
+pub fn kind_of(response: &Response) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&response.body).unwrap();
+    let kind = body["type"].as_str().unwrap();
+    kind.trim_start_matches("urn:auburnbridge:problem:")
+        .to_owned()
+}
