--- a/crates/auburnbridge_entry/src/keyed.rs
+++ b/crates/auburnbridge_entry/src/keyed.rs
@@ -4,16 +4,16 @@
 use auburnbridge_caller::Problem;
 use auburnbridge_http::{Connection, Limits, RequestInfo, Response, Verdict, encode_response};
 use auburnbridge_ledger::{Command, LedgerKey, MAX_ANSWER, Reply, StoredAnswer};
-use auburnbridge_policy::TargetKey;
 use auburnbridge_types::{AttemptId, ByteSize, ErrorKind, Millis};
 use log::info;
 
 use crate::backoff::Backoff;
-use crate::entry::{Attempted, Entry, request_class};
+use crate::dispatch::{Dispatched, Dispatcher};
+use crate::entry::Entry;
 use crate::request::CallerRequest;
 
 /// Header of an answer that was stored by an earlier attempt.
-const REPLAYED_HEADER: &str = "Auburnbridge-Replayed";
+pub(crate) const REPLAYED_HEADER: &str = "Auburnbridge-Replayed";
 
 /// Time after the caller's deadline for which a grant still counts as in progress.
 ///
@@ -25,7 +25,7 @@
 pub(crate) async fn serve(entry: &Entry, req: &CallerRequest) -> Result<Response, Problem> {
     match acquire(entry, req).await {
         Ok(Grant::Held { key, attempt }) => run_granted(entry, req, key, attempt).await,
-        Ok(Grant::Replay(answer)) => replay(&answer).await,
+        Ok(Grant::Replay(answer)) => replay(&answer, RequestInfo::from(&req.message)).await,
         Err(problem) => Err(problem),
     }
 }
@@ -39,7 +39,6 @@
 
 /// Asks the ledger for the permission to dispatch; waits while another attempt is in progress.
 async fn acquire(entry: &Entry, req: &CallerRequest) -> Result<Grant, Problem> {
-    let clock = &entry.ports.clock;
     let key = LedgerKey {
         idempotency_key: req.key.expect("routes of the class `once` need a key"),
         account: req.account.clone(),
@@ -67,7 +66,7 @@
         let kind = match reply {
             Reply::Granted => return Ok(Grant::Held { key, attempt }),
             Reply::Answered(answer) => return Ok(Grant::Replay(answer)),
-            Reply::InProgress if backoff.wait(clock.as_ref(), req.deadline).await => continue,
+            Reply::InProgress if backoff.wait(entry, req.deadline).await => continue,
             Reply::InProgress => ErrorKind::KeyInProgress,
             Reply::Unknown => ErrorKind::KeyOutcomeUnknown,
             Reply::BodyMismatch => ErrorKind::KeyReused,
@@ -85,14 +84,18 @@
     }
 }
 
-/// Dispatches a granted request to one target after the other until one may have run it.
+/// Runs a granted request at most once.
 async fn run_granted(
     entry: &Entry,
     req: &CallerRequest,
     key: LedgerKey,
     attempt: AttemptId,
 ) -> Result<Response, Problem> {
-    match dispatch(entry, req, &attempt).await {
+    let dispatched = match Dispatcher::new(entry, req, None) {
+        Ok(mut dispatcher) => dispatcher.dispatch(|| attempt.clone()).await,
+        Err(problem) => Dispatched::NotRun(problem),
+    };
+    match dispatched {
         Dispatched::Answered(response) => {
             entry.settle_later(conclusion(req, key, attempt, &response));
             Ok(response)
@@ -110,57 +113,7 @@
             entry.settle_later(Command::Abandon { key, attempt });
             Err(problem)
         }
-    }
-}
-
-enum Dispatched {
-    Answered(Response),
-    NotRun(Problem),
-    Unknown(Problem),
-}
-
-async fn dispatch(entry: &Entry, req: &CallerRequest, attempt: &AttemptId) -> Dispatched {
-    let clock = &entry.ports.clock;
-    let Some(service) = entry.fleets.get(&req.route.service) else {
-        let detail = "no target of the service is in use";
-        return Dispatched::NotRun(Problem::new(ErrorKind::NoTarget, detail));
-    };
-    let class = request_class(req.route.class);
-    let mut excluded: Vec<TargetKey> = Vec::new();
-    let mut failure = None;
-    let mut backoff = Backoff::after_shed();
-    loop {
-        if clock.now() >= req.deadline {
-            let detail = "the deadline passed before the request was sent";
-            let late = || Problem::new(ErrorKind::DeadlineBeforeDispatch, detail);
-            return Dispatched::NotRun(failure.unwrap_or_else(late));
-        }
-        let Some(assignment) = service.choose(clock.now(), class, &excluded) else {
-            if !backoff.wait(clock.as_ref(), req.deadline).await {
-                let detail = "no target of the service is in use";
-                let none = || Problem::new(ErrorKind::NoTarget, detail);
-                return Dispatched::NotRun(failure.unwrap_or_else(none));
-            }
-            excluded.clear();
-            continue;
-        };
-        excluded.push(assignment.key());
-        let target = assignment.target().clone();
-        match entry.attempt(req, attempt, assignment).await {
-            Attempted::Answered(response) => return Dispatched::Answered(response),
-            Attempted::Shed => {
-                let detail = "every target tried shed the request";
-                failure = Some(Problem::new(ErrorKind::Overloaded, detail));
-            }
-            Attempted::NotSent(reason) => {
-                let detail = format!("{target}: {reason:?}");
-                failure = Some(Problem::new(reason.kind(), detail));
-            }
-            Attempted::Unknown { reason, .. } => {
-                let detail = format!("{target}: {reason:?}");
-                return Dispatched::Unknown(Problem::new(reason.kind(), detail));
-            }
-        }
+        Dispatched::Cancelled => unreachable!("a keyed request goes on without its caller"),
     }
 }
 
@@ -182,7 +135,7 @@
 }
 
 /// The stored answer of an earlier attempt.
-async fn replay(answer: &StoredAnswer) -> Result<Response, Problem> {
+async fn replay(answer: &StoredAnswer, info: RequestInfo) -> Result<Response, Problem> {
     let StoredAnswer::Whole(bytes) = answer else {
         let detail = "the answer was too large to store";
         return Err(Problem::new(ErrorKind::AnswerNotKept, detail));
@@ -193,10 +146,7 @@
         .with_headers(128)
         .with_head_bytes(ByteSize(2 * MAX_ANSWER.0))
         .with_body_bytes(MAX_ANSWER);
-    match connection
-        .read_response(RequestInfo::default(), &limits)
-        .await
-    {
+    match connection.read_response(info, &limits).await {
         Ok(mut response) => {
             response.headers.set(REPLAYED_HEADER, "true");
             Ok(response)
--- a/crates/auburnbridge_entry/src/run.rs
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -24,7 +24,7 @@
 use error_stack::{Report, ResultExt};
 use log::{info, warn};
 
-use crate::entry::{Entry, Ports};
+use crate::entry::{Entry, Ports, RuntimeTasks};
 use crate::keeper_client::KeeperClient;
 use crate::neighbours::{Neighbours, SPREAD_INTERVAL};
 use crate::rules_feed::RulesFeed;
@@ -130,7 +130,9 @@
             ledger: Arc::clone(&keepers) as Arc<dyn crate::LedgerClient>,
             targets: Arc::clone(&pool) as Arc<dyn crate::TargetPort>,
             crashes: Arc::clone(&neighbours) as Arc<dyn crate::CrashReporter>,
+            tasks: Arc::new(RuntimeTasks),
             metrics: Arc::new(Metrics::new(options.metrics_address).change_context(EntryError)?),
+            seed: rand::random(),
         };
         let answer_limits = Limits::default().with_budget(budget.clone());
         let entry = Arc::new(Entry::new(options.vm.clone(), answer_limits, ports));
