Measure ejection under scripted faults and share evidence between entries

Cause: the first policy had no figures. Change: the example ejection_curve; non-idempotent work avoids suspected targets before they are ejected; requests in flight count as evidence; typical answer time is computed at intervals; cold targets aren't slow; evidence is shared.

--- /dev/null
+++ b/crates/auburnbridge_policy/examples/ejection_curve/simulation.rs
@@ -0,0 +1,341 @@
+//! One run: entries, targets with slots, a fault, and arrivals drawn from a seed.
+//!
+//! A target runs as many requests as it has slots and sheds the others. The platform's load balancer
+//! hands each request to a random entry. Requests are not retried.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use auburnbridge_policy::{
+    Dial, Member, Observation, Presence, RequestClass, ServicePolicy, TargetKey,
+};
+use auburnbridge_types::{DataCentre, Incarnation, Slots, Timestamp};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::fault::{Ending, Fault, cold, faulty, healthy};
+use crate::selector::{Ejection, Kind, Selector, target_id};
+
+/// Entries in front of the targets.
+pub const ENTRIES: usize = 14;
+/// Time before the fault.
+const WARM_UP_US: u64 = 10_000_000;
+/// Interval of the decisions that depend on time, as the entry has it.
+const DECIDE_INTERVAL_US: u64 = 100_000;
+/// Interval at which an entry sends its evidence to the others.
+const SHARE_INTERVAL_US: u64 = 250_000;
+/// Mean service time, with the tail.
+const MEAN_SERVICE_US: f64 = 34_500.0;
+const IDEMPOTENT_SHARE: f64 = 0.7;
+const IDEMPOTENT_DEADLINE_US: u64 = 2_000_000;
+const ONCE_DEADLINE_US: u64 = 5_000_000;
+const SHED_US: u64 = 500;
+const EPOCH_MS: u64 = 1_000_000;
+
+/// One service of a user.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Name in the report.
+    pub name: &'static str,
+    /// Number of targets.
+    pub targets: usize,
+    /// Slots of each target.
+    pub slots: u32,
+    /// The operator's floor.
+    pub floor: u32,
+    /// Number of data centres.
+    pub data_centres: usize,
+    /// One-way delay between data centres.
+    pub delay_us: u64,
+}
+
+/// What to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// The service.
+    pub setup: Setup,
+    /// The fault.
+    pub fault: Fault,
+    /// The decisions.
+    pub kind: Kind,
+    /// The policy's dial.
+    pub dial: Dial,
+    /// Arrivals as a share of capacity.
+    pub load: f64,
+    /// Time from the fault to the end.
+    pub window_us: u64,
+    /// Whether entries exchange evidence.
+    pub shares_evidence: bool,
+}
+
+/// What happened.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcome {
+    /// Time from the fault to the last non-idempotent dispatch that the fault affected.
+    pub detection_us: u64,
+    /// Non-idempotent requests that the fault affected.
+    pub once_affected: u32,
+    /// Ejections by entries for which the target was well.
+    pub false_ejections: u32,
+    /// Ejections by entries for which it was faulty.
+    pub true_ejections: u32,
+    /// Fewest slots in use on any entry.
+    pub least_in_use: u32,
+    /// Evidence reports written.
+    pub reports: u64,
+    /// Requests in the run.
+    pub requests: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    Finish(usize),
+    Decide(usize),
+    Share(usize),
+    Fault,
+}
+
+#[derive(Clone, Copy)]
+struct Exchange {
+    entry: usize,
+    target: usize,
+    key: TargetKey,
+    observation: Observation,
+    holds_slot: bool,
+}
+
+struct Run {
+    plan: Plan,
+    rng: ChaCha8Rng,
+    now_us: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    event_count: u64,
+    entries: Vec<Selector>,
+    members: Vec<Member>,
+    running: Vec<u32>,
+    exchanges: Vec<Exchange>,
+    free: Vec<usize>,
+    outcome: Outcome,
+}
+
+/// Runs a plan with one seed.
+pub fn run(plan: Plan, seed: u64) -> Outcome {
+    let setup = plan.setup;
+    let members: Vec<Member> = (0..setup.targets).map(|at| member(setup, at)).collect();
+    let policy = ServicePolicy::builder()
+        .floor(Slots(setup.floor))
+        .dial(plan.dial)
+        .build();
+    let entries = (0..ENTRIES)
+        .map(|entry| {
+            let data_centre = data_centre(entry % setup.data_centres);
+            let now = Timestamp(EPOCH_MS);
+            Selector::new(plan.kind, &policy, data_centre, now, &members)
+        })
+        .collect();
+    let mut run = Run {
+        plan,
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        now_us: 0,
+        events: BinaryHeap::new(),
+        event_count: 0,
+        entries,
+        running: vec![0; members.len()],
+        members,
+        exchanges: Vec::new(),
+        free: Vec::new(),
+        outcome: Outcome {
+            least_in_use: u32::MAX,
+            ..Outcome::default()
+        },
+    };
+    run.start();
+    while let Some(Reverse((time, _, event))) = run.events.pop() {
+        if time > WARM_UP_US + plan.window_us {
+            break;
+        }
+        run.now_us = time;
+        run.handle(event);
+    }
+    run.outcome
+}
+
+fn member(setup: Setup, at: usize) -> Member {
+    Member {
+        id: target_id(at),
+        address: "127.0.0.1:9".parse().expect("the address is valid"),
+        data_centre: data_centre(at % setup.data_centres),
+        incarnation: Incarnation(1),
+        slots: Slots(setup.slots),
+        presence: Presence::Ready,
+    }
+}
+
+fn data_centre(at: usize) -> DataCentre {
+    format!("dc{at}").parse().expect("the name is valid")
+}
+
+impl Run {
+    fn start(&mut self) {
+        self.schedule(0, Event::Arrival);
+        self.schedule(WARM_UP_US, Event::Fault);
+        for entry in 0..ENTRIES {
+            let phase = self.rng.random_range(0..DECIDE_INTERVAL_US);
+            self.schedule(phase, Event::Decide(entry));
+            if self.plan.shares_evidence {
+                self.schedule(phase, Event::Share(entry));
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrive(),
+            Event::Finish(exchange) => self.finish(exchange),
+            Event::Decide(entry) => {
+                let now = self.now();
+                let ejections = self.entries[entry].decide(now);
+                self.count(entry, &ejections);
+                self.schedule(DECIDE_INTERVAL_US, event);
+            }
+            Event::Share(entry) => self.share(entry),
+            Event::Fault => self.restart_cold_target(),
+        }
+    }
+
+    fn arrive(&mut self) {
+        let capacity = f64::from(self.plan.setup.slots) * self.members.len() as f64;
+        let load = match self.plan.fault {
+            Fault::Overload => 1.3,
+            _ => self.plan.load,
+        };
+        let mean_us = MEAN_SERVICE_US / (capacity * load);
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() * mean_us;
+        self.schedule(gap as u64, Event::Arrival);
+        self.outcome.requests += 1;
+        let entry = self.rng.random_range(0..ENTRIES);
+        let class = if self.rng.random_bool(IDEMPOTENT_SHARE) {
+            RequestClass::Idempotent
+        } else {
+            RequestClass::Once
+        };
+        let now = self.now();
+        if let Some((target, key)) = self.entries[entry].choose(now, class, &mut self.rng) {
+            self.dispatch(entry, target, key, class);
+        }
+    }
+
+    fn dispatch(&mut self, entry: usize, target: usize, key: TargetKey, class: RequestClass) {
+        let setup = self.plan.setup;
+        let deadline = match class {
+            RequestClass::Idempotent => IDEMPOTENT_DEADLINE_US,
+            RequestClass::Once => ONCE_DEADLINE_US,
+        };
+        let mut ending = healthy(&mut self.rng);
+        if self.is_affected(entry, target) {
+            let age = self.now_us - WARM_UP_US;
+            ending = faulty(self.plan.fault, age, ending, &mut self.rng);
+            if class == RequestClass::Once {
+                self.outcome.once_affected += 1;
+                self.outcome.detection_us = age;
+            }
+        }
+        if self.plan.fault == Fault::ColdStart && target == 0 && self.now_us >= WARM_UP_US {
+            ending = cold(self.now_us - WARM_UP_US, ending);
+        }
+        if ending.holds_slot && self.running[target] >= setup.slots {
+            ending = Ending {
+                after_us: Some(SHED_US),
+                observation: Observation::Shed,
+                holds_slot: false,
+            };
+        }
+        let is_remote = entry % setup.data_centres != target % setup.data_centres;
+        let network = if is_remote { 2 * setup.delay_us } else { 0 };
+        let (after, observation) = match ending.after_us {
+            Some(time) if time + network < deadline => (time + network, ending.observation),
+            _ => (deadline, Observation::TimedOut),
+        };
+        self.running[target] += u32::from(ending.holds_slot);
+        let exchange = Exchange {
+            entry,
+            target,
+            key,
+            observation,
+            holds_slot: ending.holds_slot,
+        };
+        let at = self.free.pop().unwrap_or(self.exchanges.len());
+        if at == self.exchanges.len() {
+            self.exchanges.push(exchange);
+        } else {
+            self.exchanges[at] = exchange;
+        }
+        self.schedule(after, Event::Finish(at));
+    }
+
+    fn finish(&mut self, at: usize) {
+        let exchange = self.exchanges[at];
+        self.free.push(at);
+        self.running[exchange.target] -= u32::from(exchange.holds_slot);
+        let now = self.now();
+        let entry = &mut self.entries[exchange.entry];
+        let ejections = entry.finish(now, exchange.target, exchange.key, exchange.observation);
+        self.count(exchange.entry, &ejections);
+    }
+
+    fn count(&mut self, entry: usize, ejections: &[Ejection]) {
+        for ejection in ejections {
+            if self.is_affected(entry, ejection.target) {
+                self.outcome.true_ejections += 1;
+            } else {
+                self.outcome.false_ejections += 1;
+            }
+        }
+        if !ejections.is_empty() || self.outcome.least_in_use == u32::MAX {
+            let in_use = self.entries[entry].in_use(self.now()).0;
+            self.outcome.least_in_use = self.outcome.least_in_use.min(in_use);
+        }
+    }
+
+    fn is_affected(&self, entry: usize, target: usize) -> bool {
+        let setup = self.plan.setup;
+        let data_centre = entry % setup.data_centres;
+        self.now_us >= WARM_UP_US
+            && (self.plan.fault).affects(target, setup.targets, entry, data_centre)
+    }
+
+    /// Hands an entry's evidence to all others; the delay of a few milliseconds is left out.
+    fn share(&mut self, entry: usize) {
+        let now = self.now();
+        let from = format!("entry{entry}").parse().expect("the name is valid");
+        let reports = self.entries[entry].evidence(now);
+        self.outcome.reports += reports.len() as u64;
+        for other in (0..ENTRIES).filter(|other| *other != entry && !reports.is_empty()) {
+            let ejections = self.entries[other].merge_evidence(now, &from, &reports);
+            self.count(other, &ejections);
+        }
+        self.schedule(SHARE_INTERVAL_US, Event::Share(entry));
+    }
+
+    fn restart_cold_target(&mut self) {
+        if self.plan.fault != Fault::ColdStart {
+            return;
+        }
+        self.members[0].incarnation = Incarnation(2);
+        let now = self.now();
+        for entry in &mut self.entries {
+            entry.reconcile(now, &self.members);
+        }
+    }
+
+    fn schedule(&mut self, after_us: u64, event: Event) {
+        self.event_count += 1;
+        let time = self.now_us + after_us;
+        self.events.push(Reverse((time, self.event_count, event)));
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(EPOCH_MS + self.now_us / 1_000)
+    }
+}
--- a/crates/auburnbridge_policy/src/decision.rs
+++ b/crates/auburnbridge_policy/src/decision.rs
@@ -33,6 +33,8 @@
     Departed,
     /// Evidence from real work passed the threshold.
     Suspicion,
+    /// Evidence of several entries together passed the threshold.
+    SharedSuspicion,
     /// The lease ran out and no work succeeded since.
     LeaseLost,
     /// The ejection's time is over.
--- a/crates/auburnbridge_policy/src/fleet.rs
+++ b/crates/auburnbridge_policy/src/fleet.rs
@@ -8,13 +8,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use auburnbridge_types::{Incarnation, Millis, Slots, TargetId, Timestamp};
+use auburnbridge_types::{DataCentre, Incarnation, Millis, Slots, TargetId, Timestamp, VmId};
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 
 use crate::RequestClass;
 use crate::decision::{Action, Decision, Reason};
-use crate::health::Observation;
+use crate::evidence::{EvidenceReport, OwnEvidence, REPORT_LIFETIME, REPORT_LIMIT, REPORT_MINIMUM};
+use crate::health::{Observation, slow_limit_ms};
 use crate::policy::ServicePolicy;
 use crate::target::{Member, Presence, ServiceState, Target};
 
@@ -30,6 +31,18 @@
 /// Lead in nats that an ejected target needs to replace one that the floor keeps in use.
 const SWAP_MARGIN: f64 = 2.0;
 
+/// Evidence from which non-idempotent work goes to other targets, in nats: one slow answer.
+const AVOID_SUSPICION: f64 = 1.9;
+/// Time after the last fault for which a suspected target is avoided. The end lets a service that
+/// has only non-idempotent work find out whether the target is well again.
+const AVOID_TIME: Millis = Millis(30_000);
+/// Time for which slow answers of a started target are no evidence.
+const COLD_TIME: Millis = Millis(30_000);
+/// Results after which the typical answer time is computed again; it changes slowly.
+const TYPICAL_LATENCY_INTERVAL: u32 = 32;
+/// Bound of the factor by which earlier ejections lengthen a trial.
+const TRIAL_FACTOR_LIMIT: u32 = 8;
+
 /// The target chosen for one request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -68,8 +81,14 @@
 #[derive(Clone, Debug)]
 pub struct Fleet {
     policy: ServicePolicy,
+    data_centre: Option<DataCentre>,
     targets: SlotMap<TargetKey, Target>,
     by_id: HashMap<TargetId, TargetKey>,
+    /// Median of the targets' average answer times.
+    typical_latency_ms: Option<f64>,
+    results_until_median: u32,
+    /// Buffer of [`Fleet::choose`], kept to save an allocation per request.
+    candidates: Vec<TargetKey>,
 }
 
 impl Fleet {
@@ -77,11 +96,22 @@
     pub fn new(policy: ServicePolicy) -> Self {
         Self {
             policy,
+            data_centre: None,
             targets: SlotMap::with_key(),
             by_id: HashMap::new(),
+            typical_latency_ms: None,
+            results_until_median: 0,
+            candidates: Vec::new(),
         }
     }
 
+    /// Names the entry's data centre, without which no evidence is shared.
+    #[must_use]
+    pub fn with_data_centre(mut self, data_centre: DataCentre) -> Self {
+        self.data_centre = Some(data_centre);
+        self
+    }
+
     /// Replaces the policy after a change of the rules.
     pub fn set_policy(&mut self, now: Timestamp, policy: ServicePolicy) -> Vec<Decision> {
         self.policy = policy;
@@ -91,8 +121,13 @@
     /// Takes over the present members; targets that are not listed have left.
     pub fn reconcile(&mut self, now: Timestamp, members: &[Member]) -> Vec<Decision> {
         let mut decisions = Vec::new();
+        // An entry that starts can't tell which targets are cold.
+        let cold_until = match self.by_id.len() {
+            0 => Timestamp(0),
+            _ => now.after(COLD_TIME),
+        };
         for member in members {
-            self.reconcile_member(now, member, &mut decisions);
+            self.reconcile_member(cold_until, now, member, &mut decisions);
         }
         let listed: std::collections::HashSet<&TargetId> =
             members.iter().map(|member| &member.id).collect();
@@ -111,9 +146,16 @@
         decisions
     }
 
-    fn reconcile_member(&mut self, now: Timestamp, member: &Member, decisions: &mut Vec<Decision>) {
+    fn reconcile_member(
+        &mut self,
+        cold_until: Timestamp,
+        now: Timestamp,
+        member: &Member,
+        decisions: &mut Vec<Decision>,
+    ) {
         let Some(&key) = self.by_id.get(&member.id) else {
-            let target = Target::new(now, member.clone());
+            let mut target = Target::new(now, member.clone());
+            target.cold_until = cold_until;
             let key = self.targets.insert(target);
             self.by_id.insert(member.id.clone(), key);
             decisions.push(self.decision(&self.targets[key], Action::Add, Reason::Announced));
@@ -129,6 +171,8 @@
         }
         if restarted {
             target.health.clear_suspicion();
+            target.remote.clear();
+            target.cold_until = cold_until;
             if !target.in_use() {
                 // A restarted target proves itself in a trial, since a crash loop also restarts.
                 target.state = ServiceState::Trial { successes: 0 };
@@ -145,28 +189,69 @@
         exclude: &[TargetKey],
         rng: &mut impl Rng,
     ) -> Option<Choice> {
-        let candidates: Vec<TargetKey> = self
+        let mut candidates = std::mem::take(&mut self.candidates);
+        candidates.clear();
+        let in_use = self
             .targets
             .iter()
-            .filter(|(key, target)| target.in_use() && !exclude.contains(key))
-            .map(|(key, _)| key)
-            .collect();
+            .filter(|(key, target)| target.in_use() && !exclude.contains(key));
+        candidates.extend(in_use.map(|(key, _)| key));
         let key = self
             .trial_candidate(class, exclude)
-            .or_else(|| self.choose_of_two(now, &candidates, rng))?;
+            .or_else(|| self.choose_in_use(now, class, &mut candidates, rng));
+        let count = candidates.len();
+        self.candidates = candidates;
+        let key = key?;
+        let slow_limit_ms = self.slow_limit_ms();
         let target = &mut self.targets[key];
-        target.in_flight += 1;
+        target.starts.push(now);
         Some(Choice {
             key,
             target: target.member.id.clone(),
             address: target.member.address,
             incarnation: target.member.incarnation,
-            load: f64::from(target.in_flight) / f64::from(target.member.slots.0.max(1)),
-            suspicion: target.health.suspicion(),
-            candidates: candidates.len(),
+            load: f64::from(target.in_flight()) / f64::from(target.member.slots.0.max(1)),
+            suspicion: target.suspicion(now, slow_limit_ms),
+            candidates: count,
         })
     }
 
+    /// Non-idempotent work avoids targets under suspicion as long as the others don't shed, which
+    /// needs less certainty than an ejection. Idempotent work is not steered by suspicion: its
+    /// results are the evidence that clears or condemns a target.
+    fn choose_in_use(
+        &self,
+        now: Timestamp,
+        class: RequestClass,
+        candidates: &mut [TargetKey],
+        rng: &mut impl Rng,
+    ) -> Option<TargetKey> {
+        if class == RequestClass::Idempotent {
+            return self.choose_of_two(now, candidates, rng);
+        }
+        let mut trusted = 0;
+        for at in 0..candidates.len() {
+            if !self.is_avoided(now, &self.targets[candidates[at]]) {
+                candidates.swap(trusted, at);
+                trusted += 1;
+            }
+        }
+        self.choose_of_two(now, &candidates[..trusted], rng)
+            .filter(|key| self.targets[*key].shed_until <= now)
+            .or_else(|| self.choose_of_two(now, candidates, rng))
+    }
+
+    fn is_avoided(&self, now: Timestamp, target: &Target) -> bool {
+        if now < target.probation_until {
+            return true;
+        }
+        let slow_limit_ms = self.slow_limit_ms();
+        let own = target.suspicion(now, slow_limit_ms);
+        let is_recent = target.health.suspicion() < AVOID_SUSPICION
+            || (target.health.last_fault()).is_some_and(|fault| now.since(fault) < AVOID_TIME);
+        (own >= AVOID_SUSPICION && is_recent) || target.remote.assessed >= AVOID_SUSPICION
+    }
+
     /// An idle target in its trial; only idempotent requests are risked on it.
     fn trial_candidate(&self, class: RequestClass, exclude: &[TargetKey]) -> Option<TargetKey> {
         if class != RequestClass::Idempotent {
@@ -176,7 +261,7 @@
             .iter()
             .find(|(key, target)| {
                 matches!(target.state, ServiceState::Trial { .. })
-                    && target.in_flight == 0
+                    && target.starts.is_empty()
                     && !exclude.contains(key)
             })
             .map(|(key, _)| key)
@@ -205,14 +290,10 @@
         })
     }
 
-    /// Order of preference: free of a recent shed, then low load, then low suspicion.
-    fn cost(&self, now: Timestamp, key: TargetKey) -> (bool, f64, f64) {
+    /// Order of preference: free of a recent shed, then low load.
+    fn cost(&self, now: Timestamp, key: TargetKey) -> (bool, f64) {
         let target = &self.targets[key];
-        (
-            target.shed_until > now,
-            target.load(),
-            target.health.suspicion(),
-        )
+        (target.shed_until > now, target.load())
     }
 
     /// Ends a request on a target and takes its result as evidence.
@@ -222,14 +303,15 @@
         key: TargetKey,
         observation: Observation,
     ) -> Vec<Decision> {
-        let peer_latency = self.peer_latency(key);
+        let typical_latency = self.typical_latency();
         let Some(target) = self.targets.get_mut(key) else {
             return Vec::new();
         };
-        target.in_flight = target.in_flight.saturating_sub(1);
+        target.end_request(now, observation);
         if observation == Observation::Shed {
             target.shed_until = now.after(SHED_PAUSE);
         }
+        let peer_latency = typical_latency.filter(|_| now >= target.cold_until);
         let before = target.health.observations();
         target.health.observe(now, observation, peer_latency);
         if target.health.observations() == before {
@@ -243,23 +325,113 @@
         }
     }
 
-    /// Median of the other targets' average answer times.
-    fn peer_latency(&self, key: TargetKey) -> Option<f64> {
+    /// Median of the targets' average answer times, computed at intervals.
+    fn typical_latency(&mut self) -> Option<f64> {
+        if self.results_until_median > 0 {
+            self.results_until_median -= 1;
+            return self.typical_latency_ms;
+        }
+        self.results_until_median = TYPICAL_LATENCY_INTERVAL;
         let mut averages: Vec<f64> = self
             .targets
-            .iter()
-            .filter(|(other, _)| *other != key)
-            .filter_map(|(_, target)| target.health.latency_ms())
+            .values()
+            .filter_map(|target| target.health.latency_ms())
             .collect();
         averages.sort_by(f64::total_cmp);
-        averages.get(averages.len() / 2).copied()
+        // Of two, the lower one: a slow target must not set the standard by which it is judged.
+        let middle = averages.len().saturating_sub(1) / 2;
+        self.typical_latency_ms = averages.get(middle).copied();
+        self.typical_latency_ms
+    }
+
+    fn slow_limit_ms(&self) -> f64 {
+        slow_limit_ms(self.typical_latency_ms)
     }
 
     fn judge(&mut self, now: Timestamp, key: TargetKey) -> Vec<Decision> {
-        if self.targets[key].health.suspicion() < self.policy.dial.threshold() {
+        let target = &self.targets[key];
+        if target.suspicion(now, self.slow_limit_ms()) >= self.policy.dial.threshold() {
+            return self.try_eject(now, key, Reason::Suspicion);
+        }
+        if target.remote.assessed >= self.policy.dial.shared_threshold() {
+            return self.try_eject(now, key, Reason::SharedSuspicion);
+        }
+        Vec::new()
+    }
+
+    /// What this entry saw of the targets that it or others suspect, for the other entries.
+    pub fn evidence(&mut self, now: Timestamp) -> Vec<EvidenceReport> {
+        let Some(data_centre) = self.data_centre.clone() else {
             return Vec::new();
+        };
+        let slow_limit_ms = self.slow_limit_ms();
+        let mut reports = Vec::new();
+        for target in self.targets.values_mut() {
+            target.remote.expire(now);
+            let suspicion = target.suspicion(now, slow_limit_ms);
+            let last_fault = target.health.last_fault();
+            let is_recent = last_fault.is_some_and(|fault| now.since(fault) < REPORT_LIFETIME)
+                || suspicion > target.health.suspicion();
+            let is_suspected = suspicion >= REPORT_MINIMUM && is_recent;
+            let is_cleared = suspicion < REPORT_MINIMUM && target.remote.is_contested();
+            if !is_suspected && !is_cleared {
+                continue;
+            }
+            let observations = target.health.observations();
+            reports.push(EvidenceReport {
+                target: target.member.id.clone(),
+                incarnation: target.member.incarnation,
+                suspicion,
+                observations: target.remote.own_observations(observations),
+                data_centre: data_centre.clone(),
+            });
+        }
+        reports.sort_by(|a, b| b.suspicion.total_cmp(&a.suspicion));
+        reports.truncate(REPORT_LIMIT);
+        reports
+    }
+
+    /// Takes over another entry's reports and decides on the targets that they concern.
+    pub fn merge_evidence(
+        &mut self,
+        now: Timestamp,
+        from: &VmId,
+        reports: &[EvidenceReport],
+    ) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for report in reports.iter().take(REPORT_LIMIT) {
+            let Some(&key) = self.by_id.get(&report.target) else {
+                continue;
+            };
+            let target = &mut self.targets[key];
+            if target.member.incarnation != report.incarnation {
+                continue;
+            }
+            let observations = target.health.observations();
+            target.remote.merge(now, from, report, observations);
+            self.assess(now, key);
+            if self.targets[key].in_use() {
+                decisions.extend(self.judge(now, key));
+            }
+        }
+        decisions
+    }
+
+    fn assess(&mut self, now: Timestamp, key: TargetKey) {
+        let slow_limit_ms = self.slow_limit_ms();
+        let target = &mut self.targets[key];
+        if !target.in_use() {
+            return;
         }
-        self.try_eject(now, key, Reason::Suspicion)
+        target.remote.expire(now);
+        let own = OwnEvidence {
+            suspicion: target.suspicion(now, slow_limit_ms),
+            observations: target.health.observations(),
+            data_centre: self.data_centre.as_ref(),
+        };
+        // Half of the threshold: it takes two other entries at least.
+        let share_limit = self.policy.dial.shared_threshold() / 2.0;
+        target.remote.assessed = target.remote.assess(&own, share_limit).unwrap_or(0.0);
     }
 
     fn judge_trial(
@@ -275,13 +447,16 @@
         }
         let successes = successes + 1;
         let target = &mut self.targets[key];
-        if successes < self.policy.trial_successes {
+        let factor = target.ejections.clamp(1, TRIAL_FACTOR_LIMIT);
+        if successes < self.policy.trial_successes.saturating_mul(factor) {
             target.state = ServiceState::Trial { successes };
             return Vec::new();
         }
         target.health.clear_suspicion();
+        target.remote.clear();
         target.state = ServiceState::InUse;
         target.healthy_since = now;
+        target.probation_until = now.after(target.last_ejection);
         vec![self.decision(&self.targets[key], Action::Reinstate, Reason::TrialPassed)]
     }
 
@@ -309,6 +484,12 @@
                     target.ejections -= 1;
                     target.healthy_since = now;
                 }
+                self.assess(now, key);
+                let decisions = self.judge(now, key);
+                if !decisions.is_empty() {
+                    return decisions;
+                }
+                let target = &self.targets[key];
                 match target.member.presence {
                     Presence::Stale(since) if lease_is_lost(now, since, target) => {
                         self.try_eject(now, key, Reason::LeaseLost)
@@ -347,10 +528,8 @@
             .iter()
             .filter(|(_, target)| !target.in_use())
             .filter(|(_, target)| without + target.member.slots.0 >= self.bound().0)
-            .filter(|(_, target)| {
-                target.health.suspicion() + SWAP_MARGIN <= sick.health.suspicion()
-            })
-            .min_by(|a, b| a.1.health.suspicion().total_cmp(&b.1.health.suspicion()))
+            .filter(|(_, target)| rank(target) + SWAP_MARGIN <= rank(sick))
+            .min_by(|a, b| rank(a.1).total_cmp(&rank(b.1)))
             .map(|(key, _)| key)
     }
 
@@ -365,6 +544,7 @@
         );
         let target = &mut self.targets[key];
         target.ejections += 1;
+        target.last_ejection = time;
         target.state = ServiceState::Ejected {
             until: now.after(time),
         };
@@ -378,7 +558,7 @@
                 .targets
                 .iter()
                 .filter(|(_, target)| !target.in_use())
-                .min_by(|a, b| a.1.health.suspicion().total_cmp(&b.1.health.suspicion()))
+                .min_by(|a, b| rank(a.1).total_cmp(&rank(b.1)))
                 .map(|(key, _)| key)
                 .expect("slots below the bound belong to targets that are not in use");
             let target = &mut self.targets[key];
@@ -418,7 +598,7 @@
                 member: target.member.clone(),
                 state: target.state,
                 suspicion: target.health.suspicion(),
-                in_flight: target.in_flight,
+                in_flight: target.in_flight(),
                 ejections: target.ejections,
             })
             .collect()
@@ -437,6 +617,11 @@
     }
 }
 
+/// Evidence by which targets are compared, of this entry or of several together.
+fn rank(target: &Target) -> f64 {
+    target.health.suspicion().max(target.remote.assessed)
+}
+
 fn lease_is_lost(now: Timestamp, since: Timestamp, target: &Target) -> bool {
     let last_success = target.health.last_success().unwrap_or(since).max(since);
     now.since(last_success) >= STALE_GRACE
--- a/crates/auburnbridge_policy/src/lib.rs
+++ b/crates/auburnbridge_policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! for the log.
 
 mod decision;
+mod evidence;
 mod fleet;
 mod health;
 mod limits;
@@ -15,6 +16,7 @@
 mod target;
 
 pub use decision::{Action, Decision, Reason};
+pub use evidence::EvidenceReport;
 pub use fleet::{Choice, Fleet, TargetKey, TargetView};
 pub use health::{Health, Observation};
 pub use limits::{AccountLimit, AccountLimiter};
--- a/crates/auburnbridge_policy/src/policy.rs
+++ b/crates/auburnbridge_policy/src/policy.rs
@@ -14,13 +14,21 @@
     pub const CAREFUL: Self = Self(0);
     /// Quick detection.
     pub const FAST: Self = Self(100);
-    /// Evidence needed at the careful end, in nats: odds of about 160,000 to 1.
+    /// Evidence of several entries needed at the careful end, in nats: odds of 160,000 to 1.
     const CAREFUL_THRESHOLD: f64 = 12.0;
-    /// Evidence needed at the fast end, in nats: odds of about 55 to 1.
-    const FAST_THRESHOLD: f64 = 4.0;
+    /// Evidence of several entries needed at the fast end, in nats: odds of 400 to 1.
+    const FAST_THRESHOLD: f64 = 6.0;
+    /// Evidence that an entry needs on top when no other entry sees the problem: one more failure
+    /// in a row. With less, two failures in a row by chance ejected targets thousands of times a day.
+    const ALONE_MARGIN: f64 = 4.0;
 
-    /// Evidence at which a target is ejected, in nats.
+    /// Evidence of this entry alone at which a target is ejected, in nats.
     pub fn threshold(self) -> f64 {
+        self.shared_threshold() + Self::ALONE_MARGIN
+    }
+
+    /// Evidence of several entries together at which a target is ejected, in nats.
+    pub fn shared_threshold(self) -> f64 {
         let share = f64::from(self.0) / 100.0;
         Self::CAREFUL_THRESHOLD + (Self::FAST_THRESHOLD - Self::CAREFUL_THRESHOLD) * share
     }
--- a/crates/auburnbridge_policy/src/target.rs
+++ b/crates/auburnbridge_policy/src/target.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 
-use auburnbridge_types::{DataCentre, Incarnation, Slots, TargetId, Timestamp};
+use auburnbridge_types::{DataCentre, Incarnation, Millis, Slots, TargetId, Timestamp};
 use strum::Display;
 
-use crate::Health;
+use crate::evidence::RemoteEvidence;
+use crate::health::{SUSPICION_LIMIT, in_flight_evidence};
+use crate::{Health, Observation};
 
 /// What the announcements say about a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
@@ -57,10 +59,17 @@
     pub(crate) member: Member,
     pub(crate) state: ServiceState,
     pub(crate) health: Health,
-    pub(crate) in_flight: u32,
+    /// Start of each request in flight, oldest first.
+    pub(crate) starts: Vec<Timestamp>,
+    pub(crate) remote: RemoteEvidence,
     pub(crate) ejections: u32,
     pub(crate) healthy_since: Timestamp,
     pub(crate) shed_until: Timestamp,
+    /// Until then slow answers are no evidence, since a started target is cold.
+    pub(crate) cold_until: Timestamp,
+    /// Until then non-idempotent work goes elsewhere, since the target was ejected before.
+    pub(crate) probation_until: Timestamp,
+    pub(crate) last_ejection: Millis,
 }
 
 impl Target {
@@ -69,10 +78,14 @@
             member,
             state: ServiceState::InUse,
             health: Health::default(),
-            in_flight: 0,
+            starts: Vec::new(),
+            remote: RemoteEvidence::default(),
             ejections: 0,
             healthy_since: now,
             shed_until: Timestamp(0),
+            cold_until: Timestamp(0),
+            probation_until: Timestamp(0),
+            last_ejection: Millis(0),
         }
     }
 
@@ -80,8 +93,47 @@
         self.state == ServiceState::InUse
     }
 
+    pub(crate) fn in_flight(&self) -> u32 {
+        u32::try_from(self.starts.len()).unwrap_or(u32::MAX)
+    }
+
     /// Requests in flight from this entry per slot, counting the next one.
     pub(crate) fn load(&self) -> f64 {
-        f64::from(self.in_flight + 1) / f64::from(self.member.slots.0.max(1))
+        f64::from(self.in_flight() + 1) / f64::from(self.member.slots.0.max(1))
+    }
+
+    /// Evidence of this entry, with that of the requests in flight.
+    pub(crate) fn suspicion(&self, now: Timestamp, slow_limit_ms: f64) -> f64 {
+        let suspicion = self.health.suspicion();
+        if self.starts.is_empty() || now < self.cold_until {
+            return suspicion;
+        }
+        let in_flight: f64 = self
+            .starts
+            .iter()
+            .map(|start| in_flight_evidence(now.since(*start), slow_limit_ms))
+            .sum();
+        (suspicion + in_flight).min(SUSPICION_LIMIT)
+    }
+
+    /// Takes a request out of those in flight. The result doesn't name its request, so the one that
+    /// fits best is taken: by the answer time, or the oldest or newest one by kind of failure.
+    pub(crate) fn end_request(&mut self, now: Timestamp, observation: Observation) {
+        if self.starts.is_empty() {
+            return;
+        }
+        let at = match observation {
+            Observation::Answered(time) => {
+                let start = now.0.saturating_sub(time.0);
+                (0..self.starts.len())
+                    .min_by_key(|at| self.starts[*at].0.abs_diff(start))
+                    .unwrap_or(0)
+            }
+            Observation::TimedOut | Observation::AnswerBroken | Observation::ServerError => 0,
+            Observation::ConnectFailed | Observation::Shed | Observation::NotAttributable => {
+                self.starts.len() - 1
+            }
+        };
+        self.starts.remove(at);
     }
 }
