Weigh shared evidence per data centre and by the number of suspects

Change: an entry takes a suspicion back, counter-evidence is the observations of the last 3 s, another data centre counts as one entry, and the weight of a message falls with the number of its suspects.

--- a/crates/auburnbridge_policy/examples/ejection_curve/fault.rs
+++ b/crates/auburnbridge_policy/examples/ejection_curve/fault.rs
@@ -131,7 +131,11 @@
             observation: Observation::ConnectFailed,
             holds_slot: false,
         },
-        Fault::Silent => never,
+        // Its listener still accepts, so it has no limit and sheds nothing.
+        Fault::Silent => Ending {
+            holds_slot: false,
+            ..never
+        },
         Fault::HalfAnswers | Fault::OneDataCentre | Fault::ManySick => broken,
         Fault::FailsHalf if rng.random_bool(0.5) => broken,
         Fault::Slow => slower(ending, 10),
--- a/crates/auburnbridge_policy/examples/ejection_curve/main.rs
+++ b/crates/auburnbridge_policy/examples/ejection_curve/main.rs
@@ -119,11 +119,8 @@
 fn measure_noise() {
     println!("load {MEAN_LOAD} of capacity, 24 simulated hours for each seed, careful");
     for setup in SETUPS {
-        for shares_evidence in [false, true] {
-            let plan = noise_plan(setup, Dial::CAREFUL, shares_evidence, 24 * HOUR_US);
-            let label = if shares_evidence { "+evidence" } else { "" };
-            report(&format!("{} Noise fleet{label}", setup.name), plan);
-        }
+        let plan = noise_plan(setup, Dial::CAREFUL, true, 24 * HOUR_US);
+        report(&format!("{} Noise fleet+evidence", setup.name), plan);
     }
 }
 
@@ -175,13 +172,14 @@
     let outcomes = run_seeds(plan);
     let requests: u64 = outcomes.iter().map(|o| o.requests).sum();
     println!(
-        "{label:44} detection_ms={:22} once_affected={:16} false={:14} true={:14} least_in_use={} floor={} requests={requests}",
+        "{label:44} detection_ms={:22} once_affected={:16} false={:14} true={:14} least_in_use={} floor={} reports={} requests={requests}",
         spread(&outcomes, |o| o.detection_us / 1_000),
         spread(&outcomes, |o| u64::from(o.once_affected)),
         spread(&outcomes, |o| u64::from(o.false_ejections)),
         spread(&outcomes, |o| u64::from(o.true_ejections)),
         outcomes.iter().map(|o| o.least_in_use).min().unwrap_or(0),
         plan.setup.floor,
+        spread(&outcomes, |o| o.reports),
     );
 }
 
--- a/crates/auburnbridge_policy/src/evidence.rs
+++ b/crates/auburnbridge_policy/src/evidence.rs
@@ -3,16 +3,18 @@
 //! Each entry reports only what it saw itself, so that reports never echo. An entry reports a target
 //! that it suspects, and, as counter-evidence, a target that others suspect and that works for it.
 //!
-//! Reports are weighed as one sum of evidence, under three rules. One other entry alone never counts,
-//! since its link may be bad. Its share is capped, so that the number of witnesses decides and not
-//! the loudest one. A problem seen only in other data centres counts from two of them on, and
-//! counter-evidence counts only from data centres that see the problem or are this entry's own, since
-//! a target may be sick for one data centre only.
+//! Reports are summed up per data centre, failures against and healthy observations in favour of the
+//! target, so that the number of entries that see the problem and of those that see none decides:
+//!
+//! - One entry alone never counts, since its link may be bad, and the share of each is capped.
+//! - A data centre other than the own one counts at most as much as one entry, since a target may be
+//!   sick for one data centre only. Without that cap, one failure by chance in each other data centre
+//!   spread the ejection to all of them.
 
 use auburnbridge_types::{DataCentre, Incarnation, Millis, TargetId, Timestamp, VmId};
 use serde::{Deserialize, Serialize};
 
-use crate::health::success_evidence;
+use crate::health::{SUSPICION_LIMIT, success_evidence};
 
 /// Reports of one message; the most suspicious targets come first.
 pub(crate) const REPORT_LIMIT: usize = 32;
@@ -22,8 +24,11 @@
 pub(crate) const REPORT_LIFETIME: Millis = Millis(3_000);
 /// Entries whose reports are kept for one target; there are 13 to 16 entries in front of it.
 const WITNESS_LIMIT: usize = 32;
+/// Suspected targets of one message that count in full; with more, their weight falls, because an
+/// entry that suspects many targets may have a bad link itself.
+const FULL_WEIGHT_SUSPECTS: f64 = 2.0;
 /// Healthy observations of one report that count.
-const COUNTED_OBSERVATIONS: u32 = 4;
+const COUNTED_OBSERVATIONS: u32 = 8;
 
 /// What one entry saw of one target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -34,7 +39,7 @@
     pub incarnation: Incarnation,
     /// The entry's own evidence against the target, in nats.
     pub suspicion: f64,
-    /// The entry's observations since others reported the problem.
+    /// The entry's observations in the last seconds.
     pub observations: u32,
     /// Data centre of the observing entry.
     pub data_centre: DataCentre,
@@ -45,6 +50,7 @@
     from: VmId,
     at: Timestamp,
     suspicion: f64,
+    weight: f64,
     observations: u32,
     data_centre: DataCentre,
 }
@@ -53,8 +59,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RemoteEvidence {
     received: Vec<Received>,
-    /// Own observations when the first report arrived.
-    observations_before: u64,
+    /// Whether the last report of this entry was a suspicion, which it has to take back.
+    pub(crate) has_reported: bool,
     /// Evidence of the last assessment, kept while the target is out of service.
     pub(crate) assessed: f64,
 }
@@ -62,7 +68,7 @@
 /// This entry's own view of the target.
 pub(crate) struct OwnEvidence<'a> {
     pub(crate) suspicion: f64,
-    pub(crate) observations: u64,
+    pub(crate) observations: u32,
     pub(crate) data_centre: Option<&'a DataCentre>,
 }
 
@@ -73,15 +79,12 @@
         now: Timestamp,
         from: &VmId,
         report: &EvidenceReport,
-        own_observations: u64,
+        weight: f64,
     ) {
         if !report.suspicion.is_finite() {
             return;
         }
         self.expire(now);
-        if self.received.is_empty() {
-            self.observations_before = own_observations;
-        }
         self.received.retain(|received| received.from != *from);
         if self.received.len() >= WITNESS_LIMIT {
             return;
@@ -90,6 +93,7 @@
             from: from.clone(),
             at: now,
             suspicion: report.suspicion,
+            weight,
             observations: report.observations,
             data_centre: report.data_centre.clone(),
         });
@@ -104,56 +108,100 @@
         *self = Self::default();
     }
 
-    /// Whether another entry suspects the target.
-    pub(crate) fn is_contested(&self) -> bool {
+    fn witnesses(&self) -> impl Iterator<Item = &Received> {
         self.received
             .iter()
-            .any(|received| received.suspicion >= REPORT_MINIMUM)
+            .filter(|received| received.suspicion >= REPORT_MINIMUM)
     }
 
-    /// Own observations since the first report.
-    pub(crate) fn own_observations(&self, observations: u64) -> u32 {
-        u32::try_from(observations.saturating_sub(self.observations_before)).unwrap_or(u32::MAX)
+    /// Number of other entries that suspect the target.
+    pub(crate) fn witness_count(&self) -> usize {
+        self.witnesses().count()
     }
 
     /// Weighs all reports and the entry's own view; `None` without a second witness.
     pub(crate) fn assess(&self, own: &OwnEvidence, share_limit: f64) -> Option<f64> {
         let own_centre = own.data_centre?;
         let own_is_witness = own.suspicion >= REPORT_MINIMUM;
-        let witnesses = || {
-            self.received
-                .iter()
-                .filter(|received| received.suspicion >= REPORT_MINIMUM)
-        };
-        let count = witnesses().count() + usize::from(own_is_witness);
-        let sees_problem = |centre: &DataCentre| {
-            (own_is_witness && centre == own_centre)
-                || witnesses().any(|witness| witness.data_centre == *centre)
-        };
-        let first_centre = witnesses().next().map(|witness| &witness.data_centre)?;
-        let in_one_centre = witnesses().all(|witness| witness.data_centre == *first_centre);
-        if count < 2 || (in_one_centre && !sees_problem(own_centre)) {
+        if self.witness_count() + usize::from(own_is_witness) < 2 {
             return None;
         }
-        let against: f64 = witnesses()
-            .map(|witness| witness.suspicion.min(share_limit))
-            .sum();
-        let healthy: u32 = self
-            .received
-            .iter()
-            .filter(|received| received.suspicion < REPORT_MINIMUM)
-            .filter(|received| {
-                received.data_centre == *own_centre || sees_problem(&received.data_centre)
-            })
-            .map(|received| received.observations.min(COUNTED_OBSERVATIONS))
-            .sum();
-        let own_healthy = if own_is_witness {
-            0
+        let own_part = if own_is_witness {
+            own.suspicion
         } else {
-            self.own_observations(own.observations)
-                .min(COUNTED_OBSERVATIONS)
+            healthy_evidence(own.observations)
         };
-        let favour = f64::from(healthy + own_healthy) * success_evidence();
-        Some((own.suspicion + against + favour).max(0.0))
+        let mut total = own_part + self.sum_of(own_centre, share_limit);
+        let mut counted: Vec<&DataCentre> = vec![own_centre];
+        for witness in self.witnesses() {
+            let centre = &witness.data_centre;
+            if counted.contains(&centre) {
+                continue;
+            }
+            counted.push(centre);
+            total += self.sum_of(centre, share_limit).clamp(0.0, share_limit);
+        }
+        Some(total.clamp(0.0, SUSPICION_LIMIT))
+    }
+
+    /// Sum of the reports from one data centre.
+    fn sum_of(&self, centre: &DataCentre, share_limit: f64) -> f64 {
+        self.received
+            .iter()
+            .filter(|received| received.data_centre == *centre)
+            .map(|received| {
+                if received.suspicion >= REPORT_MINIMUM {
+                    received.suspicion.min(share_limit) * received.weight
+                } else {
+                    healthy_evidence(received.observations)
+                }
+            })
+            .sum()
+    }
+}
+
+/// Weight of each suspicion in one message.
+pub(crate) fn message_weight(reports: &[EvidenceReport]) -> f64 {
+    let suspects: f64 = reports
+        .iter()
+        .filter(|report| report.suspicion >= REPORT_MINIMUM)
+        .map(|_| 1.0)
+        .sum();
+    (FULL_WEIGHT_SUSPECTS / suspects.max(1.0)).min(1.0)
+}
+
+fn healthy_evidence(observations: u32) -> f64 {
+    f64::from(observations.min(COUNTED_OBSERVATIONS)) * success_evidence()
+}
+
+/// Number of observations in the last [`REPORT_LIFETIME`], to within half of it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RecentCount {
+    start: Timestamp,
+    current: u32,
+    previous: u32,
+}
+
+impl RecentCount {
+    pub(crate) fn add(&mut self, now: Timestamp) {
+        self.roll(now);
+        self.current += 1;
+    }
+
+    pub(crate) fn get(&self, now: Timestamp) -> u32 {
+        let mut rolled = self.clone();
+        rolled.roll(now);
+        rolled.current + rolled.previous
+    }
+
+    fn roll(&mut self, now: Timestamp) {
+        let half = REPORT_LIFETIME.0 / 2;
+        let age = now.since(self.start).0;
+        if age < half {
+            return;
+        }
+        self.previous = if age < 2 * half { self.current } else { 0 };
+        self.current = 0;
+        self.start = now;
     }
 }
--- a/crates/auburnbridge_policy/src/fleet.rs
+++ b/crates/auburnbridge_policy/src/fleet.rs
@@ -14,7 +14,9 @@
 
 use crate::RequestClass;
 use crate::decision::{Action, Decision, Reason};
-use crate::evidence::{EvidenceReport, OwnEvidence, REPORT_LIFETIME, REPORT_LIMIT, REPORT_MINIMUM};
+use crate::evidence::{
+    EvidenceReport, OwnEvidence, REPORT_LIFETIME, REPORT_LIMIT, REPORT_MINIMUM, message_weight,
+};
 use crate::health::{Observation, slow_limit_ms};
 use crate::policy::ServicePolicy;
 use crate::target::{Member, Presence, ServiceState, Target};
@@ -40,6 +42,8 @@
 const COLD_TIME: Millis = Millis(30_000);
 /// Results after which the typical answer time is computed again; it changes slowly.
 const TYPICAL_LATENCY_INTERVAL: u32 = 32;
+/// Interval of the reports that the floor keeps a target in use.
+const KEEP_REPORT_INTERVAL: Millis = Millis(1_000);
 /// Bound of the factor by which earlier ejections lengthen a trial.
 const TRIAL_FACTOR_LIMIT: u32 = 8;
 
@@ -249,7 +253,8 @@
         let own = target.suspicion(now, slow_limit_ms);
         let is_recent = target.health.suspicion() < AVOID_SUSPICION
             || (target.health.last_fault()).is_some_and(|fault| now.since(fault) < AVOID_TIME);
-        (own >= AVOID_SUSPICION && is_recent) || target.remote.assessed >= AVOID_SUSPICION
+        let witnesses = target.remote.witness_count() + usize::from(own >= AVOID_SUSPICION);
+        (own >= AVOID_SUSPICION && is_recent) || witnesses >= 2
     }
 
     /// An idle target in its trial; only idempotent requests are risked on it.
@@ -317,6 +322,7 @@
         if target.health.observations() == before {
             return Vec::new();
         }
+        target.recent.add(now);
         let succeeded = matches!(observation, Observation::Answered(_));
         match target.state {
             ServiceState::InUse => self.judge(now, key),
@@ -373,16 +379,16 @@
             let is_recent = last_fault.is_some_and(|fault| now.since(fault) < REPORT_LIFETIME)
                 || suspicion > target.health.suspicion();
             let is_suspected = suspicion >= REPORT_MINIMUM && is_recent;
-            let is_cleared = suspicion < REPORT_MINIMUM && target.remote.is_contested();
+            let is_cleared = target.remote.has_reported || target.remote.witness_count() > 0;
+            target.remote.has_reported = is_suspected;
             if !is_suspected && !is_cleared {
                 continue;
             }
-            let observations = target.health.observations();
             reports.push(EvidenceReport {
                 target: target.member.id.clone(),
                 incarnation: target.member.incarnation,
-                suspicion,
-                observations: target.remote.own_observations(observations),
+                suspicion: if is_suspected { suspicion } else { 0.0 },
+                observations: target.recent.get(now),
                 data_centre: data_centre.clone(),
             });
         }
@@ -399,7 +405,9 @@
         reports: &[EvidenceReport],
     ) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        for report in reports.iter().take(REPORT_LIMIT) {
+        let reports = &reports[..reports.len().min(REPORT_LIMIT)];
+        let weight = message_weight(reports);
+        for report in reports {
             let Some(&key) = self.by_id.get(&report.target) else {
                 continue;
             };
@@ -407,8 +415,7 @@
             if target.member.incarnation != report.incarnation {
                 continue;
             }
-            let observations = target.health.observations();
-            target.remote.merge(now, from, report, observations);
+            target.remote.merge(now, from, report, weight);
             self.assess(now, key);
             if self.targets[key].in_use() {
                 decisions.extend(self.judge(now, key));
@@ -426,7 +433,7 @@
         target.remote.expire(now);
         let own = OwnEvidence {
             suspicion: target.suspicion(now, slow_limit_ms),
-            observations: target.health.observations(),
+            observations: target.recent.get(now),
             data_centre: self.data_centre.as_ref(),
         };
         // Half of the threshold: it takes two other entries at least.
@@ -509,7 +516,7 @@
             return vec![self.decision(&self.targets[key], Action::Eject, reason)];
         }
         let Some(substitute) = self.substitute_for(key) else {
-            return vec![self.decision(&self.targets[key], Action::Keep, Reason::Floor)];
+            return self.keep(now, key);
         };
         self.targets[substitute].state = ServiceState::InUse;
         let reinstated = self.decision(&self.targets[substitute], Action::Reinstate, Reason::Floor);
@@ -520,6 +527,16 @@
         ]
     }
 
+    /// Reports that the floor prevents an ejection, at most once per [`KEEP_REPORT_INTERVAL`].
+    fn keep(&mut self, now: Timestamp, key: TargetKey) -> Vec<Decision> {
+        let target = &mut self.targets[key];
+        if now < target.keep_reported_until {
+            return Vec::new();
+        }
+        target.keep_reported_until = now.after(KEEP_REPORT_INTERVAL);
+        vec![self.decision(&self.targets[key], Action::Keep, Reason::Floor)]
+    }
+
     /// An ejected target that is clearly less suspicious and has enough slots to hold the floor.
     fn substitute_for(&self, key: TargetKey) -> Option<TargetKey> {
         let sick = &self.targets[key];
--- a/crates/auburnbridge_policy/src/policy.rs
+++ b/crates/auburnbridge_policy/src/policy.rs
@@ -16,11 +16,11 @@
     pub const FAST: Self = Self(100);
     /// Evidence of several entries needed at the careful end, in nats: odds of 160,000 to 1.
     const CAREFUL_THRESHOLD: f64 = 12.0;
-    /// Evidence of several entries needed at the fast end, in nats: odds of 400 to 1.
-    const FAST_THRESHOLD: f64 = 6.0;
+    /// Evidence of several entries needed at the fast end, in nats: odds of 3,000 to 1.
+    const FAST_THRESHOLD: f64 = 8.0;
     /// Evidence that an entry needs on top when no other entry sees the problem: one more failure
     /// in a row. With less, two failures in a row by chance ejected targets thousands of times a day.
-    const ALONE_MARGIN: f64 = 4.0;
+    const ALONE_MARGIN: f64 = 3.0;
 
     /// Evidence of this entry alone at which a target is ejected, in nats.
     pub fn threshold(self) -> f64 {
--- a/crates/auburnbridge_policy/src/target.rs
+++ b/crates/auburnbridge_policy/src/target.rs
@@ -5,7 +5,7 @@
 use auburnbridge_types::{DataCentre, Incarnation, Millis, Slots, TargetId, Timestamp};
 use strum::Display;
 
-use crate::evidence::RemoteEvidence;
+use crate::evidence::{RecentCount, RemoteEvidence};
 use crate::health::{SUSPICION_LIMIT, in_flight_evidence};
 use crate::{Health, Observation};
 
@@ -61,6 +61,7 @@
     pub(crate) health: Health,
     /// Start of each request in flight, oldest first.
     pub(crate) starts: Vec<Timestamp>,
+    pub(crate) recent: RecentCount,
     pub(crate) remote: RemoteEvidence,
     pub(crate) ejections: u32,
     pub(crate) healthy_since: Timestamp,
@@ -70,6 +71,8 @@
     /// Until then non-idempotent work goes elsewhere, since the target was ejected before.
     pub(crate) probation_until: Timestamp,
     pub(crate) last_ejection: Millis,
+    /// Until then the floor's refusal of an ejection is not reported again.
+    pub(crate) keep_reported_until: Timestamp,
 }
 
 impl Target {
@@ -79,6 +82,7 @@
             state: ServiceState::InUse,
             health: Health::default(),
             starts: Vec::new(),
+            recent: RecentCount::default(),
             remote: RemoteEvidence::default(),
             ejections: 0,
             healthy_since: now,
@@ -86,6 +90,7 @@
             cold_until: Timestamp(0),
             probation_until: Timestamp(0),
             last_ejection: Millis(0),
+            keep_reported_until: Timestamp(0),
         }
     }
 
