Hand over leadership before a planned stop, and fix the seeds of the random tests

Cause: a planned stop of the leading keeper left grants without a leader for an election timeout, and requests in its log without an answer. The random tests drew new schedules in each run. Ruled out: the stopped leader's lease as the only signal (it costs 300 ms to 600 ms). Change: Input::Resign refuses new requests, finishes the taken ones and asks a voter with the whole log to stand; it goes on after an election timeout without success. Conclusion: a lease holds no more once a voter was asked, since the request may arrive late.

--- a/crates/auburnbridge_log/src/input.rs
+++ b/crates/auburnbridge_log/src/input.rs
@@ -50,6 +50,9 @@
         /// Encoded state.
         data: Arc<[u8]>,
     },
+    /// The process is about to stop. A leader takes no more requests, and once a voter has its whole
+    /// log, asks it to stand for election; without success within an election timeout it goes on.
+    Resign,
     /// First member list of a new group; ignored by a replica that is already in a group or not in
     /// the list. Each listed replica gets the same list.
     Bootstrap {
--- a/crates/auburnbridge_log/src/message.rs
+++ b/crates/auburnbridge_log/src/message.rs
@@ -61,7 +61,12 @@
         last_index: LogIndex,
         /// Term of that record.
         last_term: Term,
+        /// The leader has asked the sender to take over, so that contact with it is no reason to
+        /// refuse.
+        handover: bool,
     },
+    /// The leader asks the receiver, which has its whole log, to take over.
+    Campaign,
     /// Answer to `Vote`.
     VoteReply {
         /// Whether the sender got the vote.
@@ -242,6 +247,7 @@
             Self::PreVote { .. }
             | Self::PreVoteReply { .. }
             | Self::Vote { .. }
+            | Self::Campaign
             | Self::VoteReply { .. }
             | Self::AppendReply { .. }
             | Self::SnapshotReply { .. }
--- a/crates/auburnbridge_log/src/replica/election.rs
+++ b/crates/auburnbridge_log/src/replica/election.rs
@@ -39,7 +39,7 @@
         self.leader = None;
         let votes = BTreeSet::from([self.id]);
         if self.has_majority(&votes) {
-            return self.start_election();
+            return self.start_election(false);
         }
         self.role = Role::PreCandidate(votes);
         for (vm, replica) in self.other_voters() {
@@ -54,13 +54,13 @@
     /// Whether the replica is a voter, or was one before an uncommitted change. A leader that
     /// removes itself may be the only one with the record of that change, which then no other
     /// replica could be elected to commit.
-    fn may_stand(&self) -> bool {
+    pub(super) fn may_stand(&self) -> bool {
         self.log
             .members_from(self.commit)
             .any(|members| members.is_voter(self.id))
     }
 
-    fn start_election(&mut self) {
+    pub(super) fn start_election(&mut self, handover: bool) {
         self.hard.term = self.hard.term.next();
         self.hard.vote = Some(self.id);
         self.writer.mark_hard_state();
@@ -70,6 +70,7 @@
             let body = Body::Vote {
                 last_index: self.log.last_index(),
                 last_term: self.log.last_term(),
+                handover,
             };
             self.send_synced(vm, replica, body);
         }
@@ -115,7 +116,7 @@
         votes.insert(sender);
         let votes = votes.clone();
         if self.has_majority(&votes) {
-            self.start_election();
+            self.start_election(false);
         }
     }
 
--- a/crates/auburnbridge_log/src/replica/leader.rs
+++ b/crates/auburnbridge_log/src/replica/leader.rs
@@ -25,6 +25,10 @@
     pub(super) progress: BTreeMap<ReplicaId, Progress>,
     pub(super) reads: Vec<PendingRead>,
     pub(super) round: u64,
+    /// End of the attempt to hand over; requests are refused until then.
+    pub(super) handover_until: Option<Timestamp>,
+    /// A voter was asked to take over. That request may arrive late, so no lease holds any more.
+    pub(super) has_handed_over: bool,
     tokens: BTreeMap<LogIndex, Token>,
     since: Timestamp,
     next_heartbeat: Timestamp,
@@ -100,6 +104,8 @@
             progress: BTreeMap::new(),
             reads: Vec::new(),
             round: 0,
+            handover_until: None,
+            has_handed_over: false,
             tokens: BTreeMap::new(),
             since: self.now,
             next_heartbeat: self.now,
@@ -140,6 +146,9 @@
         if !self.is_leader() {
             return self.reject_not_leader(token);
         }
+        if self.is_handing_over() {
+            return self.reject(token, RejectReason::Busy);
+        }
         let uncommitted = self.log.last_index().0 - self.commit.0;
         if uncommitted >= self.config.pending_records {
             return self.reject(token, RejectReason::Busy);
@@ -296,6 +305,7 @@
             progress.next = progress.next.max(matched.next());
             self.send_records(sender, false);
         }
+        self.hand_over();
     }
 
     /// Commits what a quorum has synced, if it includes a record of this term. Counting a record of
@@ -316,6 +326,7 @@
         });
         if agreed > self.commit && agreed >= leader.first_index {
             self.commit = agreed;
+            self.hand_over();
         }
     }
 
--- a/crates/auburnbridge_log/src/replica/mod.rs
+++ b/crates/auburnbridge_log/src/replica/mod.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod election;
 mod follower;
+mod handover;
 mod leader;
 mod persistence;
 mod reads;
@@ -149,6 +150,7 @@
             Input::Persisted { sequence } => self.persisted(sequence),
             Input::ChangeMembers { token, change } => self.change_members(token, change),
             Input::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
+            Input::Resign => self.resign(),
             Input::Bootstrap { members } => self.bootstrap(members),
         }
         self.advance_commit();
@@ -199,6 +201,7 @@
         if self.is_leader() {
             self.check_quorum();
             self.send_heartbeats_when_due();
+            self.end_handover_when_due();
         } else if self.now >= self.election_deadline {
             self.start_pre_vote();
         }
@@ -236,7 +239,9 @@
             } => return self.handle_pre_vote_reply(sender, next_term),
             // A leader in contact with its followers is not to be disturbed, and its lease stands
             // on the followers ignoring other candidates.
-            Body::Vote { .. } if term > self.hard.term && self.follows_live_leader() => return,
+            Body::Vote {
+                handover: false, ..
+            } if term > self.hard.term && self.follows_live_leader() => return,
             _ => {}
         }
         if term > self.hard.term {
@@ -249,7 +254,9 @@
             Body::Vote {
                 last_index,
                 last_term,
+                handover: _,
             } => self.handle_vote(from, sender, last_index, last_term),
+            Body::Campaign => self.handle_campaign(sender),
             Body::VoteReply { granted } => self.handle_vote_reply(sender, granted),
             Body::Append {
                 prev_index,
--- a/crates/auburnbridge_log/src/replica/reads.rs
+++ b/crates/auburnbridge_log/src/replica/reads.rs
@@ -47,7 +47,9 @@
         };
         let timeout = self.config.election_timeout.0;
         let lease = Millis(timeout - timeout / LEASE_MARGIN_DIVISOR);
-        self.config.lease_reads && self.now.since(self.quorum_contact(leader)) < lease
+        self.config.lease_reads
+            && !leader.has_handed_over
+            && self.now.since(self.quorum_contact(leader)) < lease
     }
 
     /// Answers the reads whose round is confirmed, and starts a round for those without one. One
--- a/crates/auburnbridge_log/tests/scenarios.rs
+++ b/crates/auburnbridge_log/tests/scenarios.rs
@@ -292,6 +292,37 @@
     assert_eq!(term(&network, deaf), before, "the healed replica follows");
 }
 
+/// Guards against a planned stop that leaves the group without a leader for an election timeout, or
+/// cuts off a request that the leader has taken.
+#[test]
+fn a_resigning_leader_hands_over() {
+    let mut network = group(3, 3);
+    network.run(10);
+    let leader = network.leader().unwrap();
+    network.propose(leader);
+    let applied = network.applied.len();
+    network.step(leader, Input::Resign);
+    network.propose(leader);
+    assert_eq!(network.rejected, 1, "a resigning leader takes no request");
+    // Half of the shortest election timeout.
+    network.run(7);
+    let next = network.leader().expect("another replica leads");
+    assert_ne!(next, leader);
+    assert_eq!(network.applied.len(), applied + 1);
+    assert_eq!(network.rejected, 1, "the request taken before was answered");
+    network.crash(leader);
+    assert!(network.run_until_accepted(1));
+}
+
+/// Guards against a group that takes no more requests because its leader resigned in vain.
+#[test]
+fn a_leader_without_successor_goes_on() {
+    let mut network = group(1, 1);
+    network.step(0, Input::Resign);
+    network.run(20);
+    assert!(network.run_until_accepted(1));
+}
+
 /// Guards against a replica that stops working when its clock is set back, by an hour here.
 #[test]
 fn a_clock_may_go_back() {
--- a/crates/auburnbridge_store/tests/recovery.rs
+++ b/crates/auburnbridge_store/tests/recovery.rs
@@ -9,6 +9,7 @@
 use auburnbridge_store::{Files, MemoryFiles, RealFiles, Store, StoreError};
 use auburnbridge_types::Timestamp;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 /// Numbers that depend only on the seed.
 struct Numbers(u64);
@@ -258,7 +259,8 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1), cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Guards against sequences of writes that the fixed seeds don't reach.
     #[test]
