Share evidence between entries and hand over leadership before a planned stop

Cause: the policy weighs what other entries saw, and the log can ask a voter to stand; neither was wired. Change: entries send what they saw of suspected targets every 200 ms while there is any; a keeper that is told to stop resigns and waits up to 1 s until another leads.

--- /dev/null
+++ b/crates/auburnbridge/tests/processes/health.rs
@@ -0,0 +1,121 @@
+//! Guards ejection, reinstatement, the floor and readiness on real processes.
+
+use auburnbridge_standin::Fault;
+
+use crate::fleet::{Fleet, key, request};
+
+/// Guards against a sick target that keeps its work, and against one that never gets it back.
+#[test]
+fn sick_target_is_ejected_and_reinstated() {
+    let fleet = Fleet::ready(2);
+    fleet.targets["stock-0"].set_fault(Fault::CloseAfterRun);
+    fleet.wait_until("the entry ejects the target", |fleet| {
+        let lookup = fleet.get(0, "/bins/sick").unwrap();
+        assert!(
+            lookup.status == 200 || lookup.status == 502,
+            "{}",
+            lookup.status
+        );
+        fleet.entries[0]
+            .log()
+            .contains("target=stock-0 action=eject")
+    });
+    for lookup in 0..20 {
+        let path = format!("/bins/after-{lookup}");
+        assert_eq!(fleet.get(0, &path).unwrap().status, 200);
+    }
+    fleet.targets["stock-0"].set_fault(Fault::None);
+    fleet.wait_until("the entry reinstates the target", |fleet| {
+        fleet.get(0, "/bins/well").unwrap();
+        fleet.entries[0]
+            .log()
+            .contains("target=stock-0 action=reinstate")
+    });
+}
+
+/// Guards H1: with every target sick, the floor keeps targets in use and their own answers come.
+#[test]
+fn floor_keeps_targets_in_use_when_all_are_sick() {
+    let fleet = Fleet::ready(1);
+    for name in ["stock-0", "stock-1"] {
+        fleet.targets[name].set_fault(Fault::CloseAfterRun);
+    }
+    fleet.wait_until("one target is ejected", |fleet| {
+        let _ = fleet.get(0, "/bins/sick");
+        fleet.entries[0].log().contains("action=eject")
+    });
+    for lookup in 0..30 {
+        let _ = fleet.get(0, &format!("/bins/sick-{lookup}"));
+    }
+    for name in ["stock-0", "stock-1"] {
+        fleet.targets[name].set_fault(Fault::None);
+    }
+    assert_eq!(fleet.get(0, "/bins/well").unwrap().status, 200);
+    let log = fleet.entries[0].log();
+    let lowest = log
+        .lines()
+        .filter(|line| line.contains("service=stock"))
+        .filter_map(|line| line.split("in_use=").nth(1))
+        .filter_map(|rest| rest.split(' ').next())
+        .map(|slots| slots.parse::<u32>().unwrap())
+        .skip(2)
+        .min();
+    assert!(lowest >= Some(3), "{lowest:?} slots in use, floor 3");
+}
+
+fn is_ready(fleet: &Fleet, entry: usize) -> bool {
+    fleet
+        .send(entry, &request("GET", "/auburnbridge/ready"))
+        .is_ok_and(|response| response.status == 200)
+}
+
+/// Guards against an isolated entry that keeps getting requests, and against entries that all give
+/// up because the keepers are away.
+#[test]
+fn only_an_isolated_entry_is_not_ready() {
+    let mut fleet = Fleet::ready(2);
+    for keeper in &mut fleet.keepers {
+        keeper.kill();
+    }
+    fleet.wait_until("the entry notices that the keepers are away", |fleet| {
+        fleet.post(0, "/slips", &key(), "ward", "0").unwrap().status == 503
+    });
+    assert!(is_ready(&fleet, 0) && is_ready(&fleet, 1));
+    fleet.entries[1].freeze();
+    fleet.wait_until("the entry that reaches nobody is not ready", |fleet| {
+        !is_ready(fleet, 0)
+    });
+    assert_eq!(
+        fleet.get(0, "/bins/1").unwrap().status,
+        200,
+        "it still serves"
+    );
+    fleet.entries[1].thaw();
+    fleet.wait_until("the entry is ready again", |fleet| is_ready(fleet, 0));
+}
+
+/// Guards against keyed requests that are refused while the leading keeper is stopped and started
+/// as planned.
+#[test]
+fn rolling_restart_of_the_keepers_refuses_no_keyed_request() {
+    let mut fleet = Fleet::ready(1);
+    for keeper in 0..3 {
+        fleet.keepers[keeper].terminate();
+        let ended_well = fleet.keepers[keeper].wait();
+        assert!(ended_well, "{}", fleet.keepers[keeper].log());
+        for _ in 0..5 {
+            let key = key();
+            let slip = fleet.post(0, "/slips", &key, "ward", "0").unwrap();
+            assert_eq!(slip.status, 200, "{}", String::from_utf8_lossy(&slip.body));
+            assert_eq!(fleet.executions(&key), 1);
+        }
+        fleet.keepers[keeper].restart();
+        fleet.wait_until("the keeper counts again", |fleet| {
+            fleet.keepers[keeper]
+                .log()
+                .matches("start confirmed by its peers")
+                .count()
+                >= 2
+        });
+    }
+}
--- a/crates/auburnbridge/tests/processes/main.rs
+++ b/crates/auburnbridge/tests/processes/main.rs
@@ -2,4 +2,5 @@
 
 mod control;
 mod fleet;
+mod health;
 mod request_path;
--- a/crates/auburnbridge_entry/src/entry.rs
+++ b/crates/auburnbridge_entry/src/entry.rs
@@ -9,11 +9,13 @@
 use auburnbridge_caller::{Disconnect, Problem, Service, TaskTracker};
 use auburnbridge_http::{Limits, Request, Response};
 use auburnbridge_ledger::Command;
+use auburnbridge_messages::ServiceEvidence;
 use auburnbridge_metrics::{Counter, Metrics, Timer};
 use auburnbridge_policy::{AccountLimit, AccountLimiter, CrashReport, PoisonTable};
 use auburnbridge_rules::{Class, Rules};
 use auburnbridge_types::{
-    AttemptId, BodyDigest, BoxFuture, Clock, ErrorKind, Millis, Revision, Timestamp, VmId,
+    AttemptId, BodyDigest, BoxFuture, Clock, DataCentre, ErrorKind, Millis, Revision, Timestamp,
+    VmId,
 };
 use log::info;
 use parking_lot::Mutex;
@@ -75,6 +77,15 @@
     pub seed: u64,
 }
 
+/// Where an entry runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Location {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+}
+
 /// An entry's state.
 ///
 /// Lock order: `rules_change`, then the fleets' locks. `accounts`, `poison` and `random` are
@@ -98,10 +109,10 @@
 
 impl Entry {
     /// Creates an entry without rules.
-    pub fn new(vm: VmId, answer_limits: Limits, ports: Ports) -> Self {
+    pub fn new(location: Location, answer_limits: Limits, ports: Ports) -> Self {
         let mut random = StdRng::seed_from_u64(ports.seed);
         Self {
-            fleets: Fleets::new(Arc::clone(&ports.metrics), ports.seed),
+            fleets: Fleets::new(location.data_centre, Arc::clone(&ports.metrics), ports.seed),
             ledger: MeasuredLedger {
                 client: Arc::clone(&ports.ledger),
                 clock: Arc::clone(&ports.clock),
@@ -114,7 +125,7 @@
             accounts: Mutex::default(),
             poison: Mutex::default(),
             answer_limits,
-            vm,
+            vm: location.vm,
             boot: random.random(),
             attempts: AtomicU64::new(0),
             random: Mutex::new(random),
@@ -150,6 +161,12 @@
         true
     }
 
+    /// Takes over what another entry saw of suspected targets.
+    pub fn merge_evidence(&self, from: &VmId, evidence: &[ServiceEvidence]) {
+        let now = self.ports.clock.now();
+        self.fleets.merge_evidence(now, from, evidence);
+    }
+
     /// Takes over a crash report of another entry.
     pub fn record_crash(&self, report: CrashReport) {
         let now = self.ports.clock.now();
--- a/crates/auburnbridge_entry/src/fleets.rs
+++ b/crates/auburnbridge_entry/src/fleets.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use auburnbridge_messages::ServiceEvidence;
 use auburnbridge_metrics::{Counter, Metrics};
 use auburnbridge_policy::{
     Action, Choice, Decision, Fleet, Member, Observation, RequestClass, RetryBudget, ServicePolicy,
     TargetKey, TargetView,
 };
 use auburnbridge_rules::{Rules, Service};
-use auburnbridge_types::{Incarnation, ServiceName, TargetId, Timestamp};
+use auburnbridge_types::{DataCentre, Incarnation, ServiceName, TargetId, Timestamp, VmId};
 use log::{debug, info};
 use parking_lot::{Mutex, RwLock};
 use rand::SeedableRng;
@@ -144,15 +145,18 @@
 #[derive(Debug)]
 pub struct Fleets {
     services: RwLock<HashMap<ServiceName, Arc<ServiceFleet>>>,
+    data_centre: DataCentre,
     metrics: Arc<Metrics>,
     seed: u64,
 }
 
 impl Fleets {
-    /// Creates the table without services; `seed` is that of the choices of targets.
-    pub fn new(metrics: Arc<Metrics>, seed: u64) -> Self {
+    /// Creates the table of an entry in `data_centre` without services; `seed` is that of the
+    /// choices of targets.
+    pub fn new(data_centre: DataCentre, metrics: Arc<Metrics>, seed: u64) -> Self {
         Self {
             services: RwLock::default(),
+            data_centre,
             metrics,
             seed,
         }
@@ -181,7 +185,7 @@
                     name: service.name.clone(),
                     metrics: Arc::clone(&self.metrics),
                     state: Mutex::new(ServiceState {
-                        fleet: Fleet::new(policy),
+                        fleet: Fleet::new(policy).with_data_centre(self.data_centre.clone()),
                         retries,
                         random: StdRng::seed_from_u64(self.seed),
                     }),
@@ -203,6 +207,30 @@
         fleet.report(&decisions);
     }
 
+    /// What this entry saw of suspected targets, for the other entries.
+    pub fn evidence(&self, now: Timestamp) -> Vec<ServiceEvidence> {
+        let services: Vec<Arc<ServiceFleet>> = self.services.read().values().cloned().collect();
+        services
+            .iter()
+            .map(|service| ServiceEvidence {
+                service: service.name.clone(),
+                reports: service.state.lock().fleet.evidence(now),
+            })
+            .filter(|evidence| !evidence.reports.is_empty())
+            .collect()
+    }
+
+    /// Takes over what another entry saw.
+    pub fn merge_evidence(&self, now: Timestamp, from: &VmId, evidence: &[ServiceEvidence]) {
+        for ServiceEvidence { service, reports } in evidence {
+            let Some(fleet) = self.get(service) else {
+                continue;
+            };
+            let decisions = fleet.state.lock().fleet.merge_evidence(now, from, reports);
+            fleet.report(&decisions);
+        }
+    }
+
     /// Names of the services.
     pub fn names(&self) -> Vec<ServiceName> {
         self.services.read().keys().cloned().collect()
--- a/crates/auburnbridge_entry/src/lib.rs
+++ b/crates/auburnbridge_entry/src/lib.rs
@@ -17,7 +17,7 @@
 mod target_port;
 
 pub use attempt::{ATTEMPT_HEADER, SHED_HEADER};
-pub use entry::{CrashReporter, Entry, Ports, RulesInForce, RuntimeTasks, Tasks};
+pub use entry::{CrashReporter, Entry, Location, Ports, RulesInForce, RuntimeTasks, Tasks};
 pub use fleets::{Assignment, Fleets, ServiceFleet};
 pub use keeper_client::KeeperClient;
 pub use ledger_client::{LedgerClient, LedgerUnavailable};
--- a/crates/auburnbridge_entry/src/neighbours.rs
+++ b/crates/auburnbridge_entry/src/neighbours.rs
@@ -11,7 +11,7 @@
     Announcement, Entries, EntryAnnouncement, Gossip, Liveness, Members, State, SyncMessage,
     Verdict,
 };
-use auburnbridge_messages::{Reply, Request};
+use auburnbridge_messages::{Reply, Request, ServiceEvidence};
 use auburnbridge_peer::{PeerAddress, Transport};
 use auburnbridge_policy::{CrashReport, Member, Presence};
 use auburnbridge_types::{BoxFuture, Clock, Millis, Revision, ServiceName, Timestamp};
@@ -150,6 +150,20 @@
         }
     }
 
+    /// Sends what this entry saw of suspected targets to every other entry.
+    pub fn send_evidence(&self, evidence: Vec<ServiceEvidence>) {
+        if evidence.is_empty() {
+            return;
+        }
+        let Ok(body) = Request::Evidence(evidence).encode() else {
+            warn!("evidence is too long to be sent");
+            return;
+        };
+        for peer in self.peers() {
+            self.transport.send(&peer, body.clone());
+        }
+    }
+
     fn renew_own(&self, revision: Revision) -> EntryAnnouncement {
         let mut own = self.own.lock();
         own.sequence.0 += 1;
--- a/crates/auburnbridge_entry/src/run.rs
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -24,7 +24,7 @@
 use error_stack::{Report, ResultExt};
 use log::{info, warn};
 
-use crate::entry::{Entry, Ports, RuntimeTasks};
+use crate::entry::{Entry, Location, Ports, RuntimeTasks};
 use crate::keeper_client::KeeperClient;
 use crate::neighbours::{Neighbours, SPREAD_INTERVAL};
 use crate::rules_feed::RulesFeed;
@@ -32,6 +32,8 @@
 
 /// Interval of the comparison with one other entry and of decisions that depend on time.
 const MAINTENANCE_INTERVAL: Millis = Millis(1_000);
+/// Interval of the evidence that is sent to the other entries while a target is suspected.
+const EVIDENCE_INTERVAL: Millis = Millis(200);
 /// Longest wait at a planned stop until the ledger knows how all requests ended.
 const SETTLE_LIMIT: Millis = Millis(5_000);
 /// Maintenance intervals between two loads of the keys, which picks up replaced files.
@@ -134,8 +136,12 @@
             metrics: Arc::new(Metrics::new(options.metrics_address).change_context(EntryError)?),
             seed: rand::random(),
         };
+        let location = Location {
+            vm: options.vm.clone(),
+            data_centre: options.data_centre.clone(),
+        };
         let answer_limits = Limits::default().with_budget(budget.clone());
-        let entry = Arc::new(Entry::new(options.vm.clone(), answer_limits, ports));
+        let entry = Arc::new(Entry::new(location, answer_limits, ports));
         let server: Arc<dyn Handler> = Arc::new(EntryServer::new(
             Arc::clone(&entry),
             Arc::clone(&neighbours),
@@ -259,6 +265,14 @@
             }
         });
         let shared = Arc::clone(self);
+        task::spawn(async move {
+            loop {
+                let evidence = shared.entry.fleets().evidence(shared.clock.now());
+                shared.neighbours.send_evidence(evidence);
+                shared.clock.sleep(EVIDENCE_INTERVAL).await;
+            }
+        });
+        let shared = Arc::clone(self);
         task::spawn(async move { shared.maintain(&pool, &keys).await });
     }
 
--- a/crates/auburnbridge_entry/src/server.rs
+++ b/crates/auburnbridge_entry/src/server.rs
@@ -31,6 +31,10 @@
                 self.entry.record_crash(report);
                 Reply::Done
             }
+            (Request::Evidence(evidence), Role::Entry) => {
+                self.entry.merge_evidence(&from.vm, &evidence);
+                Reply::Done
+            }
             (Request::Rumours { targets, entries }, Role::Entry) => {
                 self.neighbours.take_rumours(&targets, &entries);
                 Reply::Done
--- a/crates/auburnbridge_entry/tests/request_path/scenario.rs
+++ b/crates/auburnbridge_entry/tests/request_path/scenario.rs
@@ -8,7 +8,8 @@
 
 use auburnbridge_caller::{Disconnect, DisconnectSignal, OUTCOME_HEADER, Service};
 use auburnbridge_entry::{
-    DEADLINE_HEADER, Entry, KEY_HEADER, PREVIOUS_ATTEMPTS_HEADER, Ports, RulesInForce, Tasks,
+    DEADLINE_HEADER, Entry, KEY_HEADER, Location, PREVIOUS_ATTEMPTS_HEADER, Ports, RulesInForce,
+    Tasks,
 };
 use auburnbridge_http::{Limits, Request, Response};
 use auburnbridge_metrics::Metrics;
@@ -146,7 +147,11 @@
         metrics: Arc::new(Metrics::new(None).unwrap()),
         seed,
     };
-    let entry = Entry::new("entry".parse().unwrap(), Limits::default(), ports);
+    let location = Location {
+        vm: "entry".parse().unwrap(),
+        data_centre: "north".parse().unwrap(),
+    };
+    let entry = Entry::new(location, Limits::default(), ports);
     let now = world.clock.now();
     let in_force = RulesInForce {
         revision: Revision(1),
--- a/crates/auburnbridge_keeper/src/core.rs
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -78,6 +78,8 @@
         /// Receives the result of the next step.
         reply: Sender<Result<(), RejectReason>>,
     },
+    /// The process is about to stop: hand the leadership over.
+    Resign,
     /// End of the thread.
     Stop,
 }
@@ -204,6 +206,7 @@
                 self.step(Input::Bootstrap { members })
             }
             Event::Join { vm, replica, reply } => self.join(vm, replica, reply),
+            Event::Resign => self.step(Input::Resign),
             Event::Stop => Vec::new(),
         }
     }
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use async_std::task;
 use auburnbridge_caller::{Lifecycle, Listener, ListenerOptions, TideService};
@@ -25,6 +26,9 @@
 use crate::operator_store::OperatorStore;
 use crate::server::KeeperServer;
 
+/// Checks whether another keeper leads before a planned stop goes on; about one second.
+const HAND_OVER_CHECKS: usize = 50;
+const HAND_OVER_WAIT: Duration = Duration::from_millis(20);
 const KEY_RELOAD_INTERVAL: Millis = Millis(30_000);
 
 /// What a keeper needs to run.
@@ -155,8 +159,23 @@
         self.thread.is_finished()
     }
 
+    /// Waits until another keeper leads, so that no request waits for an election timeout.
+    async fn hand_over_leadership(&self) {
+        if !self.core.send(Event::Resign) {
+            return;
+        }
+        for _ in 0..HAND_OVER_CHECKS {
+            let report = self.core.ask(|reply| Event::Report { reply }).await;
+            if report.is_none_or(|report| report.status.role != "leader") {
+                return;
+            }
+            task::sleep(HAND_OVER_WAIT).await;
+        }
+    }
+
     /// Stops after the events that are queued.
     pub async fn stop(self) -> Result<CommitCounts, Report<KeeperError>> {
+        self.hand_over_leadership().await;
         if !self.core.send(Event::Stop) {
             warn!("the keeper's queue is full or its thread has ended");
         }
--- a/crates/auburnbridge_messages/src/lib.rs
+++ b/crates/auburnbridge_messages/src/lib.rs
@@ -9,8 +9,8 @@
 use auburnbridge_log::{Member, Message, ReplicaId, Status};
 use auburnbridge_membership::{Announcement, EntryAnnouncement, SyncMessage};
 use auburnbridge_peer::codec::{self, CodecError};
-use auburnbridge_policy::CrashReport;
-use auburnbridge_types::{ByteSize, DataCentre, Revision, VmId};
+use auburnbridge_policy::{CrashReport, EvidenceReport};
+use auburnbridge_types::{ByteSize, DataCentre, Revision, ServiceName, VmId};
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
@@ -47,6 +47,8 @@
     Log(Box<Message>),
     /// Between entries: a target crashed while it ran a request.
     Crash(CrashReport),
+    /// Between entries, one way: what the sender saw of targets that are suspected.
+    Evidence(Vec<ServiceEvidence>),
     /// Between entries, one way: announcements that are new to the sender.
     Rumours {
         /// Targets.
@@ -60,6 +62,15 @@
     SyncEntries(SyncMessage<EntryAnnouncement>),
 }
 
+/// Evidence about the targets of one service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceEvidence {
+    /// The service.
+    pub service: ServiceName,
+    /// One report for each suspected target.
+    pub reports: Vec<EvidenceReport>,
+}
+
 /// Reply to a [`Request`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
