Answer packets of forgotten connections after a restart

Cause: after a kill and restart of a keeper its peers kept sending on the connection that only they knew, until the idle timeout of 3 s (found in the test of a repair). Ruled out: a shorter idle timeout, which costs more keep-alive packets for each link. Change: the stateless reset key derives from the process's private key, and the connection ids carry no mark of the process, so that the restarted process can end such connections; peers then connect anew.

--- a/crates/auburnbridge_peer/src/server.rs
+++ b/crates/auburnbridge_peer/src/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_std::task;
@@ -10,9 +11,10 @@
 use futures_lite::future;
 use parking_lot::Mutex;
 use quinn::{
-    AsyncStdRuntime, Connection, ConnectionError, Endpoint, EndpointConfig, Incoming, RecvStream,
-    SendStream, ServerConfig, VarInt,
+    AsyncStdRuntime, Connection, ConnectionError, ConnectionId, ConnectionIdGenerator, Endpoint,
+    EndpointConfig, Incoming, RecvStream, SendStream, ServerConfig, VarInt,
 };
+use ring::hmac;
 
 use crate::budget::Budget;
 use crate::certificate::PeerCertificate;
@@ -62,7 +64,7 @@
         let socket = UdpSocket::bind(address).map_err(failed)?;
         let address = socket.local_addr().map_err(failed)?;
         let endpoint = Endpoint::new(
-            EndpointConfig::default(),
+            endpoint_config(&current),
             Some(config.clone()),
             socket,
             Arc::new(AsyncStdRuntime),
@@ -173,6 +175,41 @@
     }
 }
 
+/// Settings that stay the same over restarts with the same key.
+///
+/// A process that restarts gets packets of connections that it no longer knows. With the same reset
+/// key it answers them with a stateless reset; otherwise its peers would notice the restart only
+/// after the idle timeout, 3 s by default.
+fn endpoint_config(keys: &Keys) -> EndpointConfig {
+    let secret = hmac::Key::new(hmac::HMAC_SHA256, keys.key.secret_der());
+    let derived = hmac::sign(&secret, b"stateless reset");
+    let reset_key = hmac::Key::new(hmac::HMAC_SHA256, derived.as_ref());
+    let mut config = EndpointConfig::new(Arc::new(reset_key));
+    config.cid_generator(|| Box::new(RandomConnectionIds));
+    config
+}
+
+/// Connection ids without a mark of the process; the default ones carry a mark that changes with
+/// each start, and packets without it are dropped instead of answered with a reset.
+#[derive(Debug)]
+struct RandomConnectionIds;
+
+const CONNECTION_ID_BYTES: usize = 8;
+
+impl ConnectionIdGenerator for RandomConnectionIds {
+    fn generate_cid(&mut self) -> ConnectionId {
+        ConnectionId::new(&rand::random::<[u8; CONNECTION_ID_BYTES]>())
+    }
+
+    fn cid_len(&self) -> usize {
+        CONNECTION_ID_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
+
 async fn accept_connections(endpoint: Endpoint, shared: Arc<Shared>) {
     let limit = shared.options.connection_limit;
     while let Some(incoming) = endpoint.accept().await {
