--- a/crates/auburnbridge_policy/src/evidence.rs
+++ b/crates/auburnbridge_policy/src/evidence.rs
@@ -3,13 +3,16 @@
 //! Each entry reports only what it saw itself, so that reports never echo. An entry reports a target
 //! that it suspects, and, as counter-evidence, a target that others suspect and that works for it.
 //!
-//! Reports are summed up per data centre, failures against and healthy observations in favour of the
-//! target, so that the number of entries that see the problem and of those that see none decides:
+//! Reports are summed up, failures against and healthy observations in favour of the target, so that
+//! the number of entries that see the problem and of those that see none decides. One entry alone
+//! never counts, since its link may be bad, and the share of each is capped. The greater of two sums
+//! is taken:
 //!
-//! - One entry alone never counts, since its link may be bad, and the share of each is capped.
-//! - A data centre other than the own one counts at most as much as one entry, since a target may be
-//!   sick for one data centre only. Without that cap, one failure by chance in each other data centre
-//!   spread the ejection to all of them.
+//! - The own data centre alone, since a target may be sick for one data centre only.
+//! - All data centres, where another one counts at most as much as one entry. Without that cap, one
+//!   failure by chance in each other data centre spread the ejection to all of them; and without the
+//!   healthy observations of all data centres, failures by chance ejected targets about 8 times a day
+//!   at the careful setting.
 
 use auburnbridge_types::{DataCentre, Incarnation, Millis, TargetId, Timestamp, VmId};
 use serde::{Deserialize, Serialize};
@@ -22,6 +25,10 @@
 pub(crate) const REPORT_MINIMUM: f64 = 1.9;
 /// Time after which a report no longer counts.
 pub(crate) const REPORT_LIFETIME: Millis = Millis(3_000);
+/// Interval at which an unchanged report is repeated.
+const REPORT_INTERVAL: Millis = Millis(1_000);
+/// Change of the suspicion that is reported at once, in nats.
+const REPORT_CHANGE: f64 = 1.0;
 /// Entries whose reports are kept for one target; there are 13 to 16 entries in front of it.
 const WITNESS_LIMIT: usize = 32;
 /// Suspected targets of one message that count in full; with more, their weight falls, because an
@@ -59,8 +66,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RemoteEvidence {
     received: Vec<Received>,
-    /// Whether the last report of this entry was a suspicion, which it has to take back.
-    pub(crate) has_reported: bool,
+    /// Last report of this entry: its suspicion, and when it was written.
+    reported: Option<(f64, Timestamp)>,
     /// Evidence of the last assessment, kept while the target is out of service.
     pub(crate) assessed: f64,
 }
@@ -104,6 +111,22 @@
             .retain(|received| now.since(received.at) < REPORT_LIFETIME);
     }
 
+    /// Whether this entry has to report its suspicion (zero for none); it then counts as reported.
+    pub(crate) fn needs_report(&mut self, now: Timestamp, suspicion: f64) -> bool {
+        let is_taken_back = self.reported.is_some_and(|(last, _)| last > 0.0);
+        if suspicion <= 0.0 && !is_taken_back && self.witness_count() == 0 {
+            self.reported = None;
+            return false;
+        }
+        let is_known = self.reported.is_some_and(|(last, at)| {
+            (suspicion - last).abs() < REPORT_CHANGE && now.since(at) < REPORT_INTERVAL
+        });
+        if !is_known {
+            self.reported = Some((suspicion, now));
+        }
+        !is_known
+    }
+
     pub(crate) fn clear(&mut self) {
         *self = Self::default();
     }
@@ -131,17 +154,26 @@
         } else {
             healthy_evidence(own.observations)
         };
-        let mut total = own_part + self.sum_of(own_centre, share_limit);
+        let here = own_part + self.sum_of(own_centre, share_limit);
+        let witnesses_here = self
+            .witnesses()
+            .filter(|witness| witness.data_centre == *own_centre)
+            .count();
+        let alone = if witnesses_here + usize::from(own_is_witness) < 2 {
+            0.0
+        } else {
+            here
+        };
+        let mut everywhere = here;
         let mut counted: Vec<&DataCentre> = vec![own_centre];
-        for witness in self.witnesses() {
-            let centre = &witness.data_centre;
-            if counted.contains(&centre) {
-                continue;
+        for received in &self.received {
+            let centre = &received.data_centre;
+            if !counted.contains(&centre) {
+                counted.push(centre);
+                everywhere += self.sum_of(centre, share_limit).min(share_limit);
             }
-            counted.push(centre);
-            total += self.sum_of(centre, share_limit).clamp(0.0, share_limit);
         }
-        Some(total.clamp(0.0, SUSPICION_LIMIT))
+        Some(alone.max(everywhere).clamp(0.0, SUSPICION_LIMIT))
     }
 
     /// Sum of the reports from one data centre.
--- a/crates/auburnbridge_policy/src/fleet.rs
+++ b/crates/auburnbridge_policy/src/fleet.rs
@@ -28,6 +28,10 @@
 
 /// Time that a target gets no further work after it shed a request, unless no other is free.
 const SHED_PAUSE: Millis = Millis(20);
+/// Time after a shed for which slots count as scarce.
+const SCARCITY_TIME: Millis = Millis(1_000);
+/// Time for which a slot that an answer freed is taken to be free.
+const FREED_TIME: Millis = Millis(2);
 /// Time that a target without a lease stays in use without a success.
 const STALE_GRACE: Millis = Millis(2_000);
 /// Lead in nats that an ejected target needs to replace one that the floor keeps in use.
@@ -91,6 +95,9 @@
     /// Median of the targets' average answer times.
     typical_latency_ms: Option<f64>,
     results_until_median: u32,
+    last_shed: Timestamp,
+    /// Target whose slot the last answer freed.
+    freed: Option<(TargetKey, Timestamp)>,
     /// Buffer of [`Fleet::choose`], kept to save an allocation per request.
     candidates: Vec<TargetKey>,
 }
@@ -105,6 +112,8 @@
             by_id: HashMap::new(),
             typical_latency_ms: None,
             results_until_median: 0,
+            last_shed: Timestamp(0),
+            freed: None,
             candidates: Vec::new(),
         }
     }
@@ -202,6 +211,7 @@
         candidates.extend(in_use.map(|(key, _)| key));
         let key = self
             .trial_candidate(class, exclude)
+            .or_else(|| self.freed_candidate(now, class, &candidates))
             .or_else(|| self.choose_in_use(now, class, &mut candidates, rng));
         let count = candidates.len();
         self.candidates = candidates;
@@ -220,6 +230,24 @@
         })
     }
 
+    /// The target whose slot has just become free, while slots are scarce: a random target is
+    /// probably full then, and each shed costs a round trip.
+    fn freed_candidate(
+        &mut self,
+        now: Timestamp,
+        class: RequestClass,
+        candidates: &[TargetKey],
+    ) -> Option<TargetKey> {
+        let (key, freed) = self.freed.take()?;
+        let is_scarce = now.since(self.last_shed) < SCARCITY_TIME;
+        if !is_scarce || now.since(freed) > FREED_TIME || !candidates.contains(&key) {
+            return None;
+        }
+        let is_risky = class == RequestClass::Once
+            && is_avoided(now, &self.targets[key], self.slow_limit_ms());
+        (!is_risky).then_some(key)
+    }
+
     /// Non-idempotent work avoids targets under suspicion as long as the others don't shed, which
     /// needs less certainty than an ejection. Idempotent work is not steered by suspicion: its
     /// results are the evidence that clears or condemns a target.
@@ -233,9 +261,10 @@
         if class == RequestClass::Idempotent {
             return self.choose_of_two(now, candidates, rng);
         }
+        let slow_limit_ms = self.slow_limit_ms();
         let mut trusted = 0;
         for at in 0..candidates.len() {
-            if !self.is_avoided(now, &self.targets[candidates[at]]) {
+            if !is_avoided(now, &self.targets[candidates[at]], slow_limit_ms) {
                 candidates.swap(trusted, at);
                 trusted += 1;
             }
@@ -245,18 +274,6 @@
             .or_else(|| self.choose_of_two(now, candidates, rng))
     }
 
-    fn is_avoided(&self, now: Timestamp, target: &Target) -> bool {
-        if now < target.probation_until {
-            return true;
-        }
-        let slow_limit_ms = self.slow_limit_ms();
-        let own = target.suspicion(now, slow_limit_ms);
-        let is_recent = target.health.suspicion() < AVOID_SUSPICION
-            || (target.health.last_fault()).is_some_and(|fault| now.since(fault) < AVOID_TIME);
-        let witnesses = target.remote.witness_count() + usize::from(own >= AVOID_SUSPICION);
-        (own >= AVOID_SUSPICION && is_recent) || witnesses >= 2
-    }
-
     /// An idle target in its trial; only idempotent requests are risked on it.
     fn trial_candidate(&self, class: RequestClass, exclude: &[TargetKey]) -> Option<TargetKey> {
         if class != RequestClass::Idempotent {
@@ -315,6 +332,9 @@
         target.end_request(now, observation);
         if observation == Observation::Shed {
             target.shed_until = now.after(SHED_PAUSE);
+            self.last_shed = now;
+        } else if matches!(observation, Observation::Answered(_)) {
+            self.freed = Some((key, now));
         }
         let peer_latency = typical_latency.filter(|_| now >= target.cold_until);
         let before = target.health.observations();
@@ -379,15 +399,14 @@
             let is_recent = last_fault.is_some_and(|fault| now.since(fault) < REPORT_LIFETIME)
                 || suspicion > target.health.suspicion();
             let is_suspected = suspicion >= REPORT_MINIMUM && is_recent;
-            let is_cleared = target.remote.has_reported || target.remote.witness_count() > 0;
-            target.remote.has_reported = is_suspected;
-            if !is_suspected && !is_cleared {
+            let reported = if is_suspected { suspicion } else { 0.0 };
+            if !target.remote.needs_report(now, reported) {
                 continue;
             }
             reports.push(EvidenceReport {
                 target: target.member.id.clone(),
                 incarnation: target.member.incarnation,
-                suspicion: if is_suspected { suspicion } else { 0.0 },
+                suspicion: reported,
                 observations: target.recent.get(now),
                 data_centre: data_centre.clone(),
             });
@@ -634,6 +653,20 @@
     }
 }
 
+/// Whether non-idempotent work goes to other targets.
+fn is_avoided(now: Timestamp, target: &Target, slow_limit_ms: f64) -> bool {
+    if now < target.probation_until {
+        return true;
+    }
+    let own = target.suspicion(now, slow_limit_ms);
+    if own < AVOID_SUSPICION {
+        return target.remote.witness_count() >= 2;
+    }
+    let is_recent = target.health.suspicion() < AVOID_SUSPICION
+        || (target.health.last_fault()).is_some_and(|fault| now.since(fault) < AVOID_TIME);
+    is_recent || target.remote.witness_count() >= 1
+}
+
 /// Evidence by which targets are compared, of this entry or of several together.
 fn rank(target: &Target) -> f64 {
     target.health.suspicion().max(target.remote.assessed)
--- a/crates/auburnbridge_policy/src/lib.rs
+++ b/crates/auburnbridge_policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! Each change of a target's state is returned as a [`Decision`] with the figures that led to it,
 //! for the log.
 
+mod admission;
 mod decision;
 mod evidence;
 mod fleet;
@@ -15,6 +16,7 @@
 mod retry;
 mod target;
 
+pub use admission::{AdmissionPolicy, AdmissionQueue, Ended, Next, Rejected, Reservation, Waiting};
 pub use decision::{Action, Decision, Reason};
 pub use evidence::EvidenceReport;
 pub use fleet::{Choice, Fleet, TargetKey, TargetView};
--- a/crates/auburnbridge_policy/src/policy.rs
+++ b/crates/auburnbridge_policy/src/policy.rs
@@ -14,23 +14,28 @@
     pub const CAREFUL: Self = Self(0);
     /// Quick detection.
     pub const FAST: Self = Self(100);
-    /// Evidence of several entries needed at the careful end, in nats: odds of 160,000 to 1.
-    const CAREFUL_THRESHOLD: f64 = 12.0;
-    /// Evidence of several entries needed at the fast end, in nats: odds of 3,000 to 1.
-    const FAST_THRESHOLD: f64 = 8.0;
-    /// Evidence that an entry needs on top when no other entry sees the problem: one more failure
-    /// in a row. With less, two failures in a row by chance ejected targets thousands of times a day.
-    const ALONE_MARGIN: f64 = 3.0;
+    /// Evidence of one entry needed at the careful end, in nats: four failures in a row.
+    const CAREFUL_THRESHOLD: f64 = 15.0;
+    /// Evidence of one entry needed at the fast end, in nats: three failures in a row. With less,
+    /// two failures in a row by chance ejected targets thousands of times a day.
+    const FAST_THRESHOLD: f64 = 11.0;
+    /// Evidence of several entries needed at the careful end, in nats.
+    const CAREFUL_SHARED_THRESHOLD: f64 = 18.0;
+    /// Evidence of several entries needed at the fast end, in nats.
+    const FAST_SHARED_THRESHOLD: f64 = 9.0;
 
     /// Evidence of this entry alone at which a target is ejected, in nats.
     pub fn threshold(self) -> f64 {
-        self.shared_threshold() + Self::ALONE_MARGIN
+        self.between(Self::CAREFUL_THRESHOLD, Self::FAST_THRESHOLD)
     }
 
     /// Evidence of several entries together at which a target is ejected, in nats.
     pub fn shared_threshold(self) -> f64 {
-        let share = f64::from(self.0) / 100.0;
-        Self::CAREFUL_THRESHOLD + (Self::FAST_THRESHOLD - Self::CAREFUL_THRESHOLD) * share
+        self.between(Self::CAREFUL_SHARED_THRESHOLD, Self::FAST_SHARED_THRESHOLD)
+    }
+
+    fn between(self, careful: f64, fast: f64) -> f64 {
+        careful + (fast - careful) * f64::from(self.0) / 100.0
     }
 }
 
--- a/crates/auburnbridge_policy/src/target.rs
+++ b/crates/auburnbridge_policy/src/target.rs
@@ -110,7 +110,8 @@
     /// Evidence of this entry, with that of the requests in flight.
     pub(crate) fn suspicion(&self, now: Timestamp, slow_limit_ms: f64) -> f64 {
         let suspicion = self.health.suspicion();
-        if self.starts.is_empty() || now < self.cold_until {
+        let oldest = self.starts.first().map_or(Millis(0), |s| now.since(*s));
+        if in_flight_evidence(oldest, slow_limit_ms) <= 0.0 || now < self.cold_until {
             return suspicion;
         }
         let in_flight: f64 = self
--- /dev/null
+++ b/crates/auburnbridge_policy/tests/admission.rs
@@ -0,0 +1,145 @@
+//! Guards the admission queue: priority, the lookups' share, deadlines and bounds.
+
+use auburnbridge_policy::{
+    AdmissionPolicy, AdmissionQueue, Ended, Next, RequestClass, Reservation, Waiting,
+};
+use auburnbridge_types::{Millis, Slots, Timestamp};
+use proptest::prelude::*;
+
+const START: Timestamp = Timestamp(1_000_000);
+
+fn policy(lookup_share: f64) -> AdmissionPolicy {
+    AdmissionPolicy {
+        queue_limit: 1_000,
+        lookup_share,
+        reservation: Reservation::None,
+    }
+}
+
+fn waiting(class: RequestClass, item: u32) -> Waiting<u32> {
+    Waiting {
+        class,
+        deadline: START.after(Millis(60_000)),
+        item,
+    }
+}
+
+fn started(queue: &mut AdmissionQueue<u32>) -> Vec<RequestClass> {
+    let mut classes = Vec::new();
+    while let Some(next) = queue.next(START) {
+        match next {
+            Next::Start(request) => classes.push(request.class),
+            Next::Expired(request) => panic!("{request:?} has time left"),
+        }
+    }
+    classes
+}
+
+/// Guards against lookups that starve under non-idempotent work, and against lookups that take more
+/// than their share of the starts from it.
+#[test]
+fn lookups_keep_exactly_their_share() {
+    for share in [0.1, 0.25, 0.5] {
+        let mut queue = AdmissionQueue::new(policy(share), Slots(8));
+        for item in 0..900 {
+            queue.offer(START, waiting(RequestClass::Once, item)).ok();
+            let lookup = waiting(RequestClass::Idempotent, item);
+            queue.offer(START, lookup).ok();
+        }
+        let (mut lookups, mut all) = (0.0, 0.0);
+        while all < 400.0 {
+            for class in started(&mut queue) {
+                all += 1.0;
+                lookups += f64::from(u8::from(class == RequestClass::Idempotent));
+                queue.finish(class, Ended::Answered(Millis(1)));
+            }
+        }
+        let measured = lookups / all;
+        assert!((measured - share).abs() < 0.02, "{measured} for {share}");
+    }
+}
+
+/// Guards against a non-idempotent request that waits behind lookups.
+#[test]
+fn once_goes_before_waiting_lookups() {
+    let mut queue = AdmissionQueue::new(policy(0.1), Slots(4));
+    for item in 0..100 {
+        queue
+            .offer(START, waiting(RequestClass::Idempotent, item))
+            .unwrap();
+    }
+    let first = started(&mut queue);
+    assert!(!first.is_empty(), "free slots are used");
+    queue.offer(START, waiting(RequestClass::Once, 0)).unwrap();
+    queue.finish(RequestClass::Idempotent, Ended::Answered(Millis(30)));
+    assert_eq!(queue.next(START).map(class_of), Some(RequestClass::Once));
+}
+
+fn class_of(next: Next<u32>) -> RequestClass {
+    match next {
+        Next::Start(request) | Next::Expired(request) => request.class,
+    }
+}
+
+/// Guards against a queue without bound, against a wait beyond the deadline, and against a rejection
+/// without a hint when to come back.
+#[test]
+fn hopeless_requests_are_rejected_early() {
+    let mut queue = AdmissionQueue::new(policy(0.1), Slots(4));
+    let mut hints = Vec::new();
+    for item in 0..2_000 {
+        let mut request = waiting(RequestClass::Idempotent, item);
+        request.deadline = START.after(Millis(2_000));
+        if let Err(rejected) = queue.offer(START, request) {
+            hints.push(rejected.retry_after);
+        }
+    }
+    assert!(queue.waiting() < 200, "{} wait", queue.waiting());
+    assert!(hints.iter().all(|hint| (1..=2_000).contains(&hint.0)));
+    let late = START.after(Millis(1_999));
+    assert!(matches!(queue.next(late), Some(Next::Expired(_))));
+}
+
+proptest! {
+    /// Guards against requests that are lost, run twice or exceed the slots, over random schedules.
+    #[test]
+    fn every_request_ends_once(steps in prop::collection::vec(0_u8..6, 1..400)) {
+        let mut queue = AdmissionQueue::new(AdmissionPolicy::default(), Slots(6));
+        let (mut offered, mut ended) = (0_u32, 0_u32);
+        let mut running: Vec<Waiting<u32>> = Vec::new();
+        let mut now = START;
+        for step in steps {
+            now = now.after(Millis(7));
+            let class = if step % 2 == 0 { RequestClass::Once } else { RequestClass::Idempotent };
+            match step {
+                0 | 1 => {
+                    offered += 1;
+                    let deadline = now.after(Millis(400));
+                    let request = Waiting { class, deadline, item: offered };
+                    ended += u32::from(queue.offer(now, request).is_err());
+                }
+                2 | 3 if !running.is_empty() => {
+                    let request = running.remove(0);
+                    queue.finish(request.class, Ended::Answered(Millis(30)));
+                    ended += 1;
+                }
+                4 if !running.is_empty() => {
+                    let request = running.remove(0);
+                    queue.finish(request.class, Ended::Shed);
+                    queue.put_back(request);
+                }
+                _ => {}
+            }
+            while let Some(next) = queue.next(now) {
+                match next {
+                    Next::Start(request) => running.push(request),
+                    Next::Expired(_) => ended += 1,
+                }
+            }
+            let waiting = u32::try_from(queue.waiting()).unwrap();
+            let in_flight = u32::try_from(running.len()).unwrap();
+            prop_assert_eq!(offered, ended + waiting + in_flight);
+            prop_assert!(f64::from(in_flight) <= 6.0 * 1.25 + 1.0);
+        }
+    }
+}
