Measure the cost of each part at three or more sizes

The design scale has limits per node that no run had been compared with. Adds auburnbridge_capacity, which is not shipped: it calls the real crates, takes CPU time rather than wall time because other work on the machine does not add to it, and counts heap bytes with stats_alloc. Reading VmRSS was ruled out, since freed memory of an earlier step hides growth.

--- /dev/null
+++ b/crates/auburnbridge_capacity/src/fixtures.rs
@@ -0,0 +1,157 @@
+//! Inputs of realistic size: names, announcements, rules lines and ledger keys.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use auburnbridge_ledger::{Command, LedgerKey, StoredAnswer};
+use auburnbridge_membership::{Announcement, EntryAnnouncement, State};
+use auburnbridge_policy::{Member, Presence};
+use auburnbridge_types::{
+    AttemptId, BodyDigest, IdempotencyKey, Incarnation, Millis, Revision, Sequence, Slots,
+    Timestamp,
+};
+
+/// Start of the measured time.
+pub const START: Timestamp = Timestamp(1_790_000_000_000);
+/// Bytes of a stored answer: a head of about 200 bytes and a short JSON body.
+pub const ANSWER_BYTES: usize = 256;
+
+const TARGETS_PER_SERVICE: u32 = 39;
+const ROUTES_PER_SERVICE: u32 = 61;
+const DATA_CENTRES: u32 = 27;
+
+fn address(number: u32) -> SocketAddr {
+    let [_, high, middle, low] = number.to_be_bytes();
+    SocketAddr::from(([10, high, middle, low], 8_080))
+}
+
+/// Announcement of the target with this number.
+pub fn announcement(number: u32, sequence: u64) -> Announcement {
+    let service = number / TARGETS_PER_SERVICE;
+    Announcement {
+        service: format!("service-{service:04}").parse().expect("a name"),
+        target: format!("target-{number:05}").parse().expect("a name"),
+        address: address(number),
+        data_centre: data_centre(number),
+        incarnation: Incarnation(u64::from(number % 7) + START.0),
+        sequence: Sequence(sequence),
+        slots: Slots(3),
+        state: State::Ready,
+    }
+}
+
+/// Announcement of the entry with this number.
+pub fn entry_announcement(number: u32, sequence: u64) -> EntryAnnouncement {
+    EntryAnnouncement {
+        vm: format!("entry-{number:04}").parse().expect("a name"),
+        address: address(number),
+        data_centre: data_centre(number),
+        incarnation: Incarnation(1),
+        boot: 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(u64::from(number) + 1),
+        sequence: Sequence(sequence),
+        revision: Revision(4_015_000),
+        state: State::Ready,
+    }
+}
+
+fn data_centre(number: u32) -> auburnbridge_types::DataCentre {
+    let number = number % DATA_CENTRES;
+    format!("region-{}-dc-{number}", number % 8)
+        .parse()
+        .expect("a name")
+}
+
+/// A target as a placement decision sees it.
+pub fn member(number: u32) -> Member {
+    let announced = announcement(number, 1);
+    Member {
+        id: announced.target,
+        address: announced.address,
+        data_centre: announced.data_centre,
+        incarnation: announced.incarnation,
+        slots: announced.slots,
+        presence: Presence::Ready,
+    }
+}
+
+/// A rules file of `lines` lines: routes, and a service for each 61 of them.
+pub fn rules_text(lines: u32) -> String {
+    let mut text = String::new();
+    for number in 0..lines {
+        let service = number / ROUTES_PER_SERVICE;
+        if number % ROUTES_PER_SERVICE == 0 {
+            writeln!(
+                text,
+                "service service-{service:04} slots-floor 24 ejection 40   # asked by Meera, ward office"
+            )
+        } else {
+            writeln!(text, "{}", route_line(number, 2_000))
+        }
+        .expect("writing to a string does not fail");
+    }
+    text
+}
+
+/// The route line with this number.
+pub fn route_line(number: u32, timeout_ms: u32) -> String {
+    let service = number / ROUTES_PER_SERVICE;
+    format!(
+        "route GET /service-{service:04}/resource-{number:06}/* to service-{service:04} idempotent timeout {timeout_ms}ms   # asked by Meera, ward office"
+    )
+}
+
+/// A path that the route with this number matches.
+pub fn path(number: u32) -> String {
+    let service = number / ROUTES_PER_SERVICE;
+    format!("/service-{service:04}/resource-{number:06}/items/17")
+}
+
+/// Ledger key with this number, created at [`START`] plus the number in milliseconds.
+pub fn ledger_key(number: u32) -> LedgerKey {
+    let mut random = [7; 10];
+    random[..4].copy_from_slice(&number.to_be_bytes());
+    LedgerKey {
+        idempotency_key: IdempotencyKey::from_parts(log_time(number), random),
+        account: format!("account-{:06}", number % 400_000)
+            .parse()
+            .expect("a name"),
+        service: format!("service-{:04}", number % 1_400)
+            .parse()
+            .expect("a name"),
+    }
+}
+
+/// Log time at which the key with this number is used.
+pub fn log_time(number: u32) -> Timestamp {
+    START.after(Millis(u64::from(number)))
+}
+
+fn attempt(number: u32) -> AttemptId {
+    AttemptId {
+        vm: format!("entry-{:04}", number % 5_300)
+            .parse()
+            .expect("a name"),
+        boot: 0x9e37_79b9_7f4a_7c15,
+        sequence: u64::from(number),
+    }
+}
+
+/// The grant of a key.
+pub fn grant(number: u32) -> Command {
+    Command::Grant {
+        key: ledger_key(number),
+        body_digest: BodyDigest([number.to_be_bytes()[3]; 32]),
+        attempt: attempt(number),
+        deadline: log_time(number).after(Millis(2_000)),
+        previous_attempts: Some(0),
+    }
+}
+
+/// The conclusion of a key.
+pub fn conclude(number: u32) -> Command {
+    Command::Conclude {
+        key: ledger_key(number),
+        attempt: attempt(number),
+        answer: StoredAnswer::new(&[b'a'; ANSWER_BYTES]),
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_capacity/src/ledger.rs
@@ -0,0 +1,65 @@
+//! Cost of the ledger: commands, memory and snapshots.
+
+use auburnbridge_ledger::{Ledger, Limits, Reply};
+use auburnbridge_types::ByteSize;
+
+use crate::fixtures::{self, log_time};
+use crate::measure::{Metric, Report, heap_bytes, nanos_each, nanos_once};
+
+pub const SIZES: [u32; 3] = [1_000, 100_000, 1_000_000];
+const BATCH: u32 = 1_000;
+
+pub const APPLY: Metric = metric("L1", "grant and conclude of one key", "µs");
+pub const MEMORY: Metric = metric("L2", "heap, with answers of 256 B", "B");
+pub const SNAPSHOT_BYTES: Metric = metric("L3", "snapshot", "B");
+pub const SNAPSHOT_TIME: Metric = metric("L4", "take a snapshot", "ms");
+pub const RESTORE_TIME: Metric = metric("L5", "restore a snapshot", "ms");
+
+const fn metric(id: &'static str, name: &'static str, unit: &'static str) -> Metric {
+    Metric {
+        id,
+        name,
+        of: "keys",
+        unit,
+    }
+}
+
+pub fn measure(report: &mut Report) {
+    for keys in SIZES {
+        let (mut ledger, bytes) = heap_bytes(|| fill(keys));
+        report.record(MEMORY, keys, bytes);
+        let mut snapshot = ledger.snapshot();
+        report.record(SNAPSHOT_BYTES, keys, snapshot.len() as f64);
+        let take = nanos_each(|| snapshot = ledger.snapshot());
+        report.record(SNAPSHOT_TIME, keys, take / 1e6);
+        let restore = nanos_each(|| Ledger::restore(&snapshot).expect("it is whole").len());
+        report.record(RESTORE_TIME, keys, restore / 1e6);
+        drop(snapshot);
+
+        let commands: Vec<_> = (keys..keys + BATCH)
+            .map(|number| (number, fixtures::grant(number), fixtures::conclude(number)))
+            .collect();
+        let ((), nanos) = nanos_once(|| {
+            for (number, grant, conclude) in commands {
+                ledger.apply(log_time(number), grant);
+                ledger.apply(log_time(number), conclude);
+            }
+        });
+        report.record(APPLY, keys, nanos / f64::from(BATCH) / 1e3);
+    }
+}
+
+/// A ledger with concluded keys; its limits are above the default ones, which the sizes exceed.
+fn fill(keys: u32) -> Ledger {
+    let mut ledger = Ledger::new(Limits {
+        max_records: 4_000_000,
+        max_stored: ByteSize(4 << 30),
+    });
+    for number in 0..keys {
+        let granted = ledger.apply(log_time(number), fixtures::grant(number));
+        assert_eq!(granted, Reply::Granted, "the key is new");
+        let concluded = ledger.apply(log_time(number), fixtures::conclude(number));
+        assert_eq!(concluded, Reply::Done, "the attempt holds the key");
+    }
+    ledger
+}
--- /dev/null
+++ b/crates/auburnbridge_capacity/src/projection.rs
@@ -0,0 +1,575 @@
+//! The design scale, worked out from the measured costs of one unit.
+//!
+//! Bytes per second are those that a node sends; in gossip it receives as many again. MB and KB are
+//! decimal, and heap figures leave out the allocator's own overhead.
+
+use crate::design_scale as scale;
+use crate::measure::{Report, figure};
+use crate::{account_limits, choice, gossip, http, ledger, peer, rules, store};
+
+/// Prints all figures as a Markdown table.
+pub fn print(report: &Report) {
+    println!();
+    println!("| id | figure | value | unit | from | limit | within |");
+    println!("|---|---|---:|---|---|---:|---|");
+    print_gossip(report);
+    print_connections(report);
+    print_subsets(report);
+    print_tree(report);
+    print_changes(report);
+    print_restarts(report);
+    print_entry(report);
+    bounded(
+        "CV1",
+        "dedicated VMs: keepers and the first level of relays, assumed",
+        scale::LEDGER_VMS + scale::FIRST_RELAYS,
+        "VMs",
+        "assumption",
+        scale::DEDICATED_VMS,
+    );
+    print_ledger(report);
+}
+
+fn row(id: &str, name: &str, value: f64, unit: &str, from: &str) {
+    println!(
+        "| {id} | {name} | {} | {unit} | {from} | – | – |",
+        figure(value)
+    );
+}
+
+/// A figure that a limit bounds from above.
+fn bounded(id: &str, name: &str, value: f64, unit: &str, from: &str, limit: f64) {
+    let verdict = if value <= limit { "yes" } else { "**no**" };
+    println!(
+        "| {id} | {name} | {} | {unit} | {from} | {} | {verdict} |",
+        figure(value),
+        figure(limit)
+    );
+}
+
+/// Bytes that a one-way message costs beside its body, with its share of acknowledgements.
+fn message_overhead(report: &Report) -> f64 {
+    report.median(peer::MESSAGE_BYTES, 64) - 64.0
+}
+
+fn print_gossip(report: &Report) {
+    let data_centre_nodes = scale::NODES / scale::DATA_CENTRES;
+    let data_centre_targets = scale::TARGETS / scale::DATA_CENTRES;
+    let cases = [
+        ("1", "16 entries, 54 targets", 16.0, 54.0),
+        (
+            "2",
+            "one data centre",
+            data_centre_nodes,
+            data_centre_targets,
+        ),
+        (
+            "3",
+            "whole fleet, unbounded queue",
+            scale::NODES,
+            scale::TARGETS,
+        ),
+    ];
+    for (number, name, entries, targets) in cases {
+        let heartbeats = entries * scale::ROUNDS_PER_SECOND;
+        let messages = scale::FANOUT * scale::ROUNDS_PER_SECOND;
+        let bytes = scale::FANOUT
+            * (targets * report.each(gossip::TARGET_RUMOUR_BYTES)
+                + heartbeats * report.each(gossip::ENTRY_RUMOUR_BYTES))
+            + messages * message_overhead(report);
+        bounded(
+            &format!("CG{number}a"),
+            &format!("gossip sent per entry: {name}"),
+            bytes,
+            "B/s",
+            "G2 E2 P7",
+            scale::WIRE_LIMIT,
+        );
+        let micros = targets * target_micros(report) + heartbeats * entry_micros(report);
+        bounded(
+            &format!("CG{number}b"),
+            &format!("gossip CPU per entry, without the transport: {name}"),
+            percent(micros),
+            "% of a core",
+            "G3–G6 E3–E6",
+            scale::CPU_LIMIT_PERCENT,
+        );
+    }
+    let queue = report.largest(gossip::TARGET_KEPT) * scale::TARGETS * scale::ROUNDS_PER_SECOND;
+    row(
+        "CG4",
+        "renewals that the rumour queue passes, of 54,000 a second",
+        queue,
+        "1/s",
+        "G12",
+    );
+    let place = report.median(choice::PLACE, 54) / 54.0;
+    for (id, name, targets) in [
+        ("CG5", "a data centre's targets", data_centre_targets),
+        ("CG6", "all targets", scale::TARGETS),
+    ] {
+        bounded(
+            id,
+            &format!("placement passes, 10 a second: {name}"),
+            percent(targets * place * scale::PLACEMENTS_PER_SECOND),
+            "% of a core",
+            "D2",
+            scale::CPU_LIMIT_PERCENT,
+        );
+    }
+}
+
+/// CPU per announcement of a target that reaches an entry four times and is sent on once.
+fn target_micros(report: &Report) -> f64 {
+    report.each(gossip::TARGET_ENCODE)
+        + scale::FANOUT * report.each(gossip::TARGET_DECODE)
+        + report.each(gossip::TARGET_MERGE_NEW)
+        + (scale::FANOUT - 1.0) * report.each(gossip::TARGET_MERGE_KNOWN)
+}
+
+fn entry_micros(report: &Report) -> f64 {
+    report.each(gossip::ENTRY_ENCODE)
+        + scale::FANOUT * report.each(gossip::ENTRY_DECODE)
+        + report.each(gossip::ENTRY_MERGE_NEW)
+        + (scale::FANOUT - 1.0) * report.each(gossip::ENTRY_MERGE_KNOWN)
+}
+
+fn percent(micros_per_second: f64) -> f64 {
+    micros_per_second / 1e4
+}
+
+fn print_connections(report: &Report) {
+    let idle = report.each(peer::IDLE);
+    row(
+        "CP1",
+        "an idle connection, both directions",
+        idle,
+        "B/s",
+        "P1",
+    );
+    row(
+        "CP2",
+        "idle connections that fill the limit",
+        scale::WIRE_LIMIT / idle,
+        "",
+        "CP1",
+    );
+    let mesh = scale::NODES / scale::DATA_CENTRES - 1.0;
+    bounded(
+        "CP3",
+        "idle connections to every entry of a data centre",
+        mesh * idle,
+        "B/s",
+        "CP1",
+        scale::WIRE_LIMIT,
+    );
+    let poll = report.median(peer::CALL_BYTES, 64);
+    bounded(
+        "CP4",
+        "polls for rules, 2 a second, both directions",
+        scale::POLLS_PER_SECOND * poll,
+        "B/s",
+        "P4",
+        scale::WIRE_LIMIT,
+    );
+    let calls = scale::NODES * scale::POLLS_PER_SECOND;
+    row(
+        "CP5",
+        "cores for the polls of all nodes at the keepers, at most",
+        calls * report.median(peer::CALL_CPU, 64) / 1e6,
+        "cores",
+        "P5",
+    );
+}
+
+fn print_subsets(report: &Report) {
+    let held = scale::CONNECTIONS_PER_TARGET * scale::TARGETS / scale::NODES;
+    row(
+        "CS1",
+        "targets that an entry may connect to, at 350 connections a target",
+        held,
+        "",
+        "design scale",
+    );
+    row(
+        "CS2",
+        "of these per service, if an entry serves every service",
+        held / scale::SERVICES,
+        "",
+        "CS1",
+    );
+    let announcement = report.largest(gossip::HTTP_BYTES);
+    bounded(
+        "CS3",
+        "announcements received if each entry holds the leases of CS1, each second",
+        held * announcement,
+        "B/s",
+        "G14",
+        scale::WIRE_LIMIT,
+    );
+    let leases = scale::TARGETS * scale::LEASE_HOLDERS / scale::NODES;
+    bounded(
+        "CS4",
+        "announcements received with 3 lease holders a target, each second",
+        leases * announcement,
+        "B/s",
+        "G14",
+        scale::WIRE_LIMIT,
+    );
+    bounded(
+        "CS5",
+        "announcements received with 3 lease holders a target, each 10 s",
+        leases * announcement / scale::RENEWAL_SECONDS,
+        "B/s",
+        "G14",
+        scale::WIRE_LIMIT,
+    );
+    bounded(
+        "CS6",
+        "placement passes over the targets of CS1",
+        percent(held * report.median(choice::PLACE, 54) / 54.0 * scale::PLACEMENTS_PER_SECOND),
+        "% of a core",
+        "D2",
+        scale::CPU_LIMIT_PERCENT,
+    );
+}
+
+/// Levels below the keepers that hold all nodes.
+fn levels() -> f64 {
+    let mut level = scale::FIRST_RELAYS;
+    let mut nodes = 0.0;
+    let mut count = 1.0;
+    while nodes < scale::NODES {
+        level *= scale::CHILDREN;
+        nodes += level;
+        count += 1.0;
+    }
+    count
+}
+
+fn print_tree(report: &Report) {
+    let targets = scale::TARGET_CHANGES_PER_DAY / scale::SECONDS_PER_DAY
+        * report.each(gossip::TARGET_RUMOUR_BYTES);
+    let rules =
+        scale::CHANGES_PER_DAY / scale::SECONDS_PER_DAY * report.largest(rules::DELTA_BYTES);
+    row(
+        "CT1",
+        "target changes on one link of the tree",
+        targets,
+        "B/s",
+        "G2",
+    );
+    row(
+        "CT2",
+        "rules deltas on one link of the tree",
+        rules,
+        "B/s",
+        "R7",
+    );
+    let idle = report.each(peer::IDLE);
+    row(
+        "CT3",
+        "leaf: changes and one connection",
+        targets + rules + idle,
+        "B/s",
+        "CT1 CT2 P1",
+    );
+    let links = scale::CHILDREN + 1.0;
+    bounded(
+        "CT4",
+        "inner relay, 20 children: changes and connections, keep-alive 1 s",
+        scale::CHILDREN * (targets + rules) + links * idle,
+        "B/s",
+        "CT1 CT2 P1",
+        scale::WIRE_LIMIT,
+    );
+    bounded(
+        "CT5",
+        "the same with keep-alive 10 s, if bytes fall in proportion",
+        scale::CHILDREN * (targets + rules) + links * idle / 10.0,
+        "B/s",
+        "CT1 CT2 P1",
+        scale::WIRE_LIMIT,
+    );
+    let whole = scale::RESTARTS_PER_DAY / scale::SECONDS_PER_DAY / scale::NODES
+        * report.largest(rules::WHOLE_BYTES);
+    bounded(
+        "CT6",
+        "inner relay: CT5, leases (CS5), and the downloads of 20 children",
+        scale::CHILDREN * (targets + rules + whole) + links * idle / 10.0 + leases_bytes(report),
+        "B/s",
+        "CT5 CS5 CR2",
+        scale::WIRE_LIMIT,
+    );
+    bounded(
+        "CT7",
+        "leaf: CT3 with keep-alive 10 s, leases (CS5) and its own downloads",
+        targets + rules + idle / 10.0 + whole + leases_bytes(report),
+        "B/s",
+        "CT3 CS5 CR2",
+        scale::WIRE_LIMIT,
+    );
+}
+
+fn leases_bytes(report: &Report) -> f64 {
+    scale::TARGETS * scale::LEASE_HOLDERS / scale::NODES / scale::RENEWAL_SECONDS
+        * report.largest(gossip::HTTP_BYTES)
+}
+
+fn print_changes(report: &Report) {
+    let apply = report.largest(rules::APPLY) / 1e6;
+    let edit = report.largest(rules::EDIT) / 1e6;
+    let per_second = scale::CHANGES_PER_DAY / scale::SECONDS_PER_DAY;
+    bounded(
+        "CC1",
+        "changes on a node, daily mean",
+        per_second * apply * 100.0,
+        "% of a core",
+        "R6",
+        scale::CPU_LIMIT_PERCENT,
+    );
+    row(
+        "CC2",
+        "changes on a keeper, daily mean",
+        per_second * edit * 100.0,
+        "% of a core",
+        "R5",
+    );
+    row(
+        "CC3",
+        "hops from the keepers to the farthest node",
+        levels(),
+        "",
+        "20 children",
+    );
+    for (id, interval) in [("CC4", 0.5), ("CC5", 1.0), ("CC6", 2.0)] {
+        let seconds = levels() * (interval + scale::REGION_LATENCY * 2.0 + apply);
+        bounded(
+            &format!("{id}a"),
+            &format!("time until a change is in force, polls each {interval} s"),
+            seconds,
+            "s",
+            "CC3 R6",
+            scale::CHANGE_LIMIT,
+        );
+        bounded(
+            &format!("{id}b"),
+            &format!("CPU of a node in a burst, polls each {interval} s"),
+            apply / interval * 100.0,
+            "% of a core",
+            "R6",
+            scale::CPU_LIMIT_PERCENT,
+        );
+    }
+    let budget = scale::CHANGE_LIMIT - levels() * (0.5 + scale::REGION_LATENCY * 2.0 + apply);
+    row(
+        "CC7",
+        "edits at once that a keeper applies in the rest of the 10 s, polls each 0.5 s",
+        budget / edit,
+        "edits",
+        "R5 CC4a",
+    );
+    row(
+        "CC8",
+        "time of a keeper for a burst of 1,000 edits",
+        1_000.0 * edit,
+        "s",
+        "R5",
+    );
+}
+
+fn print_restarts(report: &Report) {
+    let whole = report.largest(rules::WHOLE_BYTES);
+    let per_second = scale::RESTARTS_PER_DAY / scale::SECONDS_PER_DAY;
+    row(
+        "CR1",
+        "downloads of whole rules, fleet",
+        per_second * whole / 1e6,
+        "MB/s",
+        "R8",
+    );
+    row(
+        "CR2",
+        "the same per node, mean",
+        per_second * whole / scale::NODES,
+        "B/s",
+        "R8",
+    );
+    row(
+        "CR3",
+        "a data centre restarts: downloads",
+        scale::NODES / scale::DATA_CENTRES * whole / 1e9,
+        "GB",
+        "R8",
+    );
+    row(
+        "CR4",
+        "parse after a download, daily mean per node",
+        per_second / scale::NODES * report.largest(rules::PARSE) / 1e4,
+        "% of a core",
+        "R3",
+    );
+    let learn = report.largest(gossip::TARGET_LEARN_BYTES);
+    row(
+        "CR5",
+        "a restarted entry learns all targets by comparison",
+        learn / 1e6,
+        "MB",
+        "G10",
+    );
+    row(
+        "CR6",
+        "the same per node, mean",
+        per_second * learn / scale::NODES,
+        "B/s",
+        "G10",
+    );
+}
+
+fn print_entry(report: &Report) {
+    let requests = scale::REQUESTS_PER_SECOND / scale::NODES;
+    let guard = [
+        http::READ_REQUEST,
+        http::WRITE_REQUEST,
+        http::READ_RESPONSE,
+        http::WRITE_RESPONSE,
+    ]
+    .map(|metric| report.median(metric, 4_096));
+    let micros = guard.iter().sum::<f64>()
+        + report.largest(rules::LOOKUP)
+        + report.largest(account_limits::ADMIT)
+        + report.median(choice::CHOOSE, 54);
+    row(
+        "CE1",
+        "requests per entry, mean",
+        requests,
+        "1/s",
+        "design scale",
+    );
+    row(
+        "CE2",
+        "guard, lookup, limits and choice per request",
+        micros,
+        "µs",
+        "H1–H4 R4 A2 D1",
+    );
+    row(
+        "CE3",
+        "the same per entry",
+        percent(requests * micros),
+        "% of a core",
+        "CE1 CE2",
+    );
+    let per_target = report.median(choice::MEMORY, 54) / 54.0;
+    let parts = [
+        ("CM1", "rules", report.largest(rules::MEMORY), "R2"),
+        (
+            "CM2",
+            "second copy while a delta is applied",
+            report.largest(rules::PEAK),
+            "R11",
+        ),
+        (
+            "CM3",
+            "54,000 targets",
+            report.largest(gossip::TARGET_MEMORY),
+            "G1",
+        ),
+        (
+            "CM4",
+            "5,300 entries",
+            report.largest(gossip::ENTRY_MEMORY),
+            "E1",
+        ),
+        (
+            "CM5",
+            "400,000 accounts",
+            report.largest(account_limits::MEMORY),
+            "A1",
+        ),
+        (
+            "CM6",
+            "fleets of 54,000 targets",
+            scale::TARGETS * per_target,
+            "D3",
+        ),
+    ];
+    for (id, name, bytes, from) in parts {
+        row(id, name, bytes / 1e6, "MB", from);
+    }
+    let total: f64 = parts.iter().map(|(_, _, bytes, _)| bytes).sum();
+    bounded(
+        "CM7",
+        "sum",
+        total / 1e6,
+        "MB",
+        "CM1–CM6",
+        scale::MEMORY_LIMIT_MB,
+    );
+}
+
+fn print_ledger(report: &Report) {
+    let heap = report.each(ledger::MEMORY);
+    let snapshot = report.each(ledger::SNAPSHOT_BYTES);
+    let disk = report.each(store::DISK);
+    row(
+        "CL1",
+        "heap of one key with an answer of 256 B",
+        heap,
+        "B",
+        "L2",
+    );
+    row("CL2", "one key in a snapshot", snapshot, "B", "L3");
+    row(
+        "CL3",
+        "log on disk per key, two records",
+        2.0 * disk,
+        "B",
+        "S2",
+    );
+    let per_second = 1e6 / report.largest(ledger::APPLY);
+    row(
+        "CL4",
+        "keys per second that one core applies, at most",
+        per_second,
+        "1/s",
+        "L1",
+    );
+    let synced = 1_000.0 / report.largest(store::SYNC) * 1_000.0 / 2.0;
+    row(
+        "CL5",
+        "keys per second that the disk syncs, at most",
+        synced,
+        "1/s",
+        "S1",
+    );
+    println!();
+    println!(
+        "| share of keyed requests | retention | keys/s | keys held | groups at 1,000,000 keys | heap, 3 replicas, GB | heap per VM of 5, GB | snapshot CPU per group, % of a core | snapshot writes per group, MB/s |"
+    );
+    println!("|---:|---:|---:|---:|---:|---:|---:|---:|---:|");
+    for share in [0.005, 0.02, 0.1] {
+        for (name, seconds) in [("24 h", 86_400.0), ("1 h", 3_600.0), ("10 min", 600.0)] {
+            print_retention(report, share, name, seconds);
+        }
+    }
+}
+
+fn print_retention(report: &Report, share: f64, name: &str, seconds: f64) {
+    let rate = share * scale::REQUESTS_PER_SECOND;
+    let keys = rate * seconds;
+    let groups = (keys / scale::KEYS_PER_GROUP).ceil();
+    let heap = keys * report.each(ledger::MEMORY) * scale::REPLICAS / 1e9;
+    let snapshots = rate / groups * 2.0 / scale::SNAPSHOT_EVERY;
+    println!(
+        "| {}% | {name} | {} | {} | {} | {} | {} | {} | {} |",
+        figure(share * 100.0),
+        figure(rate),
+        figure(keys),
+        figure(groups),
+        figure(heap),
+        figure(heap / scale::LEDGER_VMS),
+        figure(snapshots * report.largest(ledger::SNAPSHOT_TIME) / 10.0),
+        figure(snapshots * report.largest(ledger::SNAPSHOT_BYTES) / 1e6),
+    );
+}
