--- a/crates/auburnbridge_capacity/src/design_scale.rs
+++ b/crates/auburnbridge_capacity/src/design_scale.rs
@@ -43,6 +43,6 @@
 pub const RENEWAL_SECONDS: f64 = 10.0;
 /// Assumption: each target restarts once a day, which takes two announcements.
 pub const TARGET_CHANGES_PER_DAY: f64 = 2.0 * TARGETS;
-/// Assumption: replicas of a group of the ledger, and VMs of the dedicated ones that hold them.
+/// Assumption: replicas of a group of the ledger, and heap of a VM for them, in GB.
 pub const REPLICAS: f64 = 3.0;
-pub const LEDGER_VMS: f64 = 5.0;
+pub const KEEPER_HEAP_GB: f64 = 16.0;
--- a/crates/auburnbridge_capacity/src/gossip.rs
+++ b/crates/auburnbridge_capacity/src/gossip.rs
@@ -1,6 +1,8 @@
 //! Cost of announcements: memory, rumours, merging and the comparison of two entries.
 
-use auburnbridge_http::{Request as HttpRequest, encode_request};
+use auburnbridge_http::{
+    Request as HttpRequest, RequestInfo, Response, Verdict, encode_request, encode_response,
+};
 use auburnbridge_membership::{Announced, Entries, Gossip, Members, Membership};
 use auburnbridge_messages::{Reply, Request};
 use auburnbridge_types::{Millis, Timestamp};
@@ -13,6 +15,9 @@
 /// Messages of one comparison; a learner needs more than one comparison.
 const MAX_MESSAGES: usize = 16;
 const MAX_COMPARISONS: u32 = 64;
+/// Request, reply and acknowledgement, each with IPv4 and TCP headers.
+const HTTP_PACKETS: usize = 3;
+const TCP_HEADER_BYTES: usize = 40;
 
 pub const TARGET_MEMORY: Metric = targets("G1", "heap of the membership", "B");
 pub const TARGET_RUMOUR_BYTES: Metric = targets("G2", "rumour of one round, encoded", "B");
@@ -34,7 +39,11 @@
 pub const ENTRY_MERGE_KNOWN: Metric = entries("E4", "merge a round of known announcements", "µs");
 pub const ENTRY_ENCODE: Metric = entries("E5", "queue and encode a round", "µs");
 pub const ENTRY_DECODE: Metric = entries("E6", "decode a round", "µs");
-pub const HTTP_BYTES: Metric = targets("G14", "announcement of a target over HTTP, request", "B");
+pub const HTTP_BYTES: Metric = targets(
+    "G14",
+    "announcement over a kept-alive HTTP connection, both directions",
+    "B",
+);
 
 const fn targets(id: &'static str, name: &'static str, unit: &'static str) -> Metric {
     Metric {
@@ -230,5 +239,10 @@
     request.body = body.into();
     let mut encoded = Vec::new();
     encode_request(&request, &mut encoded);
-    encoded.len() as f64
+    let mut response = Response::new(200);
+    response.headers.append("Content-Type", "application/json");
+    response.body = br#"{"verdict":"accepted"}"#.to_vec().into();
+    let info = RequestInfo::default();
+    encode_response(&response, info, Verdict::Reuse, &mut encoded);
+    (encoded.len() + HTTP_PACKETS * TCP_HEADER_BYTES) as f64
 }
--- a/crates/auburnbridge_capacity/src/ledger.rs
+++ b/crates/auburnbridge_capacity/src/ledger.rs
@@ -7,7 +7,13 @@
 use crate::measure::{Metric, Report, heap_bytes, nanos_each, nanos_once};
 
 pub const SIZES: [u32; 3] = [1_000, 100_000, 1_000_000];
-const BATCH: u32 = 1_000;
+/// Keys whose commands are timed.
+const MAX_TIMED: u32 = 10_000;
+/// Above the default limits, which the largest size reaches.
+const LIMITS: Limits = Limits {
+    max_records: 4_000_000,
+    max_stored: ByteSize(4 << 30),
+};
 
 pub const APPLY: Metric = metric("L1", "grant and conclude of one key", "µs");
 pub const MEMORY: Metric = metric("L2", "heap, with answers of 256 B", "B");
@@ -26,7 +32,8 @@
 
 pub fn measure(report: &mut Report) {
     for keys in SIZES {
-        let (mut ledger, bytes) = heap_bytes(|| fill(keys));
+        let ((ledger, apply), bytes) = heap_bytes(|| fill(keys));
+        report.record(APPLY, keys, apply / 1e3);
         report.record(MEMORY, keys, bytes);
         let mut snapshot = ledger.snapshot();
         report.record(SNAPSHOT_BYTES, keys, snapshot.len() as f64);
@@ -34,32 +41,31 @@
         report.record(SNAPSHOT_TIME, keys, take / 1e6);
         let restore = nanos_each(|| Ledger::restore(&snapshot).expect("it is whole").len());
         report.record(RESTORE_TIME, keys, restore / 1e6);
-        drop(snapshot);
-
-        let commands: Vec<_> = (keys..keys + BATCH)
-            .map(|number| (number, fixtures::grant(number), fixtures::conclude(number)))
-            .collect();
-        let ((), nanos) = nanos_once(|| {
-            for (number, grant, conclude) in commands {
-                ledger.apply(log_time(number), grant);
-                ledger.apply(log_time(number), conclude);
-            }
-        });
-        report.record(APPLY, keys, nanos / f64::from(BATCH) / 1e3);
     }
 }
 
-/// A ledger with concluded keys; its limits are above the default ones, which the sizes exceed.
-fn fill(keys: u32) -> Ledger {
-    let mut ledger = Ledger::new(Limits {
-        max_records: 4_000_000,
-        max_stored: ByteSize(4 << 30),
-    });
-    for number in 0..keys {
+/// A ledger with concluded keys, and the nanoseconds that each of the last ones took.
+///
+/// The commands are timed before any snapshot is restored: memory that was freed in small pieces
+/// makes the allocator's next calls slower, which is no cost of the ledger.
+fn fill(keys: u32) -> (Ledger, f64) {
+    let mut ledger = Ledger::new(LIMITS);
+    let timed = MAX_TIMED.min(keys / 2);
+    for number in 0..keys - timed {
         let granted = ledger.apply(log_time(number), fixtures::grant(number));
         assert_eq!(granted, Reply::Granted, "the key is new");
         let concluded = ledger.apply(log_time(number), fixtures::conclude(number));
         assert_eq!(concluded, Reply::Done, "the attempt holds the key");
     }
-    ledger
+    let commands: Vec<_> = (keys - timed..keys)
+        .map(|number| (number, fixtures::grant(number), fixtures::conclude(number)))
+        .collect();
+    let ((), nanos) = nanos_once(|| {
+        for (number, grant, conclude) in commands {
+            ledger.apply(log_time(number), grant);
+            ledger.apply(log_time(number), conclude);
+        }
+    });
+    assert_eq!(ledger.len(), keys as usize, "every key was granted");
+    (ledger, nanos / f64::from(timed))
 }
--- a/crates/auburnbridge_capacity/src/peer.rs
+++ b/crates/auburnbridge_capacity/src/peer.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::net::UdpSocket;
 use async_std::task;
@@ -24,6 +24,7 @@
 const BODY_SIZES: [u32; 3] = [64, 1_024, 16_384];
 const IDLE_SECONDS: u32 = 4;
 const CALLS: u32 = 200;
+const CALLERS: u32 = 16;
 const CALL_TIMEOUT: Millis = Millis(10_000);
 const DAY: Millis = Millis(24 * 60 * 60 * 1_000);
 const PACKET_BYTES: usize = 65_536;
@@ -36,6 +37,9 @@
 pub const CALL_BYTES: Metric = bodies("P4", "call that echoes the body, both directions", "B");
 pub const CALL_CPU: Metric = bodies("P5", "call, CPU of both sides and the forwarder", "µs");
 pub const CALL_RATE: Metric = bodies("P6", "calls one after the other, wall time", "calls/s");
+pub const PARALLEL_RATE: Metric = bodies("P8", "calls, 16 in flight, wall time", "calls/s");
+pub const PARALLEL_CPU: Metric =
+    bodies("P9", "the same, CPU of both sides and the forwarder", "µs");
 pub const MESSAGE_BYTES: Metric = bodies("P7", "one-way message each 5 ms, both directions", "B");
 
 const fn connections(id: &'static str, name: &'static str, unit: &'static str) -> Metric {
@@ -99,7 +103,7 @@
     let peer = &link.peers[0];
     link.call(peer, body.clone()).await;
     let (before, cpu) = (link.bytes(), process_cpu_nanos());
-    let start = std::time::Instant::now();
+    let start = Instant::now();
     for _ in 0..CALLS {
         link.call(peer, body.clone()).await;
     }
@@ -109,6 +113,8 @@
     report.record(CALL_CPU, bytes, (process_cpu_nanos() - cpu) / calls / 1e3);
     report.record(CALL_RATE, bytes, calls / seconds);
 
+    measure_parallel(report, &link, &body).await;
+
     let before = link.bytes();
     for _ in 0..CALLS {
         link.transport.send(peer, body.clone());
@@ -119,9 +125,35 @@
     link.close().await;
 }
 
+async fn measure_parallel(report: &mut Report, link: &Link, body: &[u8]) {
+    let cpu = process_cpu_nanos();
+    let start = Instant::now();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let transport = Arc::clone(&link.transport);
+            let (peer, body) = (link.peers[0].clone(), body.to_vec());
+            task::spawn(async move {
+                for _ in 0..CALLS {
+                    let reply = transport.call(&peer, body.clone(), CALL_TIMEOUT).await;
+                    reply.expect("the server echoes the body");
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.await;
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let calls = f64::from(CALLS * CALLERS);
+    let bytes = u32::try_from(body.len()).expect("the sizes are small");
+    report.record(PARALLEL_RATE, bytes, calls / seconds);
+    let cpu = process_cpu_nanos() - cpu;
+    report.record(PARALLEL_CPU, bytes, cpu / calls / 1e3);
+}
+
 /// A client with connections to several servers, each through a counting forwarder.
 struct Link {
-    transport: PeerTransport,
+    transport: Arc<PeerTransport>,
     peers: Vec<PeerAddress>,
     servers: Vec<PeerServer>,
     forwarded: Arc<AtomicU64>,
@@ -145,7 +177,7 @@
         };
         let options = Options::default();
         let forwarded = Arc::new(AtomicU64::new(0));
-        let transport = PeerTransport::new(keys("client"), options.clone());
+        let transport = Arc::new(PeerTransport::new(keys("client"), options.clone()));
         let mut link = Self {
             transport,
             peers: Vec::new(),
--- a/crates/auburnbridge_capacity/src/projection.rs
+++ b/crates/auburnbridge_capacity/src/projection.rs
@@ -19,14 +19,6 @@
     print_changes(report);
     print_restarts(report);
     print_entry(report);
-    bounded(
-        "CV1",
-        "dedicated VMs: keepers and the first level of relays, assumed",
-        scale::LEDGER_VMS + scale::FIRST_RELAYS,
-        "VMs",
-        "assumption",
-        scale::DEDICATED_VMS,
-    );
     print_ledger(report);
 }
 
@@ -176,9 +168,9 @@
     row(
         "CP5",
         "cores for the polls of all nodes at the keepers, at most",
-        calls * report.median(peer::CALL_CPU, 64) / 1e6,
+        calls * report.median(peer::PARALLEL_CPU, 64) / 1e6,
         "cores",
-        "P5",
+        "P9",
     );
 }
 
@@ -201,7 +193,7 @@
     let announcement = report.largest(gossip::HTTP_BYTES);
     bounded(
         "CS3",
-        "announcements received if each entry holds the leases of CS1, each second",
+        "announcements if each entry holds the leases of CS1, each second",
         held * announcement,
         "B/s",
         "G14",
@@ -210,7 +202,7 @@
     let leases = scale::TARGETS * scale::LEASE_HOLDERS / scale::NODES;
     bounded(
         "CS4",
-        "announcements received with 3 lease holders a target, each second",
+        "announcements with 3 lease holders a target, each second",
         leases * announcement,
         "B/s",
         "G14",
@@ -218,7 +210,7 @@
     );
     bounded(
         "CS5",
-        "announcements received with 3 lease holders a target, each 10 s",
+        "announcements with 3 lease holders a target, each 10 s",
         leases * announcement / scale::RENEWAL_SECONDS,
         "B/s",
         "G14",
@@ -301,14 +293,32 @@
         "CT5 CS5 CR2",
         scale::WIRE_LIMIT,
     );
+    let own = targets + rules + idle / 10.0 + whole + leases_bytes(report);
     bounded(
         "CT7",
-        "leaf: CT3 with keep-alive 10 s, leases (CS5) and its own downloads",
-        targets + rules + idle / 10.0 + whole + leases_bytes(report),
+        "leaf: changes, keep-alive 10 s, leases (CS5) and its own downloads",
+        own,
         "B/s",
-        "CT3 CS5 CR2",
+        "CT1 CT2 P1 CS5 CR2",
         scale::WIRE_LIMIT,
     );
+    let per_child = targets + rules + idle / 10.0;
+    row(
+        "CT8",
+        "children that an inner relay can have beside CT7",
+        (scale::WIRE_LIMIT - own) / per_child,
+        "",
+        "CT7",
+    );
+    let local = targets / scale::DATA_CENTRES;
+    let per_local_child = local + rules + idle / 10.0;
+    row(
+        "CT9",
+        "the same if target changes stay in their data centre",
+        (scale::WIRE_LIMIT - own + targets - local) / per_local_child,
+        "",
+        "CT7",
+    );
 }
 
 fn leases_bytes(report: &Report) -> f64 {
@@ -545,9 +555,9 @@
     );
     println!();
     println!(
-        "| share of keyed requests | retention | keys/s | keys held | groups at 1,000,000 keys | heap, 3 replicas, GB | heap per VM of 5, GB | snapshot CPU per group, % of a core | snapshot writes per group, MB/s |"
+        "| keyed share | retention | keys/s | keys held | groups | heap, GB | VMs | with 9 relays within 14 | call CPU, cores | snapshot CPU, % | snapshot writes, MB/s |"
     );
-    println!("|---:|---:|---:|---:|---:|---:|---:|---:|---:|");
+    println!("|---:|---:|---:|---:|---:|---:|---:|---|---:|---:|---:|");
     for share in [0.005, 0.02, 0.1] {
         for (name, seconds) in [("24 h", 86_400.0), ("1 h", 3_600.0), ("10 min", 600.0)] {
             print_retention(report, share, name, seconds);
@@ -555,20 +565,25 @@
     }
 }
 
+/// Prints the ledger for one share of keyed requests; snapshot figures are those of one replica.
 fn print_retention(report: &Report, share: f64, name: &str, seconds: f64) {
     let rate = share * scale::REQUESTS_PER_SECOND;
     let keys = rate * seconds;
     let groups = (keys / scale::KEYS_PER_GROUP).ceil();
     let heap = keys * report.each(ledger::MEMORY) * scale::REPLICAS / 1e9;
     let snapshots = rate / groups * 2.0 / scale::SNAPSHOT_EVERY;
+    let calls = rate * 2.0 * report.median(peer::PARALLEL_CPU, 64) / 1e6;
+    let vms = (heap / scale::KEEPER_HEAP_GB).ceil().max(scale::REPLICAS);
+    let fits = vms + scale::FIRST_RELAYS <= scale::DEDICATED_VMS;
+    let verdict = if fits { "yes" } else { "**no**" };
     println!(
-        "| {}% | {name} | {} | {} | {} | {} | {} | {} | {} |",
-        figure(share * 100.0),
+        "| {}% | {name} | {} | {} | {} | {} | {vms} | {verdict} | {} | {} | {} |",
+        share * 100.0,
         figure(rate),
         figure(keys),
-        figure(groups),
+        groups,
         figure(heap),
-        figure(heap / scale::LEDGER_VMS),
+        figure(calls),
         figure(snapshots * report.largest(ledger::SNAPSHOT_TIME) / 10.0),
         figure(snapshots * report.largest(ledger::SNAPSHOT_BYTES) / 1e6),
     );
