--- a/crates/auburnbridge_capacity/src/fixtures.rs
+++ b/crates/auburnbridge_capacity/src/fixtures.rs
@@ -108,10 +108,15 @@
 
 /// Ledger key with this number, created at [`START`] plus the number in milliseconds.
 pub fn ledger_key(number: u32) -> LedgerKey {
+    ledger_key_at(number, log_time(number))
+}
+
+/// Ledger key with this number, created at the given time.
+pub fn ledger_key_at(number: u32, created: Timestamp) -> LedgerKey {
     let mut random = [7; 10];
     random[..4].copy_from_slice(&number.to_be_bytes());
     LedgerKey {
-        idempotency_key: IdempotencyKey::from_parts(log_time(number), random),
+        idempotency_key: IdempotencyKey::from_parts(created, random),
         account: format!("account-{:06}", number % 400_000)
             .parse()
             .expect("a name"),
@@ -138,19 +143,29 @@
 
 /// The grant of a key.
 pub fn grant(number: u32) -> Command {
+    grant_of(ledger_key(number), number, log_time(number))
+}
+
+/// The grant of any key to the attempt with this number.
+pub fn grant_of(key: LedgerKey, number: u32, now: Timestamp) -> Command {
     Command::Grant {
-        key: ledger_key(number),
+        key,
         body_digest: BodyDigest([number.to_be_bytes()[3]; 32]),
         attempt: attempt(number),
-        deadline: log_time(number).after(Millis(2_000)),
+        deadline: now.after(Millis(60_000)),
         previous_attempts: Some(0),
     }
 }
 
 /// The conclusion of a key.
 pub fn conclude(number: u32) -> Command {
+    conclude_of(ledger_key(number), number)
+}
+
+/// The conclusion of any key by the attempt with this number.
+pub fn conclude_of(key: LedgerKey, number: u32) -> Command {
     Command::Conclude {
-        key: ledger_key(number),
+        key,
         attempt: attempt(number),
         answer: StoredAnswer::new(&[b'a'; ANSWER_BYTES]),
     }
--- a/crates/auburnbridge_capacity/src/main.rs
+++ b/crates/auburnbridge_capacity/src/main.rs
@@ -15,6 +15,7 @@
 mod fixtures;
 mod gossip;
 mod http;
+mod keeper;
 mod ledger;
 mod measure;
 mod peer;
@@ -46,7 +47,7 @@
 /// Takes one sample of each measurement of a group.
 type Measure = fn(&mut Report);
 
-const GROUPS: [(&str, Measure); 8] = [
+const GROUPS: [(&str, Measure); 9] = [
     ("rules", rules::measure),
     ("gossip", gossip::measure),
     ("account-limits", account_limits::measure),
@@ -56,6 +57,7 @@
     ("ledger", ledger::measure),
     // Last, because its tasks free memory for a while after it, which the heap counter would see.
     ("peer", peer::measure),
+    ("keeper", keeper::measure),
 ];
 
 fn main() {
