--- a/crates/auburnbridge_entry/src/fleets.rs
+++ b/crates/auburnbridge_entry/src/fleets.rs
@@ -6,15 +6,18 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use auburnbridge_messages::ServiceEvidence;
 use auburnbridge_metrics::{Counter, Metrics};
 use auburnbridge_policy::{
     Action, Choice, Decision, Fleet, Member, Observation, RequestClass, RetryBudget, ServicePolicy,
     TargetKey, TargetView,
 };
 use auburnbridge_rules::{Rules, Service};
-use auburnbridge_types::{Incarnation, ServiceName, TargetId, Timestamp};
+use auburnbridge_types::{DataCentre, Incarnation, ServiceName, TargetId, Timestamp, VmId};
 use log::{debug, info};
 use parking_lot::{Mutex, RwLock};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 /// Targets and retry budget of one service.
 #[derive(Debug)]
@@ -28,6 +31,7 @@
 struct ServiceState {
     fleet: Fleet,
     retries: RetryBudget,
+    random: StdRng,
 }
 
 /// A target chosen for one request; dropping it without a result counts as no evidence.
@@ -93,11 +97,10 @@
         class: RequestClass,
         exclude: &[TargetKey],
     ) -> Option<Assignment> {
-        let choice = self
-            .state
-            .lock()
-            .fleet
-            .choose(now, class, exclude, &mut rand::rng())?;
+        let choice = {
+            let state = &mut *self.state.lock();
+            state.fleet.choose(now, class, exclude, &mut state.random)?
+        };
         Some(Assignment {
             service: Arc::clone(self),
             choice,
@@ -142,15 +145,20 @@
 #[derive(Debug)]
 pub struct Fleets {
     services: RwLock<HashMap<ServiceName, Arc<ServiceFleet>>>,
+    data_centre: DataCentre,
     metrics: Arc<Metrics>,
+    seed: u64,
 }
 
 impl Fleets {
-    /// Creates the table without services.
-    pub fn new(metrics: Arc<Metrics>) -> Self {
+    /// Creates the table of an entry in `data_centre` without services; `seed` is that of the
+    /// choices of targets.
+    pub fn new(data_centre: DataCentre, metrics: Arc<Metrics>, seed: u64) -> Self {
         Self {
             services: RwLock::default(),
+            data_centre,
             metrics,
+            seed,
         }
     }
 
@@ -177,8 +185,9 @@
                     name: service.name.clone(),
                     metrics: Arc::clone(&self.metrics),
                     state: Mutex::new(ServiceState {
-                        fleet: Fleet::new(policy),
+                        fleet: Fleet::new(policy).with_data_centre(self.data_centre.clone()),
                         retries,
+                        random: StdRng::seed_from_u64(self.seed),
                     }),
                 };
                 services.insert(service.name.clone(), Arc::new(fleet));
@@ -198,6 +207,30 @@
         fleet.report(&decisions);
     }
 
+    /// What this entry saw of suspected targets, for the other entries.
+    pub fn evidence(&self, now: Timestamp) -> Vec<ServiceEvidence> {
+        let services: Vec<Arc<ServiceFleet>> = self.services.read().values().cloned().collect();
+        services
+            .iter()
+            .map(|service| ServiceEvidence {
+                service: service.name.clone(),
+                reports: service.state.lock().fleet.evidence(now),
+            })
+            .filter(|evidence| !evidence.reports.is_empty())
+            .collect()
+    }
+
+    /// Takes over what another entry saw.
+    pub fn merge_evidence(&self, now: Timestamp, from: &VmId, evidence: &[ServiceEvidence]) {
+        for ServiceEvidence { service, reports } in evidence {
+            let Some(fleet) = self.get(service) else {
+                continue;
+            };
+            let decisions = fleet.state.lock().fleet.merge_evidence(now, from, reports);
+            fleet.report(&decisions);
+        }
+    }
+
     /// Names of the services.
     pub fn names(&self) -> Vec<ServiceName> {
         self.services.read().keys().cloned().collect()
--- a/crates/auburnbridge_entry/src/keyed.rs
+++ b/crates/auburnbridge_entry/src/keyed.rs
@@ -4,22 +4,28 @@
 use auburnbridge_caller::Problem;
 use auburnbridge_http::{Connection, Limits, RequestInfo, Response, Verdict, encode_response};
 use auburnbridge_ledger::{Command, LedgerKey, MAX_ANSWER, Reply, StoredAnswer};
-use auburnbridge_policy::TargetKey;
-use auburnbridge_types::{AttemptId, ByteSize, ErrorKind};
-use log::{info, warn};
+use auburnbridge_types::{AttemptId, ByteSize, ErrorKind, Millis};
+use log::info;
 
 use crate::backoff::Backoff;
-use crate::entry::{Attempted, Entry, request_class};
+use crate::dispatch::{Dispatched, Dispatcher};
+use crate::entry::Entry;
 use crate::request::CallerRequest;
 
 /// Header of an answer that was stored by an earlier attempt.
-const REPLAYED_HEADER: &str = "Auburnbridge-Replayed";
+pub(crate) const REPLAYED_HEADER: &str = "Auburnbridge-Replayed";
+
+/// Time after the caller's deadline for which a grant still counts as in progress.
+///
+/// A withdrawal that reaches the ledger later frees nothing, and requests that are shed until their
+/// deadline withdraw just then. It also covers a difference between this clock and log time.
+const SETTLE_GRACE: Millis = Millis(2_000);
 
 /// Serves a keyed request. It goes on when its caller disconnects, so that a resend gets the answer.
 pub(crate) async fn serve(entry: &Entry, req: &CallerRequest) -> Result<Response, Problem> {
     match acquire(entry, req).await {
         Ok(Grant::Held { key, attempt }) => run_granted(entry, req, key, attempt).await,
-        Ok(Grant::Replay(answer)) => replay(&answer).await,
+        Ok(Grant::Replay(answer)) => replay(&answer, RequestInfo::from(&req.message)).await,
         Err(problem) => Err(problem),
     }
 }
@@ -33,7 +39,6 @@
 
 /// Asks the ledger for the permission to dispatch; waits while another attempt is in progress.
 async fn acquire(entry: &Entry, req: &CallerRequest) -> Result<Grant, Problem> {
-    let clock = &entry.ports.clock;
     let key = LedgerKey {
         idempotency_key: req.key.expect("routes of the class `once` need a key"),
         account: req.account.clone(),
@@ -47,10 +52,10 @@
             key: key.clone(),
             body_digest,
             attempt: attempt.clone(),
-            deadline: req.deadline,
+            deadline: req.deadline.after(SETTLE_GRACE),
             previous_attempts: req.previous_attempts,
         };
-        let reply = entry.apply(command).await.map_err(|error| {
+        let reply = entry.ledger.apply(command).await.map_err(|error| {
             let problem = Problem::new(ErrorKind::LedgerUnavailable, error.to_string());
             req.refuse_unread(problem)
         })?;
@@ -61,7 +66,7 @@
         let kind = match reply {
             Reply::Granted => return Ok(Grant::Held { key, attempt }),
             Reply::Answered(answer) => return Ok(Grant::Replay(answer)),
-            Reply::InProgress if backoff.wait(clock.as_ref(), req.deadline).await => continue,
+            Reply::InProgress if backoff.wait(entry, req.deadline).await => continue,
             Reply::InProgress => ErrorKind::KeyInProgress,
             Reply::Unknown => ErrorKind::KeyOutcomeUnknown,
             Reply::BodyMismatch => ErrorKind::KeyReused,
@@ -79,114 +84,58 @@
     }
 }
 
-/// Dispatches a granted request to one target after the other until one may have run it.
+/// Runs a granted request at most once.
 async fn run_granted(
     entry: &Entry,
     req: &CallerRequest,
     key: LedgerKey,
     attempt: AttemptId,
 ) -> Result<Response, Problem> {
-    match dispatch(entry, req, &attempt).await {
+    let dispatched = match Dispatcher::new(entry, req, None) {
+        Ok(mut dispatcher) => dispatcher.dispatch(|| attempt.clone()).await,
+        Err(problem) => Dispatched::NotRun(problem),
+    };
+    match dispatched {
         Dispatched::Answered(response) => {
-            conclude(entry, req, key, attempt, &response).await;
+            entry.settle_later(conclusion(req, key, attempt, &response));
             Ok(response)
         }
         Dispatched::NotRun(problem) => {
             // No byte of this attempt was written and none will be, so `not-run` holds whether or
             // not the ledger hears of it; without it, a resend reads `unknown`.
-            settle(entry, Command::Withdraw { key, attempt }).await;
+            entry
+                .ledger
+                .settle(Command::Withdraw { key, attempt })
+                .await;
             Err(req.refuse_withdrawn(problem))
         }
         Dispatched::Unknown(problem) => {
-            settle(entry, Command::Abandon { key, attempt }).await;
+            entry.settle_later(Command::Abandon { key, attempt });
             Err(problem)
         }
+        Dispatched::Cancelled => unreachable!("a keyed request goes on without its caller"),
     }
 }
 
-enum Dispatched {
-    Answered(Response),
-    NotRun(Problem),
-    Unknown(Problem),
-}
-
-async fn dispatch(entry: &Entry, req: &CallerRequest, attempt: &AttemptId) -> Dispatched {
-    let clock = &entry.ports.clock;
-    let no_target = || Problem::new(ErrorKind::NoTarget, "no target of the service is in use");
-    let Some(service) = entry.fleets.get(&req.route.service) else {
-        return Dispatched::NotRun(no_target());
-    };
-    let class = request_class(req.route.class);
-    let mut excluded: Vec<TargetKey> = Vec::new();
-    let mut failure = no_target();
-    let mut backoff = Backoff::after_shed();
-    loop {
-        if clock.now() >= req.deadline {
-            let detail = "the deadline passed before the request was sent";
-            return Dispatched::NotRun(Problem::new(ErrorKind::DeadlineBeforeDispatch, detail));
-        }
-        let Some(assignment) = service.choose(clock.now(), class, &excluded) else {
-            if !backoff.wait(clock.as_ref(), req.deadline).await {
-                return Dispatched::NotRun(failure);
-            }
-            excluded.clear();
-            continue;
-        };
-        excluded.push(assignment.key());
-        let target = assignment.target().clone();
-        match entry.attempt(req, attempt, assignment).await {
-            Attempted::Answered(response) => return Dispatched::Answered(response),
-            Attempted::Shed => {
-                failure =
-                    Problem::new(ErrorKind::Overloaded, "every target tried shed the request");
-            }
-            Attempted::NotSent(reason) => {
-                failure = Problem::new(reason.kind(), format!("{target}: {reason:?}"));
-            }
-            Attempted::Unknown { reason, .. } => {
-                let detail = format!("{target}: {reason:?}");
-                return Dispatched::Unknown(Problem::new(reason.kind(), detail));
-            }
-        }
-    }
-}
-
-/// Stores the answer for resends before the caller gets it.
-async fn conclude(
-    entry: &Entry,
+/// The command that stores an answer for resends.
+fn conclusion(
     req: &CallerRequest,
     key: LedgerKey,
     attempt: AttemptId,
     response: &Response,
-) {
+) -> Command {
     let mut encoded = Vec::new();
     let info = RequestInfo::from(&req.message);
     encode_response(response, info, Verdict::Reuse, &mut encoded);
-    let answer = StoredAnswer::new(&encoded);
-    settle(
-        entry,
-        Command::Conclude {
-            key,
-            attempt,
-            answer,
-        },
-    )
-    .await;
-}
-
-/// Tells the ledger how an attempt ended. If the keepers are away, the key stays in progress and
-/// reads `unknown` after its deadline, which is safe.
-async fn settle(entry: &Entry, command: Command) {
-    let name = command.to_string();
-    match entry.apply(command).await {
-        Ok(Reply::Done) => {}
-        Ok(reply) => warn!("ledger command={name} reply={reply}"),
-        Err(error) => warn!("ledger command={name} failed: {error}"),
+    Command::Conclude {
+        key,
+        attempt,
+        answer: StoredAnswer::new(&encoded),
     }
 }
 
 /// The stored answer of an earlier attempt.
-async fn replay(answer: &StoredAnswer) -> Result<Response, Problem> {
+async fn replay(answer: &StoredAnswer, info: RequestInfo) -> Result<Response, Problem> {
     let StoredAnswer::Whole(bytes) = answer else {
         let detail = "the answer was too large to store";
         return Err(Problem::new(ErrorKind::AnswerNotKept, detail));
@@ -197,10 +146,7 @@
         .with_headers(128)
         .with_head_bytes(ByteSize(2 * MAX_ANSWER.0))
         .with_body_bytes(MAX_ANSWER);
-    match connection
-        .read_response(RequestInfo::default(), &limits)
-        .await
-    {
+    match connection.read_response(info, &limits).await {
         Ok(mut response) => {
             response.headers.set(REPLAYED_HEADER, "true");
             Ok(response)
--- a/crates/auburnbridge_log/tests/scenarios.rs
+++ b/crates/auburnbridge_log/tests/scenarios.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 
 use auburnbridge_log::{
-    Body, Boot, DecodeError, Input, LogIndex, MAX_MEMBERS, MESSAGE_VERSION, Member, MemberChange,
-    MemberRole, Members, Message, Output, PeerBoot, RejectReason, ReplicaId, Round, Term, Token,
+    Body, Boot, Config, DecodeError, HardState, Input, LogIndex, MAX_MEMBERS, MESSAGE_VERSION,
+    Member, MemberChange, MemberRole, Members, Message, Output, Payload, PeerBoot, Record,
+    Recovered, RejectReason, Replica, ReplicaId, Round, SnapshotMeta, Status, Term, Token,
 };
+use auburnbridge_types::Timestamp;
 use network::{Network, config};
 
 fn group(nodes: usize, voters: usize) -> Network {
@@ -20,8 +22,7 @@
 }
 
 fn term(network: &Network, node: usize) -> Term {
-    let process = network.nodes[node].process.as_ref().unwrap();
-    process.replica.status().term
+    status(network, node).term
 }
 
 /// Guards against a group that a single dead VM stops.
@@ -68,8 +69,12 @@
         assert!(network.run_until_accepted(40));
         network.run(60);
         network.crash(lost);
+        assert!(network.detects_copy_of(restored));
         network.restore_copy(restored);
         assert_eq!(network.restored, 1, "the copy is in place");
+        // The leader, if it is the third replica, has yet to notice that it has no quorum.
+        let accepts = network.run_until_accepted(2);
+        assert!(!accepts, "the answer of a copy on {restored} counted");
         for _ in 0..12 {
             network.crash(restored);
             network.start(restored);
@@ -89,6 +94,34 @@
     }
 }
 
+/// Guards against an old copy that counts because the first peer to answer has missed its later
+/// boot: the other peer, which knows it, is waited for.
+#[test]
+fn an_old_copy_waits_for_the_other_peer() {
+    let mut network = group(3, 3);
+    network.save_copy(0);
+    network.crash(0);
+    network.crash(2);
+    network.start(0);
+    assert!(
+        network.run_until_accepted(40),
+        "replica 1 confirms the boot"
+    );
+    network.start(2);
+    network.cuts.extend([(0, 2), (1, 0)]);
+    network.restore_copy(0);
+    network.cuts.remove(&(0, 2));
+    network.run(60);
+    network.cuts.clear();
+    network.run(60);
+    let process = network.nodes[0].process.as_ref().unwrap();
+    assert!(process.replica.status().superseded);
+    assert!(
+        network.run_until_accepted(40),
+        "two whole replicas continue"
+    );
+}
+
 /// Guards against a replaced VM that can't be brought back into the group.
 #[test]
 fn replaces_a_lost_voter() {
@@ -119,6 +152,89 @@
     assert!(network.run_until_accepted(40));
 }
 
+fn status(network: &Network, node: usize) -> Status {
+    let process = network.nodes[node].process.as_ref().unwrap();
+    process.replica.status()
+}
+
+/// Lets time pass one message at a time until `is_done`.
+fn run_until(network: &mut Network, is_done: impl Fn(&Network) -> bool) {
+    for _ in 0..1_000 {
+        network.now += 20;
+        for node in 0..network.nodes.len() {
+            network.step(node, Input::Tick);
+            network.sync(node);
+        }
+        while !network.queue.is_empty() {
+            if is_done(network) {
+                return;
+            }
+            network.deliver(0);
+            for node in 0..network.nodes.len() {
+                network.sync(node);
+            }
+        }
+    }
+    panic!("the expected state was not reached");
+}
+
+/// Guards against a record of an earlier term that is committed by counting its copies: a replica
+/// with a record of a term in between can still be elected and replace it.
+#[test]
+fn counting_copies_commits_no_older_term() {
+    let mut network = group(3, 3);
+    let first = network.leader().unwrap();
+    network.isolate(first);
+    let start = status(&network, first).last;
+    for _ in 0..3 {
+        network.propose(first);
+        network.sync(first);
+    }
+    assert_eq!(status(&network, first).synced.0, start.0 + 3);
+    network.crash(first);
+    network.queue.clear();
+    network.cuts.clear();
+    // Another replica is elected and stops with only its own first record.
+    run_until(&mut network, |network| network.leader().is_some());
+    let second = network.leader().unwrap();
+    network.queue.clear();
+    network.sync(second);
+    network.crash(second);
+    // The first leader returns, and its oldest command alone reaches the third replica.
+    let third = 3 - first - second;
+    network.start(first);
+    run_until(&mut network, |network| status(network, third).last > start);
+    network.cuts.insert((first, third));
+    network.run(5);
+    assert_eq!(status(&network, first).role, "leader");
+    assert_eq!(status(&network, third).last, start.next());
+    network.crash(first);
+    network.cuts.clear();
+    network.start(second);
+    assert!(network.run_until_accepted(60));
+    network.start(first);
+    network.run(60);
+}
+
+/// Guards against two member lists whose quorums don't overlap: one change at a time, and none
+/// before a record of the leader's term is committed.
+#[test]
+fn changes_one_member_at_a_time() {
+    let mut network = group(5, 3);
+    network.run(10);
+    network.crash(network.leader().unwrap());
+    run_until(&mut network, |network| network.leader().is_some());
+    let leader = network.leader().unwrap();
+    network.add_learner(leader, 3);
+    assert_eq!(network.rejected, 1, "the term has no committed record");
+    assert!(network.run_until_accepted(20));
+    network.isolate(leader);
+    network.add_learner(leader, 3);
+    assert_eq!(network.rejected, 1);
+    network.add_learner(leader, 4);
+    assert_eq!(network.rejected, 2, "another change is uncommitted");
+}
+
 /// Guards against a removed leader that keeps leading or blocks the rest.
 #[test]
 fn a_removed_leader_steps_down() {
@@ -142,6 +258,7 @@
     network.cuts.insert((leader, 1 - leader));
     network.change(leader, MemberChange::Remove(id));
     network.sync(leader);
+    network.queue.clear();
     for node in 0..2 {
         network.crash(node);
         network.start(node);
@@ -175,27 +292,90 @@
     assert_eq!(term(&network, deaf), before, "the healed replica follows");
 }
 
-/// Guards against a stale read: a leader that is cut off can't answer from its old state.
+/// Guards against a planned stop that leaves the group without a leader for an election timeout, or
+/// cuts off a request that the leader has taken.
+#[test]
+fn a_resigning_leader_hands_over() {
+    let mut network = group(3, 3);
+    network.run(10);
+    let leader = network.leader().unwrap();
+    network.propose(leader);
+    let applied = network.applied.len();
+    network.step(leader, Input::Resign);
+    network.propose(leader);
+    assert_eq!(network.rejected, 1, "a resigning leader takes no request");
+    // Half of the shortest election timeout.
+    network.run(7);
+    let next = network.leader().expect("another replica leads");
+    assert_ne!(next, leader);
+    assert_eq!(network.applied.len(), applied + 1);
+    assert_eq!(network.rejected, 1, "the request taken before was answered");
+    network.crash(leader);
+    assert!(network.run_until_accepted(1));
+}
+
+/// Guards against a group that takes no more requests because its leader resigned in vain.
 #[test]
-fn an_isolated_leader_answers_no_read() {
-    for lease in [false, true] {
-        let config = auburnbridge_log::Config::builder()
-            .lease_reads(lease)
-            .build();
+fn a_leader_without_successor_goes_on() {
+    let mut network = group(1, 1);
+    network.step(0, Input::Resign);
+    network.run(20);
+    assert!(network.run_until_accepted(1));
+}
+
+/// Guards against a replica that stops working when its clock is set back, by an hour here.
+#[test]
+fn a_clock_may_go_back() {
+    let mut network = group(3, 3);
+    for node in &mut network.nodes {
+        node.clock_offset += 3_600_000;
+    }
+    assert!(network.run_until_accepted(20));
+    for node in &mut network.nodes {
+        node.clock_offset -= 3_600_000;
+    }
+    assert!(network.run_until_accepted(20));
+    network.crash(network.leader().unwrap());
+    assert!(network.run_until_accepted(40), "the others elect a leader");
+}
+
+/// Guards against a replica that forces elections because it alone misses the leader's messages.
+#[test]
+fn a_replica_that_misses_the_leader_starts_no_term() {
+    let mut network = group(3, 3);
+    let leader = network.leader().unwrap();
+    let before = term(&network, leader);
+    let missing = (leader + 1) % 3;
+    network.cuts.insert((leader, missing));
+    network.run(200);
+    assert_eq!(term(&network, missing), before);
+    network.cuts.clear();
+    network.run(30);
+    assert_eq!(network.leader(), Some(leader));
+    assert_eq!(term(&network, leader), before);
+}
+
+/// Guards against a stale read: a leader that is cut off answers none from its old state, unless its
+/// lease still keeps the others from electing a new leader.
+#[test]
+fn an_isolated_leader_answers_reads_only_under_a_lease() {
+    for has_lease in [false, true] {
+        let config = Config::builder().lease_reads(has_lease).build();
         let mut network = Network::new(3, 3, 1, config);
         assert!(network.run_until_accepted(20));
         let old = network.leader().unwrap();
         network.read(old);
         network.run(5);
         assert_eq!(network.answered_reads, 1, "a leader with a quorum answers");
-        for other in (0..3).filter(|other| *other != old) {
-            network.cuts.extend([(old, other), (other, old)]);
-        }
-        // The lease of 270 ms runs out, the old leader may still think that it leads.
-        network.run(14);
+        network.isolate(old);
+        network.read(old);
+        let answered = if has_lease { 2 } else { 1 };
+        assert_eq!(network.answered_reads, answered, "lease: {has_lease}");
+        assert_eq!(status(&network, old).role, "leader");
+        network.run(20);
         network.read(old);
         network.run(100);
-        assert_eq!(network.answered_reads, 1, "an isolated leader answered");
+        assert_eq!(network.answered_reads, answered, "lease: {has_lease}");
         assert!(network.run_until_accepted(40));
     }
 }
@@ -216,14 +396,6 @@
     }
     network.start(lagging);
     network.run(60);
-    let status = |network: &Network, node: usize| {
-        network.nodes[node]
-            .process
-            .as_ref()
-            .unwrap()
-            .replica
-            .status()
-    };
     assert_eq!(
         status(&network, lagging).applied,
         status(&network, leader).applied
@@ -231,6 +403,97 @@
     assert!(status(&network, lagging).boot_confirmed);
 }
 
+fn record(index: u64, term: u64) -> Record {
+    Record {
+        index: LogIndex(index),
+        term: Term(term),
+        time: Timestamp(0),
+        payload: Payload::Noop,
+    }
+}
+
+/// A follower in term 2 with 20 synced records of term 1.
+fn follower_with_old_records() -> Replica {
+    let recovered = Recovered {
+        replica: ReplicaId(1),
+        hard_state: HardState {
+            term: Term(2),
+            ..HardState::default()
+        },
+        snapshot: None,
+        records: (1..=20).map(|index| record(index, 1)).collect(),
+    };
+    let vm = "vm-1".parse().unwrap();
+    Replica::recover(config(), vm, recovered, 1, Timestamp(1_000)).0
+}
+
+/// Passes on a message of the leader of term 2.
+fn receive(replica: &mut Replica, body: Body) -> Vec<Output> {
+    let message = Message {
+        version: MESSAGE_VERSION,
+        from: ReplicaId(2),
+        to: ReplicaId(1),
+        term: Term(2),
+        body,
+    };
+    let from = "vm-2".parse().unwrap();
+    replica.step(Timestamp(1_000), Input::Message { from, message })
+}
+
+/// Sends two records after the tenth, which has `prev_term`, and then a heartbeat. Returns what the
+/// follower states in its answer to be synced.
+fn synced_after_append(replica: &mut Replica, prev_term: u64) -> Option<LogIndex> {
+    let append = |prev_index, prev_term, records| Body::Append {
+        prev_index: LogIndex(prev_index),
+        prev_term: Term(prev_term),
+        records,
+        commit: LogIndex(0),
+        round: Round::default(),
+    };
+    let records = vec![record(11, 2), record(12, 2)];
+    let outputs = receive(replica, append(10, prev_term, records));
+    let sends = |output: &Output| matches!(output, Output::Send { .. });
+    assert!(!outputs.iter().any(sends), "sent before the sync");
+    let outputs = receive(replica, append(12, 2, Vec::new()));
+    outputs.iter().find_map(|output| match output {
+        Output::Send { message, .. } => match message.body {
+            Body::AppendReply { matched, .. } => matched,
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+/// Guards against an answer that counts records as synced because those that they replace were.
+#[test]
+fn replaced_records_are_not_synced() {
+    let mut replica = follower_with_old_records();
+    let synced = synced_after_append(&mut replica, 1);
+    assert_eq!(synced, Some(LogIndex(10)));
+}
+
+/// Guards against an answer that counts records as synced because a longer log, which a snapshot
+/// has replaced, was.
+#[test]
+fn records_after_a_received_snapshot_are_not_synced() {
+    let mut replica = follower_with_old_records();
+    let chunk = Body::SnapshotChunk {
+        meta: SnapshotMeta {
+            index: LogIndex(10),
+            term: Term(2),
+            time: Timestamp(0),
+            members: Members::default(),
+        },
+        total: 1,
+        offset: 0,
+        data: Arc::from([0].as_slice()),
+        round: Round::default(),
+    };
+    receive(&mut replica, chunk);
+    let synced = synced_after_append(&mut replica, 2);
+    assert_eq!(synced, Some(LogIndex(0)));
+}
+
 /// Guards against a restart that loses state once the log is long and has snapshots.
 #[test]
 fn recovers_exactly_after_a_thousand_changes() {
@@ -257,7 +520,7 @@
 fn groups_proposals_into_one_write() {
     let mut network = group(1, 1);
     let process = network.nodes[0].process.as_mut().unwrap();
-    let now = auburnbridge_types::Timestamp(network.now);
+    let now = Timestamp(network.now);
     let mut writes = Vec::new();
     let mut propose = |token: u64| {
         let data: Arc<[u8]> = Arc::from([1_u8].as_slice());
@@ -287,7 +550,7 @@
     network.run(10);
     let leader = network.leader().unwrap();
     let follower = (leader + 1) % 3;
-    let now = auburnbridge_types::Timestamp(network.now + 200);
+    let now = Timestamp(network.now + network.nodes[follower].clock_offset);
     let expected = RejectReason::NotLeader {
         leader: Some(network.nodes[leader].vm.clone()),
     };
@@ -369,11 +632,11 @@
         message(Body::Append {
             prev_index: LogIndex(4),
             prev_term: Term(1),
-            records: vec![auburnbridge_log::Record {
+            records: vec![Record {
                 index: LogIndex(index),
                 term: Term(1),
-                time: auburnbridge_types::Timestamp(0),
-                payload: auburnbridge_log::Payload::Noop,
+                time: Timestamp(0),
+                payload: Payload::Noop,
             }],
             commit: LogIndex(0),
             round: Round::default(),
--- a/crates/auburnbridge_peer/src/client.rs
+++ b/crates/auburnbridge_peer/src/client.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use quinn::{
     AsyncStdRuntime, ClientConfig, Connection, ConnectionError, Endpoint, EndpointConfig,
-    SendStream, WriteError,
+    RecvStream, SendStream, WriteError,
 };
 
 use crate::certificate::PeerCertificate;
@@ -155,6 +155,7 @@
 struct CallPhase(AtomicU8);
 
 impl CallPhase {
+    const CONNECTING: u8 = 0;
     const WAITING_FOR_STREAM: u8 = 1;
     const SENT: u8 = 2;
 
@@ -478,7 +479,9 @@
             opened
         } else {
             // The connection broke before anything was sent, so another attempt is safe.
+            phase.enter(CallPhase::CONNECTING);
             connection = self.connection().await?;
+            phase.enter(CallPhase::WAITING_FOR_STREAM);
             connection.open_bi().await.map_err(unreachable)?
         };
         phase.enter(CallPhase::SENT);
@@ -486,7 +489,7 @@
         let size = ByteSize(body.len() as u64);
         write_call(&mut send, body).await?;
         let limit = self.connector.options.message_limit;
-        wire::read_single_frame(&mut recv, limit)
+        read_reply(&mut recv, limit)
             .await
             .map_err(|error| reply_error(error, size))
     }
@@ -504,7 +507,7 @@
         let connection = self.connection().await?;
         let current = match stream.take() {
             Some((id, current)) if id == connection.stable_id() => current,
-            _ => connection.open_uni().await.map_err(unreachable)?,
+            _ => open_message_stream(&connection).await?,
         };
         let (_, current) = stream.insert((connection.stable_id(), current));
         wire::write_frame(current, message)
@@ -513,6 +516,14 @@
     }
 }
 
+/// Opens the stream of one-way messages, which goes ahead of the bodies of calls.
+async fn open_message_stream(connection: &Connection) -> Result<SendStream, PeerError> {
+    const AHEAD_OF_CALLS: i32 = 1;
+    let stream = connection.open_uni().await.map_err(unreachable)?;
+    stream.set_priority(AHEAD_OF_CALLS).map_err(unreachable)?;
+    Ok(stream)
+}
+
 async fn write_call(send: &mut SendStream, body: Vec<u8>) -> Result<(), PeerError> {
     match wire::write_frame(send, body).await {
         Ok(()) => {
@@ -526,11 +537,19 @@
     }
 }
 
+async fn read_reply(recv: &mut RecvStream, limit: ByteSize) -> Result<Vec<u8>, FrameError> {
+    let length = wire::read_length(recv, limit)
+        .await?
+        .ok_or(FrameError::Incomplete)?;
+    wire::read_last_body(recv, length).await
+}
+
 fn reply_error(error: FrameError, size: ByteSize) -> PeerError {
     match error {
         FrameError::TooLarge | FrameError::Reset(wire::REPLY_TOO_LARGE) => PeerError::ReplyTooLarge,
         FrameError::Reset(wire::NO_REPLY) => PeerError::NoReply,
         FrameError::Reset(wire::TOO_LARGE) => PeerError::TooLarge { size },
+        FrameError::Reset(wire::OVERLOADED) => PeerError::Overloaded,
         FrameError::Reset(wire::STOPPING) => PeerError::Stopping,
         FrameError::Reset(code) => connection_lost(format!("the reply was reset, code {code}")),
         FrameError::Incomplete => connection_lost("the reply broke off"),
--- a/crates/auburnbridge_peer/src/server.rs
+++ b/crates/auburnbridge_peer/src/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_std::task;
@@ -10,10 +11,12 @@
 use futures_lite::future;
 use parking_lot::Mutex;
 use quinn::{
-    AsyncStdRuntime, Connection, ConnectionError, Endpoint, EndpointConfig, Incoming, RecvStream,
-    SendStream, ServerConfig,
+    AsyncStdRuntime, Connection, ConnectionError, ConnectionId, ConnectionIdGenerator, Endpoint,
+    EndpointConfig, Incoming, RecvStream, SendStream, ServerConfig, VarInt,
 };
+use ring::hmac;
 
+use crate::budget::Budget;
 use crate::certificate::PeerCertificate;
 use crate::keys::{KeyRing, Keys};
 use crate::options::Options;
@@ -61,18 +64,20 @@
         let socket = UdpSocket::bind(address).map_err(failed)?;
         let address = socket.local_addr().map_err(failed)?;
         let endpoint = Endpoint::new(
-            EndpointConfig::default(),
+            endpoint_config(&current),
             Some(config.clone()),
             socket,
             Arc::new(AsyncStdRuntime),
         )
         .map_err(failed)?;
         let (running, finished) = async_channel::bounded(1);
+        let received = Budget::new(options.received_bytes);
         let shared = Arc::new(Shared {
             keys,
             handler,
             options,
             config: Mutex::new((current, config)),
+            received,
             running: Mutex::new(Some(running)),
             finished,
         });
@@ -130,6 +135,8 @@
     options: Options,
     /// TLS configuration made from these keys.
     config: Mutex<(Arc<Keys>, ServerConfig)>,
+    /// Memory for the calls that are not answered yet.
+    received: Arc<Budget>,
     /// Cloned into each running call; `None` once the server takes no more calls.
     running: Mutex<Option<Sender<Infallible>>>,
     /// Closed when no call runs any more.
@@ -168,13 +175,57 @@
     }
 }
 
+/// Settings that stay the same over restarts with the same key.
+///
+/// A process that restarts gets packets of connections that it no longer knows. With the same reset
+/// key it answers them with a stateless reset; otherwise its peers would notice the restart only
+/// after the idle timeout, 3 s by default.
+fn endpoint_config(keys: &Keys) -> EndpointConfig {
+    let secret = hmac::Key::new(hmac::HMAC_SHA256, keys.key.secret_der());
+    let derived = hmac::sign(&secret, b"stateless reset");
+    let reset_key = hmac::Key::new(hmac::HMAC_SHA256, derived.as_ref());
+    let mut config = EndpointConfig::new(Arc::new(reset_key));
+    config.cid_generator(|| Box::new(RandomConnectionIds));
+    config
+}
+
+/// Connection ids without a mark of the process; the default ones carry a mark that changes with
+/// each start, and packets without it are dropped instead of answered with a reset.
+#[derive(Debug)]
+struct RandomConnectionIds;
+
+const CONNECTION_ID_BYTES: usize = 8;
+
+impl ConnectionIdGenerator for RandomConnectionIds {
+    fn generate_cid(&mut self) -> ConnectionId {
+        ConnectionId::new(&rand::random::<[u8; CONNECTION_ID_BYTES]>())
+    }
+
+    fn cid_len(&self) -> usize {
+        CONNECTION_ID_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
+
 async fn accept_connections(endpoint: Endpoint, shared: Arc<Shared>) {
+    let limit = shared.options.connection_limit;
     while let Some(incoming) = endpoint.accept().await {
-        if endpoint.open_connections() > shared.options.connection_limit {
+        let open = endpoint.open_connections();
+        if open >= limit {
             shared.report_refused(incoming.remote_address(), "too many connections");
             incoming.refuse();
             continue;
         }
+        // Handshakes from forged addresses could fill the table, so once it is half full, a client
+        // first proves that it receives packets at its address.
+        if open >= limit / 2 && !incoming.remote_address_validated() {
+            // It fails only for a validated address.
+            let _ = incoming.retry();
+            continue;
+        }
         task::spawn(serve_connection(incoming, Arc::clone(&shared)));
     }
 }
@@ -262,23 +313,33 @@
 
 async fn serve_call(client: Arc<Client>, mut send: SendStream, mut recv: RecvStream) {
     let limit = client.shared.options.message_limit;
-    let body = match wire::read_single_frame(&mut recv, limit).await {
-        Ok(body) => body,
+    let length = match wire::read_length(&mut recv, limit).await {
+        Ok(Some(length)) => length,
         Err(FrameError::TooLarge) => {
             client.report_oversize(OversizeKind::Call);
-            let _ = recv.stop(wire::TOO_LARGE);
-            let _ = send.reset(wire::TOO_LARGE);
+            refuse_call(&mut send, &mut recv, wire::TOO_LARGE);
             return;
         }
         // The client has given up.
-        Err(FrameError::Incomplete | FrameError::Reset(_) | FrameError::Lost(_)) => return,
+        Ok(None) | Err(FrameError::Incomplete | FrameError::Reset(_) | FrameError::Lost(_)) => {
+            return;
+        }
+    };
+    let Some(reservation) = client.shared.received.reserve(length) else {
+        refuse_call(&mut send, &mut recv, wire::OVERLOADED);
+        return;
+    };
+    let Ok(body) = wire::read_last_body(&mut recv, length).await else {
+        return;
     };
     let Some(_running) = client.shared.begin_call() else {
         let _ = send.reset(wire::STOPPING);
         return;
     };
     let from = client.certificate.identity();
-    let Some(reply) = client.shared.handler.handle(from, body).await else {
+    let reply = client.shared.handler.handle(from, body).await;
+    drop(reservation);
+    let Some(reply) = reply else {
         let _ = send.reset(wire::NO_REPLY);
         return;
     };
@@ -294,6 +355,12 @@
     }
 }
 
+fn refuse_call(send: &mut SendStream, recv: &mut RecvStream, code: VarInt) {
+    // Both fail only on a stream that has ended, whose client needs no answer.
+    let _ = recv.stop(code);
+    let _ = send.reset(code);
+}
+
 async fn accept_messages(client: &Arc<Client>) {
     while let Ok(recv) = client.connection.accept_uni().await {
         task::spawn(serve_messages(Arc::clone(client), recv));
@@ -301,9 +368,8 @@
 }
 
 async fn serve_messages(client: Arc<Client>, mut recv: RecvStream) {
-    let limit = client.shared.options.message_limit;
     loop {
-        match wire::read_next_frame(&mut recv, limit).await {
+        match read_message(&client, &mut recv).await {
             Ok(Some(body)) => {
                 if !client.is_still_accepted() {
                     return;
@@ -322,3 +388,14 @@
         }
     }
 }
+
+async fn read_message(
+    client: &Client,
+    recv: &mut RecvStream,
+) -> Result<Option<Vec<u8>>, FrameError> {
+    let limit = client.shared.options.message_limit;
+    let Some(length) = wire::read_length(recv, limit).await? else {
+        return Ok(None);
+    };
+    wire::read_body(recv, length).await.map(Some)
+}
--- a/crates/auburnbridge_peer/tests/transport.rs
+++ b/crates/auburnbridge_peer/tests/transport.rs
@@ -441,3 +441,66 @@
     assert_eq!(events, expected);
     assert_eq!(seen.len(), 2);
 }
+
+/// Guards against a client that takes more than its share of a server, and against calls that wait
+/// for a stream beyond their timeout.
+#[async_std::test]
+async fn calls_and_connections_are_limited() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let options = Options::builder()
+        .clock(Arc::new(fleet.clock.clone()))
+        .concurrent_calls(1)
+        .connection_limit(2)
+        .build();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, options).unwrap();
+    let to = address("b", &server);
+    let first = fleet.transport(fleet.keys("authority", "a"));
+    // The second connection needs a proof of its address, and the third is over the limit.
+    let second = fleet.transport(fleet.keys("authority", "c"));
+    let third = fleet.transport(fleet.keys("authority", "d"));
+    let running = first.call(&to, b"wait".into(), LONG);
+    let (reply, ()) = future::zip(running, async {
+        seen.recv().await.unwrap();
+        let mut waiting = first.call(&to, b"x".into(), Millis(100));
+        assert!(future::poll_once(&mut waiting).await.is_none());
+        fleet.clock.advance(Millis(100));
+        assert_eq!(waiting.await, Err(PeerError::Busy));
+        assert!(second.call(&to, b"x".into(), LONG).await.is_ok());
+        let error = third.call(&to, b"x".into(), LONG).await.unwrap_err();
+        assert_eq!(<&str>::from(&error), "unreachable", "{error}");
+        first.send(&to, b"release".into());
+    })
+    .await;
+    assert_eq!(reply, Ok(b"wait".into()));
+}
+
+/// Guards against calls that together exhaust the memory of a server, and against memory that is
+/// not released.
+#[async_std::test]
+async fn received_calls_share_a_memory_limit() {
+    let fleet = Fleet::new();
+    let (recorder, seen) = Recorder::new();
+    let options = Options::builder()
+        .clock(Arc::new(fleet.clock.clone()))
+        .received_bytes(ByteSize(100))
+        .build();
+    let keys = fleet.keys("authority", "b");
+    let server = PeerServer::bind(loopback(), keys, recorder, options).unwrap();
+    let to = address("b", &server);
+    let transport = fleet.transport(fleet.keys("authority", "a"));
+    let running = transport.call(&to, b"wait".into(), LONG);
+    let (reply, ()) = future::zip(running, async {
+        seen.recv().await.unwrap();
+        let over = transport.call(&to, vec![b'x'; 97], LONG).await.unwrap_err();
+        assert_eq!(over, PeerError::Overloaded);
+        assert_eq!(over.delivery(), Delivery::NotReceived);
+        for _ in 0..3 {
+            assert!(transport.call(&to, vec![b'x'; 96], LONG).await.is_ok());
+        }
+        transport.send(&to, b"release".into());
+    })
+    .await;
+    assert_eq!(reply, Ok(b"wait".into()));
+}
