Base the ledger's CPU and groups on grants end to end

The cores that grants need were taken from the cost of a call alone. The three keepers and the client together cost more per key, and a group's rate end to end bounds the number of groups beside its memory.

--- a/crates/auburnbridge_capacity/src/measure.rs
+++ b/crates/auburnbridge_capacity/src/measure.rs
@@ -123,7 +123,9 @@
 fn print_row(row: &Row, before: Option<f64>) {
     let sorted = row.sorted();
     let median = row.median();
-    let ratio = before.map_or("–".to_owned(), |before| format!("{:.2}", median / before));
+    let ratio = before
+        .filter(|before| *before > 0.0)
+        .map_or("–".to_owned(), |before| format!("{:.2}", median / before));
     println!(
         "| {} | {} | {} {} | {} | {} | {}–{} | {} | {ratio} |",
         row.metric.id,
--- a/crates/auburnbridge_capacity/src/projection.rs
+++ b/crates/auburnbridge_capacity/src/projection.rs
@@ -5,7 +5,7 @@
 
 use crate::design_scale as scale;
 use crate::measure::{Report, figure};
-use crate::{account_limits, choice, gossip, http, ledger, peer, rules, store};
+use crate::{account_limits, choice, gossip, http, keeper, ledger, peer, rules, store};
 
 /// Prints all figures as a Markdown table.
 pub fn print(report: &Report) {
@@ -580,9 +580,16 @@
         "keys",
         "L4",
     );
+    row(
+        "CL7",
+        "keys per second of one group, end to end on this machine",
+        report.largest(keeper::RATE),
+        "1/s",
+        "K1",
+    );
     println!();
     println!(
-        "| keyed share | retention | keys/s | keys held | groups | heap, GB | VMs | with 9 relays within 14 | call CPU, cores | snapshot CPU, % | snapshot writes, MB/s |"
+        "| keyed share | retention | keys/s | keys held | groups | heap, GB | VMs | with 9 relays within 14 | CPU, cores | snapshot CPU, % | snapshot writes, MB/s |"
     );
     println!("|---:|---:|---:|---:|---:|---:|---:|---|---:|---:|---:|");
     for share in [0.005, 0.02, 0.1] {
@@ -596,10 +603,11 @@
 fn print_retention(report: &Report, share: f64, name: &str, seconds: f64) {
     let rate = share * scale::REQUESTS_PER_SECOND;
     let keys = rate * seconds;
-    let groups = (keys / scale::KEYS_PER_GROUP).ceil();
+    let groups_by_rate = rate / report.largest(keeper::RATE);
+    let groups = (keys / scale::KEYS_PER_GROUP).max(groups_by_rate).ceil();
     let heap = keys * report.each(ledger::MEMORY) * scale::REPLICAS / 1e9;
     let snapshots = rate / groups * 2.0 / scale::SNAPSHOT_EVERY;
-    let calls = rate * 2.0 * report.median(peer::PARALLEL_CPU, 64) / 1e6;
+    let cores = rate * report.largest(keeper::CPU) / 1e6;
     let vms = (heap / scale::KEEPER_HEAP_GB).ceil().max(scale::REPLICAS);
     let fits = vms + scale::FIRST_RELAYS <= scale::DEDICATED_VMS;
     let verdict = if fits { "yes" } else { "**no**" };
@@ -610,7 +618,7 @@
         figure(keys),
         groups,
         figure(heap),
-        figure(calls),
+        figure(cores),
         figure(snapshots * report.largest(ledger::SNAPSHOT_TIME) / 10.0),
         figure(snapshots * report.largest(ledger::SNAPSHOT_BYTES) / 1e6),
     );
--- a/crates/auburnbridge_capacity/tests/capacity.rs
+++ b/crates/auburnbridge_capacity/tests/capacity.rs
@@ -67,7 +67,7 @@
     let letters = word.chars().take_while(char::is_ascii_uppercase).count();
     let digits = word[letters..].trim_end_matches(['a', 'b']);
     let groups = [
-        "R", "G", "E", "A", "D", "H", "S", "P", "L", "CG", "CP", "CS", "CT", "CC", "CR", "CE",
+        "R", "G", "E", "A", "D", "H", "S", "P", "K", "L", "CG", "CP", "CS", "CT", "CC", "CR", "CE",
         "CM", "CL",
     ];
     groups.contains(&&word[..letters])
