--- a/crates/auburnbridge/src/commands/entry.rs
+++ b/crates/auburnbridge/src/commands/entry.rs
@@ -22,9 +22,6 @@
 
 pub(crate) fn run(arguments: &EntryArguments) -> Result<(), Failure> {
     let settings = EntrySettings::load(&arguments.settings)?;
-    if settings.worker_threads > 0 {
-        set_worker_threads(settings.worker_threads);
-    }
     let mut signals = StopSignals::new()?;
     let options = EntryOptions {
         vm: settings.vm,
@@ -42,6 +39,7 @@
         answer_memory: settings.answer_memory,
         connections_per_target: settings.connections_per_target as usize,
         metrics_address: settings.metrics_address,
+        operator_address: settings.operator_address,
     };
     task::block_on(async {
         let entry = RunningEntry::start(options)
@@ -56,8 +54,3 @@
         }
     })
 }
-
-/// The runtime reads its number of threads from the environment once, at its first use.
-fn set_worker_threads(threads: u32) {
-    log::warn!("worker_threads={threads} is ignored; set ASYNC_STD_THREAD_COUNT={threads} instead");
-}
--- a/crates/auburnbridge/src/commands/keys.rs
+++ b/crates/auburnbridge/src/commands/keys.rs
@@ -59,15 +59,28 @@
     days: u64,
 }
 
+/// Longest validity, in days: a century.
+const MOST_DAYS: u64 = 36_500;
+
+fn validity(days: u64) -> Result<Validity, Failure> {
+    if !(1..=MOST_DAYS).contains(&days) {
+        let message = format!("--days {days}: name a number from 1 to {MOST_DAYS}");
+        return Err(Failure::new(message));
+    }
+    Ok(Validity::starting_at(
+        RuntimeClock.now(),
+        Millis(days * DAY_MS),
+    ))
+}
+
 pub(crate) fn run(arguments: KeysArguments) -> Result<(), Failure> {
-    let now = RuntimeClock.now();
     match arguments.command {
         KeysCommand::Authority(arguments) => {
-            let validity = Validity::starting_at(now, Millis(arguments.days * DAY_MS));
+            let validity = validity(arguments.days)?;
             create_authority(&arguments.folder, validity)?;
         }
         KeysCommand::Issue(arguments) => {
-            let validity = Validity::starting_at(now, Millis(arguments.days * DAY_MS));
+            let validity = validity(arguments.days)?;
             let identity = PeerIdentity {
                 vm: arguments.vm,
                 role: arguments.role,
--- a/crates/auburnbridge/tests/processes/request_path.rs
+++ b/crates/auburnbridge/tests/processes/request_path.rs
@@ -198,6 +198,20 @@
     }
 }
 
+/// Guards H3: a resend that can't be read must not be told that the request did not run.
+#[test]
+fn unreadable_resend_of_a_request_that_ran_is_unknown() {
+    let fleet = Fleet::ready(1);
+    let key = key();
+    let first = fleet.post(0, "/slips", &key, "ward 3", "0").unwrap();
+    assert_eq!(first.status, 200);
+    let mut req = request("POST", "/slips");
+    req.headers.append("Idempotency-Key", &key);
+    req.headers.append("Padding", "x".repeat(40_000));
+    let resend = fleet.send(0, &req).unwrap();
+    assert_eq!((resend.status, outcome(&resend)), (431, Some("unknown")));
+}
+
 /// Guards H6: a planned stop under load must not cut off a request.
 #[test]
 fn rolling_restart_loses_no_request() {
--- a/crates/auburnbridge_caller/src/listener.rs
+++ b/crates/auburnbridge_caller/src/listener.rs
@@ -229,13 +229,11 @@
             Ok(req) => req,
             Err(kind) => {
                 if let Some(kind) = kind {
-                    let mut problem = Problem::new(kind, "the request could not be read");
-                    // The key of a request that did not arrive whole is unknown, so it may resend
-                    // one that ran. A malformed or oversize one is refused on every attempt.
-                    if matches!(kind, ErrorKind::RequestTimeout | ErrorKind::Overloaded) {
-                        problem = problem.for_possible_resend();
-                    }
-                    let response = problem.to_response();
+                    // A request that was not read may be a resend of one that ran: its key is
+                    // unknown, and another entry may have other limits.
+                    let response = Problem::new(kind, "the request could not be read")
+                        .for_possible_resend()
+                        .to_response();
                     let info = RequestInfo::default();
                     let _ = connection
                         .write_response(&response, info, Verdict::Retire)
--- a/crates/auburnbridge_caller/src/tide_service.rs
+++ b/crates/auburnbridge_caller/src/tide_service.rs
@@ -10,10 +10,11 @@
 use http_types::{Body, Method, Url};
 use log::warn;
 
-use crate::{Disconnect, Problem, Service};
+use crate::{Disconnect, OUTCOME_HEADER, Problem, Service};
 
 /// Names of the response headers that an application may set.
-const FORWARDED_HEADERS: [&str; 6] = [
+const FORWARDED_HEADERS: [&str; 7] = [
+    OUTCOME_HEADER,
     "Content-Type",
     "ETag",
     "Retry-After",
--- a/crates/auburnbridge_capacity/src/keeper.rs
+++ b/crates/auburnbridge_capacity/src/keeper.rs
@@ -17,7 +17,7 @@
 use auburnbridge_operator::OperatorKeys;
 use auburnbridge_peer::keys::{KeyRing, Validity, create_authority, issue};
 use auburnbridge_peer::{Options, PeerAddress, PeerIdentity, PeerTransport, Role, Transport};
-use auburnbridge_types::{Clock, Millis, RuntimeClock};
+use auburnbridge_types::{ByteSize, Clock, Millis, RuntimeClock};
 use tempfile::TempDir;
 
 use crate::fixtures;
@@ -114,6 +114,8 @@
     let mut keepers = Vec::new();
     for own in &addresses {
         let options = KeeperOptions {
+            segment_size: ByteSize(16 << 20),
+            metrics_address: None,
             vm: own.vm.clone(),
             peer_address: own.address,
             keys: issue_keys(own.vm.as_str(), Role::Keeper),
--- a/crates/auburnbridge_entry/src/keeper_client.rs
+++ b/crates/auburnbridge_entry/src/keeper_client.rs
@@ -18,6 +18,9 @@
 
 /// Time for one call to one keeper; covers a sync and a round between data centres.
 const CALL_TIMEOUT: Millis = Millis(1_000);
+/// Time for one call while the group counts as without a quorum, so that requests are refused at
+/// once.
+const PROBE_TIMEOUT: Millis = Millis(150);
 /// Time for an election: two election timeouts of at most 600 ms.
 const ELECTION_WAIT: Millis = Millis(1_500);
 const RETRY_WAIT: Millis = Millis(25);
@@ -61,7 +64,7 @@
             have,
             data_centre: self.data_centre.clone(),
         };
-        match self.call(keeper, &request).await {
+        match self.call(keeper, &request, CALL_TIMEOUT).await {
             Ok(Reply::Rules(delta)) => Some(delta),
             Ok(reply) => {
                 debug!("keeper {} sent no rules: {reply:?}", keeper.vm);
@@ -88,11 +91,16 @@
     async fn command(&self, request: &Request) -> Result<Reply, LedgerUnavailable> {
         let give_up = self.clock.now().after(ELECTION_WAIT);
         let may_wait = self.has_quorum.load(Ordering::Relaxed);
+        let timeout = if may_wait {
+            CALL_TIMEOUT
+        } else {
+            PROBE_TIMEOUT
+        };
         let mut last_reason = "no keeper is configured".to_owned();
         loop {
             for _ in 0..self.keepers.len() {
                 let at = self.leader.load(Ordering::Relaxed) % self.keepers.len();
-                match self.call(&self.keepers[at], request).await {
+                match self.call(&self.keepers[at], request, timeout).await {
                     Ok(Reply::NotLeader { leader }) => {
                         let next = leader
                             .and_then(|vm| self.keepers.iter().position(|keeper| keeper.vm == vm))
@@ -127,11 +135,16 @@
         }
     }
 
-    async fn call(&self, keeper: &PeerAddress, request: &Request) -> Result<Reply, String> {
+    async fn call(
+        &self,
+        keeper: &PeerAddress,
+        request: &Request,
+        timeout: Millis,
+    ) -> Result<Reply, String> {
         let body = request.encode().map_err(|error| error.to_string())?;
         let reply = self
             .transport
-            .call(keeper, body, CALL_TIMEOUT)
+            .call(keeper, body, timeout)
             .await
             .map_err(|error| format!("{}: {error}", keeper.vm))?;
         Reply::decode(&reply).map_err(|error| format!("{}: {error}", keeper.vm))
--- a/crates/auburnbridge_entry/src/lib.rs
+++ b/crates/auburnbridge_entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod run;
 mod server;
 mod target_port;
+mod targets_api;
 
 pub use attempt::{ATTEMPT_HEADER, SHED_HEADER};
 pub use entry::{CrashReporter, Entry, Location, Ports, RulesInForce, RuntimeTasks, Tasks};
--- a/crates/auburnbridge_entry/src/run.rs
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_std::task;
 use auburnbridge_caller::{
@@ -29,6 +30,7 @@
 use crate::neighbours::{Neighbours, SPREAD_INTERVAL};
 use crate::rules_feed::RulesFeed;
 use crate::server::EntryServer;
+use crate::targets_api::targets_app;
 
 /// Interval of the comparison with one other entry and of decisions that depend on time.
 const MAINTENANCE_INTERVAL: Millis = Millis(1_000);
@@ -68,6 +70,8 @@
     pub request_head_limit: ByteSize,
     /// Longest request body.
     pub request_body_limit: ByteSize,
+    /// Where targets and their states can be read, if anywhere.
+    pub operator_address: Option<SocketAddr>,
     /// Bytes of all bodies together.
     pub answer_memory: ByteSize,
     /// Connections to one target.
@@ -99,6 +103,8 @@
     neighbours: Arc<Neighbours>,
     lifecycle: Arc<Lifecycle>,
     clock: Arc<dyn Clock>,
+    /// Whether every keeper and known entry was asked for its rules once.
+    has_caught_up: AtomicBool,
     options: EntryOptions,
 }
 
@@ -164,6 +170,7 @@
             neighbours,
             lifecycle: Arc::new(Lifecycle::default()),
             clock,
+            has_caught_up: AtomicBool::new(false),
             options,
         });
         shared.listen(budget).await?;
@@ -225,8 +232,18 @@
             listener_options.clone(),
         )
         .await?;
-        self.spawn_listener(self.options.announce_address, targets, listener_options)
-            .await
+        self.spawn_listener(
+            self.options.announce_address,
+            targets,
+            listener_options.clone(),
+        )
+        .await?;
+        if let Some(address) = self.options.operator_address {
+            let app = targets_app(Arc::clone(&self.entry));
+            self.spawn_listener(address, Arc::new(TideService::new(app)), listener_options)
+                .await?;
+        }
+        Ok(())
     }
 
     async fn spawn_listener(
@@ -245,9 +262,11 @@
     }
 
     fn spawn_tasks(self: &Arc<Self>, feed: RulesFeed, pool: Arc<Pool>, keys: Arc<KeyRing>) {
+        let shared = Arc::clone(self);
         task::spawn(async move {
             let reached = feed.catch_up().await;
             info!("rules caught up with {reached} processes");
+            shared.has_caught_up.store(true, Ordering::SeqCst);
             feed.run().await;
         });
         let shared = Arc::clone(self);
@@ -315,6 +334,9 @@
         if self.entry.rules().is_none() {
             return Err("no rules have arrived yet");
         }
+        if !self.has_caught_up.load(Ordering::SeqCst) {
+            return Err("the newest rules are being looked for");
+        }
         if self.neighbours.is_isolated() {
             return Err("no keeper and no other entry answers");
         }
--- a/crates/auburnbridge_keeper/src/core.rs
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -14,6 +14,7 @@
     Input, LogIndex, Member, MemberChange, MemberRole, Members, Message, Output, Persist,
     RejectReason, Replica, ReplicaId, Status, Token,
 };
+use auburnbridge_metrics::{Counter, Metrics};
 use auburnbridge_rules::Rules;
 use auburnbridge_store::{Store, StoreError};
 use auburnbridge_types::{Clock, Revision, Timestamp, VmId};
@@ -119,6 +120,7 @@
     waiters: HashMap<Token, Waiter>,
     next_token: u64,
     commits: CommitCounts,
+    metrics: Metrics,
 }
 
 /// Counts of syncs and of the records that they carried, for the metrics.
@@ -137,6 +139,7 @@
         store: Store,
         transport: Box<dyn LogTransport>,
         clock: Arc<dyn Clock>,
+        metrics: Metrics,
     ) -> Result<Self, StoreError> {
         let mut core = Self {
             replica,
@@ -147,6 +150,7 @@
             waiters: HashMap::new(),
             next_token: 0,
             commits: CommitCounts::default(),
+            metrics,
         };
         core.handle(outputs)?;
         Ok(core)
@@ -318,7 +322,10 @@
     fn persist(&mut self, persist: &Persist) -> Result<Vec<Output>, StoreError> {
         self.store.persist(persist)?;
         self.commits.syncs += 1;
-        self.commits.records += persist.records.len() as u64;
+        let records = persist.records.len() as u64;
+        self.commits.records += records;
+        self.metrics.count(Counter::Sync, &[]);
+        self.metrics.count_many(Counter::Record, records, &[]);
         Ok(self.step(Input::Persisted {
             sequence: persist.sequence,
         }))
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -13,6 +13,7 @@
 use auburnbridge_http::Limits;
 use auburnbridge_log::{Config, Message, Replica};
 use auburnbridge_messages::{MESSAGE_LIMIT, Request};
+use auburnbridge_metrics::Metrics;
 use auburnbridge_operator::{MAX_RULES_BYTES, OperatorKeys};
 use auburnbridge_peer::keys::KeyRing;
 use auburnbridge_peer::{Options, PeerAddress, PeerServer, PeerTransport, Transport};
@@ -46,6 +47,10 @@
     pub keepers: Vec<PeerAddress>,
     /// Settings of the log.
     pub log: Config,
+    /// Size at which a segment of the log is closed.
+    pub segment_size: ByteSize,
+    /// Statsd server that gets the metrics, if any.
+    pub metrics_address: Option<SocketAddr>,
     /// Where it serves the administration API, if it does.
     pub operator_address: Option<SocketAddr>,
     /// Keys that the API accepts.
@@ -77,7 +82,9 @@
     pub async fn start(options: KeeperOptions) -> Result<Self, Report<KeeperError>> {
         let clock: Arc<dyn Clock> = Arc::new(RuntimeClock);
         let keys = KeyRing::load(&options.keys, clock.now()).change_context(KeeperError)?;
-        let (store, recovered) = Store::open(&options.data_folder).change_context(KeeperError)?;
+        let (mut store, recovered) =
+            Store::open(&options.data_folder).change_context(KeeperError)?;
+        store.set_segment_bytes(options.segment_size.0);
         let replica_id = recovered.replica;
         let replica = Replica::recover(
             options.log.clone(),
@@ -97,8 +104,14 @@
                 .map(|keeper| (keeper.vm.clone(), keeper.clone()))
                 .collect(),
         };
-        let core = Core::new(replica, store, Box::new(log_transport), Arc::clone(&clock))
-            .change_context(KeeperError)?;
+        let core = Core::new(
+            replica,
+            store,
+            Box::new(log_transport),
+            Arc::clone(&clock),
+            Metrics::new(options.metrics_address).change_context(KeeperError)?,
+        )
+        .change_context(KeeperError)?;
         let (handle, events) = CoreHandle::new();
         let thread = thread::Builder::new()
             .name("keeper-core".to_owned())
--- a/crates/auburnbridge_settings/src/entry.rs
+++ b/crates/auburnbridge_settings/src/entry.rs
@@ -22,7 +22,7 @@
         announce_address: SocketAddr [required],
         /// UDP address for our other processes.
         peer_address: SocketAddr [required],
-        /// TCP address of the administration API; without it, the API is off.
+        /// TCP address at which operators read the targets and their states; without it, there is none.
         operator_address: Option<SocketAddr> [optional],
         /// Folder with `authority.pem`, `certificate.pem` and `key.pem`.
         keys: PathBuf [required],
@@ -38,16 +38,10 @@
         request_head_limit: ByteSize [default "32KiB"] ["1KiB" to "1MiB"],
         /// Longest body of a request.
         request_body_limit: ByteSize [default "1MiB"] ["0B" to "64MiB"],
-        /// Longest answer of a target, unless a rule says otherwise.
-        answer_limit: ByteSize [default "1MiB"] ["1KiB" to "64MiB"],
         /// Memory for the answers of all requests in progress.
         answer_memory: ByteSize [default "64MiB"] ["1MiB" to "4GiB"],
         /// Most connections to one target.
         connections_per_target: u32 [default "20"] ["1" to "350"],
-        /// Deadline of a request that states none.
-        default_deadline: Millis [default "10s"] ["10ms" to "10min"],
-        /// Threads that run requests; 0 stands for one per core.
-        worker_threads: u32 [default "0"] ["0" to "256"],
         /// UDP address of a statsd server; without it, no metrics are sent.
         metrics_address: Option<SocketAddr> [optional],
     }
@@ -62,13 +56,6 @@
     }
 
     fn check(&self, checks: &mut Checks<'_>) {
-        if self.answer_limit > self.answer_memory {
-            checks.refuse(
-                "answer_limit",
-                "`answer_limit` is over `answer_memory`, so that such an answer never fits",
-                "lower it or raise `answer_memory`",
-            );
-        }
         if self.balancer_lag >= self.shutdown_limit {
             checks.refuse(
                 "balancer_lag",
