Test two entries under random schedules of requests, commands and faults

Cause: the fault matrix runs each fault at a fixed moment, and its ledger commands take effect in order. A delayed or repeated command of an entry that gave it up was not covered.

--- a/crates/auburnbridge_entry/tests/request_path/crashes_and_retries.rs
+++ b/crates/auburnbridge_entry/tests/request_path/crashes_and_retries.rs
@@ -7,7 +7,7 @@
 
 use auburnbridge_caller::{Disconnect, DisconnectSignal, OUTCOME_HEADER, Service};
 use auburnbridge_entry::{Entry, KEY_HEADER, PREVIOUS_ATTEMPTS_HEADER};
-use auburnbridge_http::{Request, Response};
+use auburnbridge_http::{FramingError, Request, Response};
 use auburnbridge_policy::Member;
 use auburnbridge_types::{IdempotencyKey, Millis};
 
@@ -165,7 +165,7 @@
     /// 10% of the requests, 3/s over one second, and the 3 that the bucket starts with.
     const RETRIES: usize = REQUESTS / 10 + 3 + 3;
     let pair = Pair::new();
-    pair.world.state.lock().breaks_every_answer = true;
+    pair.world.state.lock().answer_fault = Some(FramingError::ClosedInBody);
     for _ in 0..REQUESTS {
         let response = pair.respond(0, lookup(b"lookup"));
         assert_eq!(kind_of(&response), "answer-incomplete");
--- a/crates/auburnbridge_entry/tests/request_path/fakes.rs
+++ b/crates/auburnbridge_entry/tests/request_path/fakes.rs
@@ -36,15 +36,20 @@
     pub polled_send: usize,
     /// External faults that were reached and are not carried out yet.
     pub reached: VecDeque<Reached>,
-    released: Vec<bool>,
+    /// How each step that waited goes on, by its ticket.
+    released: Vec<Option<Release>>,
+    /// Whether every step waits for a schedule.
+    pub is_scheduled: bool,
+    /// The ledger commands of a schedule.
+    pub commands: Vec<SentCommand>,
     /// Every execution at a target.
     pub executions: Vec<Execution>,
     /// Targets that refuse connections.
     pub crashed: HashSet<SocketAddr>,
     /// Requests whose execution ends the target's process.
     pub crashing_bodies: HashSet<Vec<u8>>,
-    /// Whether every target breaks its answer.
-    pub breaks_every_answer: bool,
+    /// How every answer of a target breaks, if it does.
+    pub answer_fault: Option<FramingError>,
     /// A header of every whole answer.
     pub answer_header: Option<(&'static str, &'static str)>,
     /// Whether the question if a target refuses connections stays open.
@@ -60,6 +65,17 @@
     pub entries: Vec<Arc<Entry>>,
 }
 
+/// How a step goes on: without a fault, or with one that the fake carries out.
+type Release = Option<Fault>;
+
+/// A ledger command on its way, which may outlive the request that sent it.
+pub struct SentCommand {
+    command: Command,
+    /// The reply to its first application.
+    reply: Option<Reply>,
+    delivered: Option<Result<Reply, LedgerUnavailable>>,
+}
+
 /// The clock of an entry, whose backoff passes the step of choosing a target again.
 pub struct EntryClock(pub Arc<World>);
 
@@ -119,20 +135,22 @@
 
     /// Passes a step: waits for an external fault and gives one that the fake has to carry out.
     pub async fn pass(&self, step: Step) -> Option<Fault> {
+        if self.state.lock().is_scheduled {
+            return self.wait_for_release(step, Fault::Slow).await;
+        }
         let fault = self.take_fault(step)?;
         if fault.is_external() {
-            self.wait_for_release(step, fault).await;
-            return None;
+            return self.wait_for_release(step, fault).await;
         }
         Some(fault)
     }
 
-    async fn wait_for_release(&self, step: Step, fault: Fault) {
+    async fn wait_for_release(&self, step: Step, fault: Fault) -> Release {
         let ticket = {
             let mut state = self.state.lock();
             let ticket = state.released.len();
             let send = state.polled_send;
-            state.released.push(false);
+            state.released.push(None);
             state.reached.push_back(Reached {
                 send,
                 step,
@@ -141,29 +159,74 @@
             });
             ticket
         };
-        poll_fn(|_| {
-            if self.state.lock().released[ticket] {
-                Poll::Ready(())
-            } else {
-                Poll::Pending
-            }
+        poll_fn(|_| match self.state.lock().released[ticket] {
+            Some(release) => Poll::Ready(release),
+            None => Poll::Pending,
         })
-        .await;
+        .await
     }
 
     pub fn release(&self, ticket: usize) {
-        self.state.lock().released[ticket] = true;
+        self.release_with(ticket, None);
+    }
+
+    pub fn release_with(&self, ticket: usize, fault: Option<Fault>) {
+        self.state.lock().released[ticket] = Some(fault);
+    }
+
+    async fn send_command(&self, command: Command) -> Result<Reply, LedgerUnavailable> {
+        let at = {
+            let mut state = self.state.lock();
+            state.commands.push(SentCommand {
+                command,
+                reply: None,
+                delivered: None,
+            });
+            state.commands.len() - 1
+        };
+        poll_fn(|_| match &self.state.lock().commands[at].delivered {
+            Some(reply) => Poll::Ready(reply.clone()),
+            None => Poll::Pending,
+        })
+        .await
     }
+
+    /// Lets a command take effect, or once more, as a command is sent again without a reply.
+    pub fn apply_command(&self, at: usize) {
+        let now = self.clock.now();
+        let state = &mut *self.state.lock();
+        let sent = &mut state.commands[at];
+        let reply = state.ledger.apply(now, sent.command.clone());
+        sent.reply.get_or_insert(reply);
+    }
+
+    /// Delivers the reply to a command that took effect.
+    pub fn deliver_reply(&self, at: usize) {
+        let sent = &mut self.state.lock().commands[at];
+        if let (Some(reply), None) = (&sent.reply, &sent.delivered) {
+            sent.delivered = Some(Ok(reply.clone()));
+        }
+    }
+
+    /// Tells the entry that there is no reply; the command may take effect before or afterwards.
+    pub fn lose_reply(&self, at: usize) {
+        let sent = &mut self.state.lock().commands[at];
+        sent.delivered.get_or_insert_with(no_reply);
+    }
+}
+
+fn no_reply() -> Result<Reply, LedgerUnavailable> {
+    Err(LedgerUnavailable {
+        reason: "the keepers gave no reply".to_owned(),
+    })
 }
 
 impl LedgerClient for World {
     fn apply(&self, command: Command) -> BoxFuture<'_, Result<Reply, LedgerUnavailable>> {
         Box::pin(async move {
-            let no_reply = || {
-                Err(LedgerUnavailable {
-                    reason: "the keepers gave no reply".to_owned(),
-                })
-            };
+            if self.state.lock().is_scheduled {
+                return self.send_command(command).await;
+            }
             if self.state.lock().ledger_is_down {
                 return no_reply();
             }
@@ -177,7 +240,9 @@
                     self.state.lock().ledger_is_down = true;
                     return no_reply();
                 }
-                Some(Fault::Slow) => self.wait_for_release(step, Fault::Slow).await,
+                Some(Fault::Slow) => {
+                    self.wait_for_release(step, Fault::Slow).await;
+                }
                 _ => {}
             }
             let now = self.clock.now();
@@ -212,6 +277,7 @@
                 self.state.lock().crashed.insert(address);
             }
             Some(Fault::CutOneWay) => return ExchangeResult::NotSent(NotSent::ConnectTimeout),
+            Some(Fault::Shed) => return ExchangeResult::Answered(shed()),
             _ => {}
         }
         if self.state.lock().crashed.contains(&address) {
@@ -244,8 +310,10 @@
                     self.state.lock().crashed.insert(address);
                     FramingError::ClosedBetweenMessages
                 }
-                _ if self.state.lock().breaks_every_answer => FramingError::ClosedInBody,
-                _ => continue,
+                _ => match self.state.lock().answer_fault {
+                    Some(error) => error,
+                    None => continue,
+                },
             };
             return ExchangeResult::Unknown {
                 reason: Unknown::Framing(error),
--- a/crates/auburnbridge_entry/tests/request_path/fault.rs
+++ b/crates/auburnbridge_entry/tests/request_path/fault.rs
@@ -21,6 +21,16 @@
     Stop,
 }
 
+impl Step {
+    /// Whether a target takes part in the step.
+    pub fn has_target(self) -> bool {
+        matches!(
+            self,
+            Self::Connect | Self::Write | Self::Wait | Self::ReadAnswer
+        )
+    }
+}
+
 /// A fault at one step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter)]
 #[strum(serialize_all = "kebab-case")]
@@ -79,10 +89,6 @@
         _ => {}
     }
     let sends_command = matches!(step, Step::LedgerGrant | Step::StoreAnswer);
-    let has_target = matches!(
-        step,
-        Step::Connect | Step::Write | Step::Wait | Step::ReadAnswer
-    );
     match fault {
         Fault::LedgerReplyLost | Fault::NoQuorumBefore | Fault::NoQuorumAfter => {
             (!sends_command).then_some("the step sends no ledger command")
@@ -97,7 +103,7 @@
         Fault::HalfAnswer => (!matches!(step, Step::Wait | Step::ReadAnswer))
             .then_some("the target's answer has not begun or is whole"),
         Fault::Shed => (step != Step::Write).then_some("a target sheds when it gets the request"),
-        Fault::TargetCrashes => (!has_target).then_some("no target holds the request"),
+        Fault::TargetCrashes => (!step.has_target()).then_some("no target holds the request"),
         Fault::TargetLeaves => {
             (step == Step::Reply).then_some("the target has no further part in the request")
         }
--- a/crates/auburnbridge_entry/tests/request_path/main.rs
+++ b/crates/auburnbridge_entry/tests/request_path/main.rs
@@ -5,4 +5,5 @@
 mod fault;
 mod fault_matrix;
 mod headers;
+mod interleavings;
 mod scenario;
--- a/crates/auburnbridge_entry/tests/request_path/scenario.rs
+++ b/crates/auburnbridge_entry/tests/request_path/scenario.rs
@@ -31,8 +31,10 @@
 const TICK_LIMIT: usize = 400;
 /// Polls of each future after which nothing moves without the clock.
 const POLLS: usize = 4;
+/// Sends of one caller.
 const SENDS: usize = 3;
-const ENTRIES: usize = 2;
+const SCHEDULED_SENDS: usize = 5;
+pub const ENTRIES: usize = 2;
 const RULES: &str = "\
 service stock slots-floor 1 slots-per-target 3 ejection careful # asked by the tests
 route GET /bins/* to stock idempotent timeout 2s # asked by the tests
@@ -77,6 +79,7 @@
     key: IdempotencyKey,
     sends: Vec<SendState>,
     frozen: Vec<usize>,
+    most_sends: usize,
 }
 
 pub fn rules() -> Arc<Rules> {
@@ -136,8 +139,23 @@
 }
 
 impl Scenario {
+    /// A request with a resend for each send without a known outcome.
     pub fn new(caller: Caller, plan: &[(Step, Fault)]) -> Self {
-        let world = World::new(START, plan);
+        Self::over(World::new(START, plan), caller, SENDS)
+    }
+
+    /// A request whose steps and resends a schedule decides about.
+    pub fn scheduled(caller: Caller, seed: u64) -> Self {
+        let world = World::new(START, &[]);
+        {
+            let mut state = world.state.lock();
+            state.is_scheduled = true;
+            state.seed = seed;
+        }
+        Self::over(world, caller, SCHEDULED_SENDS)
+    }
+
+    fn over(world: Arc<World>, caller: Caller, most_sends: usize) -> Self {
         let targets = [member(1), member(2)];
         let entries: Vec<_> = (0..ENTRIES)
             .map(|_| start_entry(&world, &targets))
@@ -151,6 +169,7 @@
             key: IdempotencyKey::from_parts(START, [7; 10]),
             sends: Vec::new(),
             frozen: Vec::new(),
+            most_sends,
         }
     }
 
@@ -174,7 +193,7 @@
 
     /// Sends the request through an entry, as often as the caller does at most.
     pub fn send(&mut self, entry: usize) {
-        if self.sends.len() >= SENDS {
+        if self.sends.len() >= self.most_sends {
             return;
         }
         let req = self.request(self.sends.len());
@@ -204,12 +223,15 @@
     /// Runs the request and its resends to their ends.
     pub fn run(mut self) -> Self {
         self.send(0);
+        self.run_until_done();
+        self
+    }
+
+    pub fn run_until_done(&mut self) {
         for _ in 0..TICK_LIMIT {
             self.run_until_idle();
             if self.sends.iter().all(|send| send.future.is_none()) {
-                // Nothing may run later on.
-                self.world.clock.advance(Millis(60_000));
-                return self;
+                return;
             }
             self.world.clock.advance(TICK);
         }
@@ -234,19 +256,36 @@
 
     fn poll_sends(&mut self) {
         for at in 0..self.sends.len() {
-            if self.frozen.contains(&self.sends[at].entry) {
-                continue;
-            }
-            let Some(future) = &mut self.sends[at].future else {
-                continue;
-            };
-            self.world.state.lock().polled_send = at;
-            if let Some(response) = poll(future) {
-                self.end(at, response);
+            if !self.frozen.contains(&self.sends[at].entry) {
+                self.poll_send(at);
             }
         }
     }
 
+    pub fn poll_send(&mut self, at: usize) {
+        self.world.state.lock().polled_send = at;
+        let Some(future) = &mut self.sends[at].future else {
+            return;
+        };
+        if let Some(response) = poll(future) {
+            self.end(at, response);
+        }
+    }
+
+    /// Number of sends so far.
+    pub fn sends(&self) -> usize {
+        self.sends.len()
+    }
+
+    /// Closes the caller's connection of a send.
+    pub fn disconnect(&mut self, at: usize) {
+        let send = &mut self.sends[at];
+        if let Some(signal) = send.disconnect.take() {
+            signal.report();
+        }
+        send.told.get_or_insert(Told::Nothing);
+    }
+
     fn end(&mut self, at: usize, response: Option<Response>) {
         self.world.state.lock().ledger_is_down = false;
         let send = &mut self.sends[at];
@@ -304,10 +343,7 @@
                 }
             }
             Fault::CallerDisconnects => {
-                if let Some(signal) = self.sends[send].disconnect.take() {
-                    signal.report();
-                }
-                self.sends[send].told = Some(Told::Nothing);
+                self.disconnect(send);
                 self.resend(send);
             }
             Fault::ResendAtOnce => self.resend(send),
