--- a/crates/auburnbridge_policy/examples/ejection_curve/simulation.rs
+++ b/crates/auburnbridge_policy/examples/ejection_curve/simulation.rs
@@ -22,8 +22,6 @@
 const WARM_UP_US: u64 = 10_000_000;
 /// Interval of the decisions that depend on time, as the entry has it.
 const DECIDE_INTERVAL_US: u64 = 100_000;
-/// Interval at which an entry sends its evidence to the others.
-const SHARE_INTERVAL_US: u64 = 250_000;
 /// Mean service time, with the tail.
 const MEAN_SERVICE_US: f64 = 34_500.0;
 const IDEMPOTENT_SHARE: f64 = 0.7;
@@ -64,8 +62,8 @@
     pub load: f64,
     /// Time from the fault to the end.
     pub window_us: u64,
-    /// Whether entries exchange evidence.
-    pub shares_evidence: bool,
+    /// Interval at which entries exchange evidence; `None` means never.
+    pub share_interval_us: Option<u64>,
 }
 
 /// What happened.
@@ -183,7 +181,7 @@
         for entry in 0..ENTRIES {
             let phase = self.rng.random_range(0..DECIDE_INTERVAL_US);
             self.schedule(phase, Event::Decide(entry));
-            if self.plan.shares_evidence {
+            if self.plan.share_interval_us.is_some() {
                 self.schedule(phase, Event::Share(entry));
             }
         }
@@ -315,7 +313,9 @@
             let ejections = self.entries[other].merge_evidence(now, &from, &reports);
             self.count(other, &ejections);
         }
-        self.schedule(SHARE_INTERVAL_US, Event::Share(entry));
+        if let Some(interval_us) = self.plan.share_interval_us {
+            self.schedule(interval_us, Event::Share(entry));
+        }
     }
 
     fn restart_cold_target(&mut self) {
