Queue requests at the entry: non-idempotent work first, lookups keep a share

Cause: lookups at several times the capacity competed with keyed requests for slots by retrying after sheds; the rule options queue and lookup-share had no effect. Change: each request waits for a permit from the service's AdmissionQueue before its first dispatch; sheds lower the limit, answers raise it; a full or slow queue rejects with not-run and Retry-After. No service time is assumed before one was measured: the guess of 50 ms rejected requests with short deadlines on an idle entry. Test: a keyed request among 60 lookups on 3 slots runs before half of them.

--- a/crates/auburnbridge/tests/processes/health.rs
+++ b/crates/auburnbridge/tests/processes/health.rs
@@ -1,5 +1,7 @@
 //! Guards ejection, reinstatement, the floor and readiness on real processes.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use auburnbridge_standin::Fault;
 
 use crate::fleet::{Fleet, key, request};
@@ -119,3 +121,49 @@
         });
     }
 }
+
+/// Guards against a commission that starves behind lookups: a keyed request must run while far more
+/// lookups wait than the targets have slots.
+#[test]
+fn keyed_request_goes_before_waiting_lookups() {
+    const LOOKUPS: usize = 60;
+    const WORK_MS: &str = "200";
+    let mut fleet = Fleet::start(1);
+    // One service for both, since the classes compete for the same slots.
+    fleet.put_rules(
+        "service stock slots-floor 3 slots-per-target 3 ejection careful # asked by the tests\n\
+         route GET /bins/* to stock idempotent timeout 30s # asked by the tests\n\
+         route POST /reservations to stock once timeout 30s # asked by the tests\n",
+    );
+    fleet.add_target("stock-0");
+    fleet.wait_until("the entry serves lookups", |fleet| {
+        fleet
+            .get(0, "/bins/1")
+            .is_ok_and(|response| response.status == 200)
+    });
+    let answered = AtomicUsize::new(0);
+    let answered_before_reservation = std::thread::scope(|scope| {
+        let (fleet, answered) = (&fleet, &answered);
+        for lookup in 0..LOOKUPS {
+            scope.spawn(move || {
+                let mut req = request("GET", &format!("/bins/flood-{lookup}"));
+                req.headers.append("Standin-Work-Ms", WORK_MS);
+                let response = fleet.send(0, &req).unwrap();
+                assert_eq!(response.status, 200);
+                answered.fetch_add(1, Ordering::SeqCst);
+            });
+        }
+        fleet.wait_until("the lookups wait for slots", |_| {
+            answered.load(Ordering::SeqCst) >= 6
+        });
+        let reservation = fleet
+            .post(0, "/reservations", &key(), "nails", "0")
+            .unwrap();
+        assert_eq!(reservation.status, 200);
+        answered.load(Ordering::SeqCst)
+    });
+    assert!(
+        answered_before_reservation < LOOKUPS / 2,
+        "{answered_before_reservation} of {LOOKUPS} lookups went first"
+    );
+}
--- a/crates/auburnbridge_entry/src/dispatch.rs
+++ b/crates/auburnbridge_entry/src/dispatch.rs
@@ -8,6 +8,7 @@
 use auburnbridge_rules::Class;
 use auburnbridge_types::{AttemptId, BodyDigest, ErrorKind};
 
+use crate::admission::{NotAdmitted, Permit};
 use crate::attempt::{Attempted, request_class, unless_disconnected};
 use crate::backoff::Backoff;
 use crate::entry::Entry;
@@ -34,6 +35,8 @@
     digest: BodyDigest,
     /// Whose disconnect cancels the request.
     disconnect: Option<&'a Disconnect>,
+    /// Right to run, from the first dispatch on.
+    permit: Option<Permit>,
     tried: Vec<TargetKey>,
     backoff: Backoff,
     /// Why the last target tried gave no answer.
@@ -54,6 +57,7 @@
             service,
             digest: req.digest(),
             disconnect,
+            permit: None,
             tried: Vec::new(),
             backoff: Backoff::after_shed(),
             failure: None,
@@ -67,6 +71,12 @@
 
     /// Tries targets until one may have run the request; `attempt` gives the id for each of them.
     pub(crate) async fn dispatch(&mut self, attempt: impl Fn() -> AttemptId) -> Dispatched {
+        if let Some(refusal) = self.refusal() {
+            return Dispatched::NotRun(refusal);
+        }
+        if let Err(refused) = self.wait_for_permit().await {
+            return refused;
+        }
         loop {
             if let Some(refusal) = self.refusal() {
                 return Dispatched::NotRun(refusal);
@@ -86,6 +96,32 @@
         }
     }
 
+    /// Waits for the right to run, unless the request has it from an earlier dispatch.
+    async fn wait_for_permit(&mut self) -> Result<(), Dispatched> {
+        if self.permit.is_some() {
+            return Ok(());
+        }
+        let class = request_class(self.req.route.class);
+        let admission = self.service.admit(class, self.req.deadline);
+        let admitted = match self.disconnect {
+            Some(disconnect) => unless_disconnected(disconnect, admission).await,
+            None => Some(admission.await),
+        };
+        match admitted {
+            None => Err(Dispatched::Cancelled),
+            Some(Ok(permit)) => {
+                self.permit = Some(permit);
+                Ok(())
+            }
+            Some(Err(NotAdmitted { retry_after })) => {
+                let seconds = u32::try_from(retry_after.0.div_ceil(1000)).unwrap_or(u32::MAX);
+                let detail = "the queue of the service is full or too slow for the deadline";
+                let problem = Problem::new(ErrorKind::Overloaded, detail);
+                Err(Dispatched::NotRun(problem.with_retry_after(seconds.max(1))))
+            }
+        }
+    }
+
     /// Why the request must not go to any target now.
     fn refusal(&self) -> Option<Problem> {
         if self.entry.is_poisoned(&self.digest) {
@@ -129,10 +165,14 @@
         self.tried.push(assignment.key());
         let target = assignment.target().clone();
         let incarnation = assignment.incarnation();
+        let start = self.entry.ports.clock.now();
         let attempted = self
             .entry
             .attempt(self.req, attempt, assignment, self.disconnect)
             .await;
+        if let (Attempted::Answered(_), Some(permit)) = (&attempted, &self.permit) {
+            permit.record_answer(self.entry.ports.clock.now().since(start));
+        }
         let failure = match attempted {
             Attempted::Answered(response) => return Some(Dispatched::Answered(response)),
             Attempted::Cancelled => return Some(Dispatched::Cancelled),
--- a/crates/auburnbridge_entry/src/entry.rs
+++ b/crates/auburnbridge_entry/src/entry.rs
@@ -112,7 +112,12 @@
     pub fn new(location: Location, answer_limits: Limits, ports: Ports) -> Self {
         let mut random = StdRng::seed_from_u64(ports.seed);
         Self {
-            fleets: Fleets::new(location.data_centre, Arc::clone(&ports.metrics), ports.seed),
+            fleets: Fleets::new(
+                location.data_centre,
+                Arc::clone(&ports.clock),
+                Arc::clone(&ports.metrics),
+                ports.seed,
+            ),
             ledger: MeasuredLedger {
                 client: Arc::clone(&ports.ledger),
                 clock: Arc::clone(&ports.clock),
--- a/crates/auburnbridge_entry/src/fleets.rs
+++ b/crates/auburnbridge_entry/src/fleets.rs
@@ -1,6 +1,7 @@
 //! The targets of all services, shared by the requests in flight.
 //!
-//! Lock order: the table of services, then one fleet. Neither is held over an await.
+//! Lock order: the table of services, then one fleet, then its admission queue. None is held over
+//! an await.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -9,21 +10,23 @@
 use auburnbridge_messages::ServiceEvidence;
 use auburnbridge_metrics::{Counter, Metrics};
 use auburnbridge_policy::{
-    Action, Choice, Decision, Fleet, Member, Observation, RequestClass, RetryBudget, ServicePolicy,
-    TargetKey, TargetView,
+    Action, AdmissionPolicy, Choice, Decision, Fleet, Member, Observation, RequestClass,
+    RetryBudget, ServicePolicy, TargetKey, TargetView,
 };
 use auburnbridge_rules::{Rules, Service};
-use auburnbridge_types::{DataCentre, Incarnation, ServiceName, TargetId, Timestamp, VmId};
+use auburnbridge_types::{Clock, DataCentre, Incarnation, ServiceName, TargetId, Timestamp, VmId};
 use log::{debug, info};
 use parking_lot::{Mutex, RwLock};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::admission::{Admission, NotAdmitted, Permit};
+
 /// Targets and retry budget of one service.
-#[derive(Debug)]
 pub struct ServiceFleet {
     name: ServiceName,
     state: Mutex<ServiceState>,
+    admission: Arc<Admission>,
     metrics: Arc<Metrics>,
 }
 
@@ -35,7 +38,6 @@
 }
 
 /// A target chosen for one request; dropping it without a result counts as no evidence.
-#[derive(Debug)]
 pub struct Assignment {
     service: Arc<ServiceFleet>,
     choice: Choice,
@@ -118,7 +120,19 @@
         self.state.lock().retries.try_retry(now)
     }
 
+    /// Waits until a request may run.
+    pub(crate) async fn admit(
+        &self,
+        class: RequestClass,
+        deadline: Timestamp,
+    ) -> Result<Permit, NotAdmitted> {
+        self.admission.admit(class, deadline).await
+    }
+
     fn finish(&self, now: Timestamp, key: TargetKey, observation: Observation) {
+        if observation == Observation::Shed {
+            self.admission.record_shed();
+        }
         let decisions = self.state.lock().fleet.finish(now, key, observation);
         self.report(&decisions);
     }
@@ -142,10 +156,10 @@
 }
 
 /// The targets of all services.
-#[derive(Debug)]
 pub struct Fleets {
     services: RwLock<HashMap<ServiceName, Arc<ServiceFleet>>>,
     data_centre: DataCentre,
+    clock: Arc<dyn Clock>,
     metrics: Arc<Metrics>,
     seed: u64,
 }
@@ -153,10 +167,16 @@
 impl Fleets {
     /// Creates the table of an entry in `data_centre` without services; `seed` is that of the
     /// choices of targets.
-    pub fn new(data_centre: DataCentre, metrics: Arc<Metrics>, seed: u64) -> Self {
+    pub fn new(
+        data_centre: DataCentre,
+        clock: Arc<dyn Clock>,
+        metrics: Arc<Metrics>,
+        seed: u64,
+    ) -> Self {
         Self {
             services: RwLock::default(),
             data_centre,
+            clock,
             metrics,
             seed,
         }
@@ -179,11 +199,16 @@
                 let decisions = state.fleet.set_policy(now, policy);
                 state.retries = retries;
                 drop(state);
+                fleet.admission.set_policy(admission_policy_of(service));
                 fleet.report(&decisions);
             } else {
                 let fleet = ServiceFleet {
                     name: service.name.clone(),
                     metrics: Arc::clone(&self.metrics),
+                    admission: Arc::new(Admission::new(
+                        admission_policy_of(service),
+                        Arc::clone(&self.clock),
+                    )),
                     state: Mutex::new(ServiceState {
                         fleet: Fleet::new(policy).with_data_centre(self.data_centre.clone()),
                         retries,
@@ -203,7 +228,9 @@
         let mut state = fleet.state.lock();
         let mut decisions = state.fleet.reconcile(now, members);
         decisions.extend(state.fleet.decide(now));
+        let slots = state.fleet.in_use();
         drop(state);
+        fleet.admission.set_slots(slots);
         fleet.report(&decisions);
     }
 
@@ -244,6 +271,14 @@
     }
 }
 
+fn admission_policy_of(service: &Service) -> AdmissionPolicy {
+    AdmissionPolicy {
+        queue_limit: service.queue as usize,
+        lookup_share: f64::from(service.lookup_share.0) / 100.0,
+        ..AdmissionPolicy::default()
+    }
+}
+
 fn policy_of(service: &Service) -> ServicePolicy {
     let dial = service.ejection.0.to_string();
     ServicePolicy::builder()
--- a/crates/auburnbridge_entry/src/lib.rs
+++ b/crates/auburnbridge_entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! The entry role: assembles the request path.
 
+mod admission;
 mod attempt;
 mod backoff;
 mod dispatch;
--- a/crates/auburnbridge_policy/src/admission.rs
+++ b/crates/auburnbridge_policy/src/admission.rs
@@ -21,8 +21,9 @@
 const LEAST_CONCURRENCY: f64 = 2.0;
 /// Weight of the newest sample in averages.
 const AVERAGE_WEIGHT: f64 = 0.05;
-/// Service time that is assumed before any was measured.
-const ASSUMED_SERVICE_MS: f64 = 50.0;
+/// Service time before any was measured; a guess above the true one would reject requests with
+/// short deadlines on an idle entry.
+const ASSUMED_SERVICE_MS: f64 = 0.0;
 /// Share of the slots to which non-idempotent work may exceed the concurrency limit, which
 /// lookups fill; targets with a free slot run it, and the others shed it at once.
 const ONCE_EXCESS: f64 = 0.25;
@@ -134,10 +135,13 @@
         }
     }
 
-    /// Takes over the slots in use, the upper bound of the requests in flight.
+    /// Takes over the slots in use, the upper bound of the requests in flight. Slots that are new
+    /// count as free until a target sheds.
     pub fn set_slots(&mut self, in_use: Slots) {
-        self.slots = f64::from(in_use.0.max(1));
-        self.concurrency = self.concurrency.min(self.slots);
+        let slots = f64::from(in_use.0.max(1));
+        let added = (slots - self.slots).max(0.0);
+        self.slots = slots;
+        self.concurrency = (self.concurrency + added).min(slots);
     }
 
     /// Queues a request, or rejects it if it would wait in vain.
@@ -240,6 +244,16 @@
         }
     }
 
+    /// Lowers the limit after a shed of a request that goes on at another target.
+    pub fn record_shed(&mut self) {
+        self.concurrency = (self.concurrency * DECREASE).max(LEAST_CONCURRENCY);
+    }
+
+    /// Takes over changed settings; requests that wait keep their places.
+    pub fn set_policy(&mut self, policy: AdmissionPolicy) {
+        self.policy = policy;
+    }
+
     /// Ends a started request.
     pub fn finish(&mut self, class: RequestClass, ended: Ended) {
         let was_full = f64::from(self.running_once + self.running_lookups) >= self.concurrency;
@@ -258,9 +272,7 @@
                     self.concurrency = grown.min(self.slots);
                 }
             }
-            Ended::Shed => {
-                self.concurrency = (self.concurrency * DECREASE).max(LEAST_CONCURRENCY);
-            }
+            Ended::Shed => self.record_shed(),
             Ended::Other => {}
         }
     }
