Cover a Grant that takes effect after a later send withdrew

Change: one chosen schedule delays the Grant of the first send past the withdrawal of the second. The random schedules also vary the caller's waits and let the targets shed for a while.

--- a/crates/auburnbridge_entry/tests/request_path/fakes.rs
+++ b/crates/auburnbridge_entry/tests/request_path/fakes.rs
@@ -44,6 +44,8 @@
     pub commands: Vec<SentCommand>,
     /// Every execution at a target.
     pub executions: Vec<Execution>,
+    /// Time until which every target sheds.
+    pub shed_until: Timestamp,
     /// Targets that refuse connections.
     pub crashed: HashSet<SocketAddr>,
     /// Requests whose execution ends the target's process.
@@ -295,6 +297,9 @@
             Some((Step::ChooseTarget, _)) => return ExchangeResult::Answered(shed()),
             _ => {}
         }
+        if self.clock.now() < self.state.lock().shed_until {
+            return ExchangeResult::Answered(shed());
+        }
         let run = self.execute(req);
         let is_poison = self.state.lock().crashing_bodies.contains(&*req.body);
         for step in [Step::Write, Step::Wait, Step::ReadAnswer] {
--- a/crates/auburnbridge_entry/tests/request_path/interleavings.rs
+++ b/crates/auburnbridge_entry/tests/request_path/interleavings.rs
@@ -26,6 +26,7 @@
     Kill(usize),
     Disconnect(usize),
     ChangeTargets(u16),
+    ShedFor(u64),
 }
 
 fn action() -> impl Strategy<Value = Action> {
@@ -48,11 +49,12 @@
         1 => any().prop_map(Action::Kill),
         1 => any().prop_map(Action::Disconnect),
         1 => (0..4_u16).prop_map(Action::ChangeTargets),
+        2 => (0..400_u64).prop_map(Action::ShedFor),
     ]
 }
 
 /// What the schedules are to come to.
-const OUTCOMES: [&str; 10] = [
+const OUTCOMES: [&str; 11] = [
     "runs 0",
     "runs 1",
     "200",
@@ -61,6 +63,7 @@
     "key-outcome-unknown unknown",
     "ledger-unavailable not-run",
     "deadline-before-dispatch not-run",
+    "overloaded not-run",
     "answer-incomplete unknown",
     "deadline-after-dispatch unknown",
 ];
@@ -97,6 +100,10 @@
             }
         }
         Action::Advance(millis) => world.clock.advance(Millis(millis)),
+        Action::ShedFor(millis) => {
+            let until = world.clock.now().after(Millis(millis));
+            world.state.lock().shed_until = until;
+        }
         Action::Kill(entry) => scenario.kill(entry % ENTRIES),
         Action::Disconnect(number) => {
             if let Some(at) = pick(scenario.sends(), number) {
@@ -152,7 +159,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 300,
+        cases: 500,
         rng_seed: RngSeed::Fixed(1),
         failure_persistence: None,
         ..ProptestConfig::default()
@@ -210,3 +217,57 @@
         .collect();
     assert!(missing.is_empty(), "no schedule ends with {missing:?}");
 }
+
+/// Runs a send until it waits for the ledger or the clock.
+fn run_send(scenario: &mut Scenario, at: usize) {
+    const STEPS: usize = 8;
+    for _ in 0..STEPS {
+        scenario.poll_send(at);
+        let reached: Vec<Reached> = scenario.world.state.lock().reached.drain(..).collect();
+        for step in reached {
+            scenario.world.release(step.ticket);
+        }
+    }
+}
+
+/// Guards against a `not-run` for a resend that withdrew, after which the delayed Grant of the first
+/// send takes effect and runs the request.
+#[test]
+fn delayed_grant_after_a_withdrawal() {
+    const GRANT: usize = 0;
+    const RESEND_GRANT: usize = 1;
+    const WITHDRAWAL: usize = 2;
+    for (caller, summary) in [
+        (
+            Caller::Numbered,
+            "runs 0; told 504 deadline-before-dispatch not-run, 503 overloaded not-run",
+        ),
+        (
+            Caller::Unnumbered,
+            "runs 1; told 200, 503 overloaded unknown",
+        ),
+    ] {
+        let mut scenario = Scenario::scheduled(caller, 1);
+        let world = std::sync::Arc::clone(&scenario.world);
+        world.state.lock().shed_until = world.clock.now().after(Millis(1_000));
+        scenario.send(0);
+        run_send(&mut scenario, 0);
+        scenario.send(1);
+        run_send(&mut scenario, 1);
+        world.apply_command(RESEND_GRANT);
+        world.deliver_reply(RESEND_GRANT);
+        while world.state.lock().commands.len() <= WITHDRAWAL {
+            run_send(&mut scenario, 1);
+            world.clock.advance(Millis(5));
+        }
+        world.apply_command(WITHDRAWAL);
+        world.deliver_reply(WITHDRAWAL);
+        world.state.lock().shed_until = world.clock.now();
+        world.apply_command(GRANT);
+        world.deliver_reply(GRANT);
+        world.state.lock().is_scheduled = false;
+        scenario.run_until_done();
+        assert_eq!(scenario.check(), Ok(()), "{caller}");
+        assert_eq!(scenario.summary(), summary, "{caller}");
+    }
+}
--- a/crates/auburnbridge_entry/tests/request_path/scenario.rs
+++ b/crates/auburnbridge_entry/tests/request_path/scenario.rs
@@ -25,6 +25,7 @@
 pub const START: Timestamp = Timestamp(1_700_000_000_000);
 pub const TIMEOUT: Millis = Millis(2_000);
 const PAST_DEADLINE: Millis = Millis(2_500);
+const SHORT_WAIT: Millis = Millis(200);
 const SLOW: Millis = Millis(1_200);
 const TICK: Millis = Millis(50);
 /// Clock steps after which a scenario without an answer has failed.
@@ -80,6 +81,8 @@
     sends: Vec<SendState>,
     frozen: Vec<usize>,
     most_sends: usize,
+    /// How long the caller waits for each send, in turn.
+    waits: Vec<Millis>,
 }
 
 pub fn rules() -> Arc<Rules> {
@@ -152,7 +155,10 @@
             state.is_scheduled = true;
             state.seed = seed;
         }
-        Self::over(world, caller, SCHEDULED_SENDS)
+        let mut scenario = Self::over(world, caller, SCHEDULED_SENDS);
+        // A resend that gives up first may withdraw while an earlier send can still be granted.
+        scenario.waits.push(SHORT_WAIT);
+        scenario
     }
 
     fn over(world: Arc<World>, caller: Caller, most_sends: usize) -> Self {
@@ -170,6 +176,7 @@
             sends: Vec::new(),
             frozen: Vec::new(),
             most_sends,
+            waits: vec![TIMEOUT],
         }
     }
 
@@ -180,7 +187,8 @@
         };
         req.body = self.body.clone().into();
         req.headers.append(SEND_HEADER, send.to_string());
-        req.headers.append(DEADLINE_HEADER, TIMEOUT.0.to_string());
+        let wait = self.waits[send % self.waits.len()];
+        req.headers.append(DEADLINE_HEADER, wait.0.to_string());
         if self.caller != Caller::Idempotent {
             req.headers.append(KEY_HEADER, self.key.to_string());
         }
