--- a/crates/auburnbridge/tests/processes/control.rs
+++ b/crates/auburnbridge/tests/processes/control.rs
@@ -217,3 +217,22 @@
     });
     assert_eq!(fleet.executions(&ran), 1);
 }
+
+/// Guards H4 against a change of the rules: a resend must not run again because its route has moved
+/// to another service meanwhile.
+#[test]
+fn resend_after_its_route_moved_does_not_run_again() {
+    let fleet = Fleet::ready(1);
+    let ran = key();
+    let first = fleet.post(0, "/slips", &ran, "ward 3", "0").unwrap();
+    assert_eq!(first.status, 200);
+    fleet.put_rules(&RULES.replace("/slips to dispatch", "/slips to stock"));
+    fleet.wait_until("the route has moved", |fleet| {
+        fleet
+            .post(0, "/slips", &key(), "ward 4", "0")
+            .is_ok_and(|response| String::from_utf8_lossy(&response.body).contains("stock-"))
+    });
+    let resend = fleet.post(0, "/slips", &ran, "ward 3", "1").unwrap();
+    assert_eq!(*resend.body, *first.body);
+    assert_eq!(fleet.executions(&ran), 1);
+}
--- a/crates/auburnbridge_capacity/src/fixtures.rs
+++ b/crates/auburnbridge_capacity/src/fixtures.rs
@@ -120,9 +120,6 @@
         account: format!("account-{:06}", number % 400_000)
             .parse()
             .expect("a name"),
-        service: format!("service-{:04}", number % 1_400)
-            .parse()
-            .expect("a name"),
     }
 }
 
--- a/crates/auburnbridge_entry/src/keyed.rs
+++ b/crates/auburnbridge_entry/src/keyed.rs
@@ -42,7 +42,6 @@
     let key = LedgerKey {
         idempotency_key: req.key.expect("routes of the class `once` need a key"),
         account: req.account.clone(),
-        service: req.route.service.clone(),
     };
     let body_digest = req.digest();
     let attempt = entry.next_attempt();
--- a/crates/auburnbridge_ledger/src/command.rs
+++ b/crates/auburnbridge_ledger/src/command.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use auburnbridge_types::{
-    AccountId, AttemptId, BodyDigest, IdempotencyKey, Millis, ServiceName, Timestamp,
-};
+use auburnbridge_types::{AccountId, AttemptId, BodyDigest, IdempotencyKey, Millis, Timestamp};
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
@@ -12,15 +10,15 @@
 
 /// Identity of a keyed request.
 ///
-/// The idempotency key comes first, so that keys sort by their time of creation.
+/// The idempotency key comes first, so that keys sort by their time of creation. The service is no
+/// part of it: a change of the rules between a send and its resend may move the route to another
+/// service, and the resend must still find the record.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LedgerKey {
     /// The caller's key for the request.
     pub idempotency_key: IdempotencyKey,
     /// The caller's account.
     pub account: AccountId,
-    /// The service that the request is for.
-    pub service: ServiceName,
 }
 
 /// The answer of a concluded request.
--- a/crates/auburnbridge_ledger/tests/ledger.rs
+++ b/crates/auburnbridge_ledger/tests/ledger.rs
@@ -16,7 +16,6 @@
     LedgerKey {
         idempotency_key: IdempotencyKey::from_parts(created, [tag; 10]),
         account: "shop".parse().unwrap(),
-        service: "orders".parse().unwrap(),
     }
 }
 
