--- a/crates/auburnbridge_policy/src/evidence.rs
+++ b/crates/auburnbridge_policy/src/evidence.rs
@@ -31,8 +31,8 @@
 const REPORT_CHANGE: f64 = 1.0;
 /// Entries whose reports are kept for one target; there are 13 to 16 entries in front of it.
 const WITNESS_LIMIT: usize = 32;
-/// Suspected targets of one message that count in full; with more, their weight falls, because an
-/// entry that suspects many targets may have a bad link itself.
+/// Targets that one entry suspects at the same time and that count in full; with more, their weight
+/// falls, because an entry that suspects many targets may have a bad link itself.
 const FULL_WEIGHT_SUSPECTS: f64 = 2.0;
 /// Healthy observations of one report that count.
 const COUNTED_OBSERVATIONS: u32 = 8;
@@ -81,13 +81,7 @@
 
 impl RemoteEvidence {
     /// Takes over a report; a later one of the same entry replaces it.
-    pub(crate) fn merge(
-        &mut self,
-        now: Timestamp,
-        from: &VmId,
-        report: &EvidenceReport,
-        weight: f64,
-    ) {
+    pub(crate) fn merge(&mut self, now: Timestamp, from: &VmId, report: &EvidenceReport) {
         if !report.suspicion.is_finite() {
             return;
         }
@@ -100,7 +94,7 @@
             from: from.clone(),
             at: now,
             suspicion: report.suspicion,
-            weight,
+            weight: 1.0,
             observations: report.observations,
             data_centre: report.data_centre.clone(),
         });
@@ -131,6 +125,20 @@
         *self = Self::default();
     }
 
+    /// Whether this entry's last report is a suspicion.
+    pub(crate) fn is_suspected_by(&self, from: &VmId) -> bool {
+        self.witnesses().any(|witness| witness.from == *from)
+    }
+
+    /// Sets the weight of an entry's report.
+    pub(crate) fn set_weight(&mut self, from: &VmId, weight: f64) {
+        for received in &mut self.received {
+            if received.from == *from {
+                received.weight = weight;
+            }
+        }
+    }
+
     fn witnesses(&self) -> impl Iterator<Item = &Received> {
         self.received
             .iter()
@@ -192,14 +200,9 @@
     }
 }
 
-/// Weight of each suspicion in one message.
-pub(crate) fn message_weight(reports: &[EvidenceReport]) -> f64 {
-    let suspects: f64 = reports
-        .iter()
-        .filter(|report| report.suspicion >= REPORT_MINIMUM)
-        .map(|_| 1.0)
-        .sum();
-    (FULL_WEIGHT_SUSPECTS / suspects.max(1.0)).min(1.0)
+/// Weight of each suspicion of an entry that suspects so many targets.
+pub(crate) fn suspect_weight(suspects: u32) -> f64 {
+    (FULL_WEIGHT_SUSPECTS / f64::from(suspects.max(1))).min(1.0)
 }
 
 fn healthy_evidence(observations: u32) -> f64 {
--- a/crates/auburnbridge_policy/src/fleet.rs
+++ b/crates/auburnbridge_policy/src/fleet.rs
@@ -15,7 +15,7 @@
 use crate::RequestClass;
 use crate::decision::{Action, Decision, Reason};
 use crate::evidence::{
-    EvidenceReport, OwnEvidence, REPORT_LIFETIME, REPORT_LIMIT, REPORT_MINIMUM, message_weight,
+    EvidenceReport, OwnEvidence, REPORT_LIFETIME, REPORT_LIMIT, REPORT_MINIMUM, suspect_weight,
 };
 use crate::health::{Observation, slow_limit_ms};
 use crate::policy::ServicePolicy;
@@ -423,18 +423,20 @@
         from: &VmId,
         reports: &[EvidenceReport],
     ) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        let reports = &reports[..reports.len().min(REPORT_LIMIT)];
-        let weight = message_weight(reports);
-        for report in reports {
+        let mut changed = Vec::new();
+        for report in reports.iter().take(REPORT_LIMIT) {
             let Some(&key) = self.by_id.get(&report.target) else {
                 continue;
             };
             let target = &mut self.targets[key];
-            if target.member.incarnation != report.incarnation {
-                continue;
+            if target.member.incarnation == report.incarnation {
+                target.remote.merge(now, from, report);
+                changed.push(key);
             }
-            target.remote.merge(now, from, report, weight);
+        }
+        self.weigh_reports(now, from);
+        let mut decisions = Vec::new();
+        for key in changed {
             self.assess(now, key);
             if self.targets[key].in_use() {
                 decisions.extend(self.judge(now, key));
@@ -443,6 +445,20 @@
         decisions
     }
 
+    /// Weighs an entry's suspicions by their number over all its messages that still count, since an
+    /// unchanged report is not in every message.
+    fn weigh_reports(&mut self, now: Timestamp, from: &VmId) {
+        let mut suspects = 0;
+        for target in self.targets.values_mut() {
+            target.remote.expire(now);
+            suspects += u32::from(target.remote.is_suspected_by(from));
+        }
+        let weight = suspect_weight(suspects);
+        for target in self.targets.values_mut() {
+            target.remote.set_weight(from, weight);
+        }
+    }
+
     fn assess(&mut self, now: Timestamp, key: TargetKey) {
         let slow_limit_ms = self.slow_limit_ms();
         let target = &mut self.targets[key];
