Measure the curve of the dial and the time to the last ejection

Cause: the time to the last non-idempotent request hides the dial, since that work avoids suspected targets before they are ejected. Change: ejection_curve prints the time until the last entry ejected the target.

--- a/crates/auburnbridge_policy/examples/ejection_curve/simulation.rs
+++ b/crates/auburnbridge_policy/examples/ejection_curve/simulation.rs
@@ -71,6 +71,8 @@
 pub struct Outcome {
     /// Time from the fault to the last non-idempotent dispatch that the fault affected.
     pub detection_us: u64,
+    /// Time from the fault to the first ejection by the last entry that made one.
+    pub ejection_us: u64,
     /// Non-idempotent requests that the fault affected.
     pub once_affected: u32,
     /// Ejections by entries for which the target was well.
@@ -114,6 +116,7 @@
     running: Vec<u32>,
     exchanges: Vec<Exchange>,
     free: Vec<usize>,
+    has_ejected: [bool; ENTRIES],
     outcome: Outcome,
 }
 
@@ -143,6 +146,7 @@
         members,
         exchanges: Vec::new(),
         free: Vec::new(),
+        has_ejected: [false; ENTRIES],
         outcome: Outcome {
             least_in_use: u32::MAX,
             ..Outcome::default()
@@ -286,6 +290,9 @@
         for ejection in ejections {
             if self.is_affected(entry, ejection.target) {
                 self.outcome.true_ejections += 1;
+                if !std::mem::replace(&mut self.has_ejected[entry], true) {
+                    self.outcome.ejection_us = self.now_us - WARM_UP_US;
+                }
             } else {
                 self.outcome.false_ejections += 1;
             }
