--- a/crates/auburnbridge/tests/processes/control.rs
+++ b/crates/auburnbridge/tests/processes/control.rs
@@ -236,3 +236,37 @@
     assert_eq!(*resend.body, *first.body);
     assert_eq!(fleet.executions(&ran), 1);
 }
+
+/// Guards against an old copy of a keeper's folder that votes, or runs on unnoticed.
+#[test]
+fn old_copy_of_a_folder_ends_with_an_error() {
+    let mut fleet = Fleet::ready(1);
+    fleet.keepers[2].kill();
+    fleet.copy_folder(2, "old-copy");
+    fleet.keepers[2].restart();
+    fleet.wait_until("the later start is known to the peers", |fleet| {
+        fleet.keepers[2]
+            .log()
+            .matches("start confirmed by its peers")
+            .count()
+            >= 2
+    });
+    let ran = key();
+    assert_eq!(
+        fleet.post(0, "/slips", &ran, "ward 3", "0").unwrap().status,
+        200
+    );
+    fleet.keepers[2].kill();
+    fleet.restore_folder(2, "old-copy");
+    for _ in 0..2 {
+        fleet.keepers[2].restart();
+        assert!(!fleet.keepers[2].wait(), "it must end with a failure");
+        assert!(
+            fleet.keepers[2]
+                .log()
+                .contains("error: the keeper can't run: the data folder is an old copy")
+        );
+    }
+    let resend = fleet.post(0, "/slips", &ran, "ward 3", "1").unwrap();
+    assert_eq!(resend.headers.text("Auburnbridge-Replayed"), Some("true"));
+}
--- a/crates/auburnbridge/tests/processes/fleet.rs
+++ b/crates/auburnbridge/tests/processes/fleet.rs
@@ -365,12 +365,31 @@
             .sum()
     }
 
+    /// Copies a keeper's folder aside; the keeper must not run.
+    pub fn copy_folder(&self, keeper: usize, name: &str) {
+        copy_files(&self.data_folder(keeper), &self.path(name));
+    }
+
+    /// Puts a copy in place of a keeper's folder; the keeper must not run.
+    pub fn restore_folder(&self, keeper: usize, name: &str) {
+        self.lose_disk(keeper);
+        copy_files(&self.path(name), &self.data_folder(keeper));
+    }
+
     /// Replaces a keeper's disk by an empty one; the keeper must not run.
     pub fn lose_disk(&self, keeper: usize) {
         fs::remove_dir_all(self.data_folder(keeper)).unwrap();
     }
 }
 
+fn copy_files(from: &Path, to: &Path) {
+    fs::create_dir_all(to).unwrap();
+    for file in fs::read_dir(from).unwrap() {
+        let file = file.unwrap();
+        fs::copy(file.path(), to.join(file.file_name())).unwrap();
+    }
+}
+
 /// A new idempotency key.
 pub fn key() -> String {
     new_key(&mut rand::rng()).to_string()
--- a/crates/auburnbridge_caller/src/listener.rs
+++ b/crates/auburnbridge_caller/src/listener.rs
@@ -11,7 +11,7 @@
 };
 use auburnbridge_types::{BoxFuture, Clock, ErrorKind, Millis, RuntimeClock};
 use futures_lite::FutureExt;
-use log::{debug, warn};
+use log::{debug, info, warn};
 
 use crate::{Disconnect, Lifecycle, Phase, Problem};
 
@@ -225,7 +225,7 @@
         connection: &mut Connection<TcpStream>,
         caller: SocketAddr,
     ) -> Verdict {
-        let req = match self.read_request(connection).await {
+        let req = match self.read_request(connection, caller).await {
             Ok(req) => req,
             Err(kind) => {
                 if let Some(kind) = kind {
@@ -277,13 +277,14 @@
     async fn read_request(
         &self,
         connection: &mut Connection<TcpStream>,
+        caller: SocketAddr,
     ) -> Result<Request, Option<ErrorKind>> {
         let read = async {
             connection
                 .read_request(&self.options.limits)
                 .await
                 .map_err(|error: FramingError| {
-                    debug!("rejected a request: {error}");
+                    info!("request refused caller={caller} framing={error}");
                     error.request_kind()
                 })
         };
--- a/crates/auburnbridge_keeper/src/core.rs
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -18,7 +18,7 @@
 use auburnbridge_rules::Rules;
 use auburnbridge_store::{Store, StoreError};
 use auburnbridge_types::{Clock, Revision, Timestamp, VmId};
-use log::{error, info, warn};
+use log::{debug, info, warn};
 
 use crate::state::{KeeperState, StateCommand, StateReply};
 
@@ -110,6 +110,41 @@
     Change(Sender<Result<(), RejectReason>>),
 }
 
+/// Reason why the thread ends before it is told to.
+#[derive(Debug)]
+pub enum CoreError {
+    /// A read or write of the data folder failed; the replica may have promised what it doesn't hold.
+    Store(StoreError),
+    /// A peer has seen a later start of the data folder.
+    FolderSuperseded,
+}
+
+impl std::fmt::Display for CoreError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Store(error) => error.fmt(f),
+            Self::FolderSuperseded => f.write_str(
+                "the data folder is an old copy; move it away and start with an empty folder",
+            ),
+        }
+    }
+}
+
+impl std::error::Error for CoreError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Store(error) => Some(error),
+            Self::FolderSuperseded => None,
+        }
+    }
+}
+
+impl From<StoreError> for CoreError {
+    fn from(error: StoreError) -> Self {
+        Self::Store(error)
+    }
+}
+
 /// A keeper's replica with everything that it needs.
 pub struct Core {
     replica: Replica,
@@ -140,7 +175,7 @@
         transport: Box<dyn LogTransport>,
         clock: Arc<dyn Clock>,
         metrics: Metrics,
-    ) -> Result<Self, StoreError> {
+    ) -> Result<Self, CoreError> {
         let mut core = Self {
             replica,
             store,
@@ -152,13 +187,15 @@
             commits: CommitCounts::default(),
             metrics,
         };
+        if core.replica.status().superseded {
+            return Err(CoreError::FolderSuperseded);
+        }
         core.handle(outputs)?;
         Ok(core)
     }
 
-    /// Handles events until [`Event::Stop`] or the end of the queue; a failed write ends it too,
-    /// since the replica may have promised what the disk doesn't hold.
-    pub fn run(mut self, events: &Receiver<Event>) -> Result<CommitCounts, StoreError> {
+    /// Handles events until [`Event::Stop`], the end of the queue or an error.
+    pub fn run(mut self, events: &Receiver<Event>) -> Result<CommitCounts, CoreError> {
         loop {
             let first = match events.recv_timeout(TICK) {
                 Ok(event) => Some(event),
@@ -260,12 +297,12 @@
             (Some(_), Some(lost)) => MemberChange::Remove(lost),
             (Some(MemberRole::Learner), None) => MemberChange::Promote(replica),
         };
-        info!("keeper membership change={change:?}");
+        debug!("keeper membership change={change:?}");
         let token = self.wait_for(Waiter::Change(reply));
         self.step(Input::ChangeMembers { token, change })
     }
 
-    fn handle(&mut self, outputs: Vec<Output>) -> Result<(), StoreError> {
+    fn handle(&mut self, outputs: Vec<Output>) -> Result<(), CoreError> {
         let mut queue = VecDeque::from(outputs);
         while let Some(output) = queue.pop_front() {
             queue.extend(self.handle_one(output)?);
@@ -273,7 +310,7 @@
         Ok(())
     }
 
-    fn handle_one(&mut self, output: Output) -> Result<Vec<Output>, StoreError> {
+    fn handle_one(&mut self, output: Output) -> Result<Vec<Output>, CoreError> {
         match output {
             Output::Send { to, message } => self.transport.send(&to, message),
             Output::Persist(persist) => return self.persist(&persist),
@@ -312,14 +349,12 @@
             Output::BecameLeader { term } => info!("keeper role=leader term={term}"),
             Output::SteppedDown { term } => info!("keeper role=follower left_term={term}"),
             Output::BootConfirmed => info!("keeper start confirmed by its peers"),
-            Output::FolderSuperseded => error!(
-                "the data folder is an old copy; stop this keeper and start it with an empty folder"
-            ),
+            Output::FolderSuperseded => return Err(CoreError::FolderSuperseded),
         }
         Ok(Vec::new())
     }
 
-    fn persist(&mut self, persist: &Persist) -> Result<Vec<Output>, StoreError> {
+    fn persist(&mut self, persist: &Persist) -> Result<Vec<Output>, CoreError> {
         self.store.persist(persist)?;
         self.commits.syncs += 1;
         let records = persist.records.len() as u64;
--- a/crates/auburnbridge_keeper/src/lib.rs
+++ b/crates/auburnbridge_keeper/src/lib.rs
@@ -7,7 +7,7 @@
 mod server;
 mod state;
 
-pub use core::{CommitCounts, Core, CoreHandle, Event, LogTransport, QUEUE, Report};
+pub use core::{CommitCounts, Core, CoreError, CoreHandle, Event, LogTransport, QUEUE, Report};
 pub use run::{Keeper, KeeperError, KeeperOptions};
 pub use server::KeeperServer;
 pub use state::{KeeperState, RestoreError, StateCommand, StateReply};
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -17,12 +17,12 @@
 use auburnbridge_operator::{MAX_RULES_BYTES, OperatorKeys};
 use auburnbridge_peer::keys::KeyRing;
 use auburnbridge_peer::{Options, PeerAddress, PeerServer, PeerTransport, Transport};
-use auburnbridge_store::{Store, StoreError};
+use auburnbridge_store::Store;
 use auburnbridge_types::{ByteSize, Clock, Millis, RuntimeClock, VmId};
 use error_stack::{Report, ResultExt};
 use log::{info, warn};
 
-use crate::core::{CommitCounts, Core, CoreHandle, Event, LogTransport};
+use crate::core::{CommitCounts, Core, CoreError, CoreHandle, Event, LogTransport};
 use crate::formation::Formation;
 use crate::operator_store::OperatorStore;
 use crate::server::KeeperServer;
@@ -72,7 +72,7 @@
 /// A running keeper.
 pub struct Keeper {
     core: CoreHandle,
-    thread: JoinHandle<Result<CommitCounts, StoreError>>,
+    thread: JoinHandle<Result<CommitCounts, CoreError>>,
     peer_server: PeerServer,
     server: Arc<KeeperServer>,
 }
@@ -167,7 +167,7 @@
         Arc::clone(&self.server)
     }
 
-    /// Whether the thread that owns the log has ended, which happens on a failed write.
+    /// Whether the thread that owns the log has ended; [`Keeper::stop`] gives the reason.
     pub fn has_failed(&self) -> bool {
         self.thread.is_finished()
     }
