Keep working targets that announcements don't reach; restore early rejection

Cause: a stale target was forgotten after 10 minutes although real work on it succeeded, which a cut towards the entries would turn into lost capacity. Change: work keeps a stale target without renewing its lease; the assumed service time of 50 ms is back for the wait in the queue, and no margin is demanded of a request before a service time was measured.

--- a/crates/auburnbridge_entry/src/neighbours.rs
+++ b/crates/auburnbridge_entry/src/neighbours.rs
@@ -120,6 +120,13 @@
             .collect()
     }
 
+    /// Notes that real work succeeded on a target.
+    pub fn note_work(&self, now: Timestamp, service: &ServiceName, member: &Member) {
+        self.targets
+            .lock()
+            .note_work(now, service, &member.id, member.incarnation);
+    }
+
     /// Forgets what has been stale for long.
     pub fn expire(&self) {
         let now = self.clock.now();
--- a/crates/auburnbridge_entry/src/run.rs
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -17,6 +17,7 @@
 use auburnbridge_peer::keys::KeyRing;
 use auburnbridge_peer::{Handler, Options, PeerAddress, PeerServer, PeerTransport, Transport};
 use auburnbridge_platform::{Platform, READY_PATH, announcement_app, readiness_app};
+use auburnbridge_policy::Presence;
 use auburnbridge_target::Pool;
 use auburnbridge_types::{
     BoxFuture, ByteSize, Clock, DataCentre, Incarnation, Millis, Revision, RuntimeClock, Sequence,
@@ -304,6 +305,20 @@
         }
     }
 
+    /// Keeps targets that work although their announcements don't arrive.
+    fn note_work_on_stale_targets(&self) {
+        let fleets = self.entry.fleets();
+        for service in fleets.names() {
+            for view in fleets.view(&service) {
+                if let (Presence::Stale(_), Some(worked)) =
+                    (view.member.presence, view.last_success)
+                {
+                    self.neighbours.note_work(worked, &service, &view.member);
+                }
+            }
+        }
+    }
+
     async fn maintain(&self, pool: &Pool, keys: &KeyRing) {
         let mut turn = 0;
         loop {
@@ -319,6 +334,7 @@
                     .await;
             }
             turn += 1;
+            self.note_work_on_stale_targets();
             self.neighbours.expire();
             pool.close_expired();
             self.clock.sleep(MAINTENANCE_INTERVAL).await;
--- a/crates/auburnbridge_membership/src/membership.rs
+++ b/crates/auburnbridge_membership/src/membership.rs
@@ -50,6 +50,8 @@
     received: Timestamp,
     /// Received from an entry that had it without a lease.
     pub(crate) learned_stale: bool,
+    /// When real work last succeeded there, as far as it was reported.
+    worked: Option<Timestamp>,
 }
 
 #[derive(Clone, Debug)]
@@ -68,6 +70,13 @@
     }
 }
 
+impl<A> Present<A> {
+    /// The last time at which the id was known to be there.
+    fn last_sign(&self) -> Timestamp {
+        self.worked.unwrap_or(self.received).max(self.received)
+    }
+}
+
 impl<A> Record<A> {
     pub(crate) fn announcement(&self) -> &A {
         match self {
@@ -176,6 +185,26 @@
         self.groups.keys()
     }
 
+    /// Notes that real work succeeded on an id. It renews no lease, but keeps a stale id from being
+    /// forgotten: a cut that hides a working target must not remove its capacity.
+    pub fn note_work(
+        &mut self,
+        now: Timestamp,
+        group: &A::Group,
+        id: &A::Id,
+        incarnation: Incarnation,
+    ) {
+        let record = self
+            .groups
+            .get_mut(group)
+            .and_then(|group| group.records.get_mut(id));
+        if let Some(Record::Present(present)) = record
+            && present.announcement.incarnation() == incarnation
+        {
+            present.worked = Some(now);
+        }
+    }
+
     /// Forgets ids that have been stale for long, and departures that no message can undo.
     ///
     /// Visits every record; callers run it every few seconds.
@@ -185,7 +214,7 @@
             .values()
             .flat_map(|group| group.records.values())
             .filter_map(|record| match record {
-                Record::Present(present) if now.since(present.received) >= FORGET_AFTER => {
+                Record::Present(present) if now.since(present.last_sign()) >= FORGET_AFTER => {
                     Some(present.announcement.clone())
                 }
                 Record::Present(_) | Record::Departed(_) => None,
@@ -272,6 +301,7 @@
             content_hash,
             received: now,
             learned_stale: stale,
+            worked: None,
         };
         let records = &mut self.groups.entry(group.clone()).or_default().records;
         records.insert(id, Record::Present(present));
--- a/crates/auburnbridge_membership/tests/membership.rs
+++ b/crates/auburnbridge_membership/tests/membership.rs
@@ -353,3 +353,47 @@
         }
     }
 }
+
+/// Guards against a target that is forgotten while real work on it succeeds, because a cut hides its
+/// announcements; and against work that renews a lease or outlives a departure.
+#[test]
+fn work_keeps_a_stale_target_without_renewing_its_lease() {
+    let mut members = Members::default();
+    let hidden = ready("a", 1, 0);
+    let work = |members: &mut Members, now, incarnation| {
+        members.note_work(
+            now,
+            &hidden.service,
+            &hidden.target,
+            Incarnation(incarnation),
+        );
+    };
+    members.announce(START, hidden.clone());
+    members.announce(START, ready("b", 1, 0));
+    let later = START.after(FORGET_AFTER);
+    work(&mut members, later, 1);
+    members.expire(later);
+    assert_eq!(
+        view(&members, later),
+        [(hidden.clone(), Liveness::Stale)],
+        "only the target without work is forgotten"
+    );
+    let much_later = later.after(FORGET_AFTER);
+    work(&mut members, much_later, 2);
+    members.expire(much_later);
+    assert_eq!(
+        view(&members, much_later),
+        [],
+        "work of another life is no sign"
+    );
+
+    members.announce(much_later, ready("c", 1, 0));
+    members.announce(much_later, leaving("c", 1, 1));
+    members.note_work(
+        much_later,
+        &hidden.service,
+        &"c".parse().unwrap(),
+        Incarnation(1),
+    );
+    assert_eq!(view(&members, much_later), [], "a departure is final");
+}
--- a/crates/auburnbridge_policy/src/admission.rs
+++ b/crates/auburnbridge_policy/src/admission.rs
@@ -21,9 +21,11 @@
 const LEAST_CONCURRENCY: f64 = 2.0;
 /// Weight of the newest sample in averages.
 const AVERAGE_WEIGHT: f64 = 0.05;
-/// Service time before any was measured; a guess above the true one would reject requests with
-/// short deadlines on an idle entry.
-const ASSUMED_SERVICE_MS: f64 = 0.0;
+/// Service time that is assumed for the wait in the queue before any was measured.
+const ASSUMED_SERVICE_MS: f64 = 50.0;
+/// Time that a started request needs at least: the resolution of the clock. Before any service time
+/// was measured nothing longer is assumed, or an idle entry would reject short deadlines.
+const LEAST_SERVICE: Millis = Millis(1);
 /// Share of the slots to which non-idempotent work may exceed the concurrency limit, which
 /// lookups fill; targets with a free slot run it, and the others shed it at once.
 const ONCE_EXCESS: f64 = 0.25;
@@ -112,6 +114,7 @@
     slots: f64,
     lookup_credit: f64,
     service_ms: f64,
+    has_measured: bool,
     once_gap_ms: f64,
     last_once: Option<Timestamp>,
 }
@@ -130,6 +133,7 @@
             slots,
             lookup_credit: 0.0,
             service_ms: ASSUMED_SERVICE_MS,
+            has_measured: false,
             once_gap_ms: f64::INFINITY,
             last_once: None,
         }
@@ -223,7 +227,11 @@
 
     /// Time that a started request needs at most, but for rare ones.
     fn service_time(&self) -> Millis {
-        Millis(whole_millis(self.service_ms * SERVICE_MARGIN))
+        if self.has_measured {
+            Millis(whole_millis(self.service_ms * SERVICE_MARGIN)).max(LEAST_SERVICE)
+        } else {
+            LEAST_SERVICE
+        }
     }
 
     fn count_start(&mut self, class: RequestClass) {
@@ -244,6 +252,16 @@
         }
     }
 
+    /// Takes over one service time; the first one replaces the assumption.
+    fn record_service_time(&mut self, time_ms: f64) {
+        if self.has_measured {
+            self.service_ms += (time_ms - self.service_ms) * AVERAGE_WEIGHT;
+        } else {
+            self.service_ms = time_ms;
+            self.has_measured = true;
+        }
+    }
+
     /// Lowers the limit after a shed of a request that goes on at another target.
     pub fn record_shed(&mut self) {
         self.concurrency = (self.concurrency * DECREASE).max(LEAST_CONCURRENCY);
@@ -266,7 +284,7 @@
         match ended {
             Ended::Answered(time) => {
                 let time_ms = f64::from(u32::try_from(time.0).unwrap_or(u32::MAX));
-                self.service_ms += (time_ms - self.service_ms) * AVERAGE_WEIGHT;
+                self.record_service_time(time_ms);
                 if was_full {
                     let grown = self.concurrency + 1.0 / self.concurrency;
                     self.concurrency = grown.min(self.slots);
--- a/crates/auburnbridge_policy/src/fleet.rs
+++ b/crates/auburnbridge_policy/src/fleet.rs
@@ -83,6 +83,8 @@
     pub in_flight: u32,
     /// Ejections that are not forgiven yet.
     pub ejections: u32,
+    /// Time of the last whole answer.
+    pub last_success: Option<Timestamp>,
 }
 
 /// The targets of one service.
@@ -652,6 +654,7 @@
                 suspicion: target.health.suspicion(),
                 in_flight: target.in_flight(),
                 ejections: target.ejections,
+                last_success: target.health.last_success(),
             })
             .collect()
     }
