--- a/crates/auburnbridge_entry/src/fleets.rs
+++ b/crates/auburnbridge_entry/src/fleets.rs
@@ -280,9 +280,13 @@
 }
 
 fn policy_of(service: &Service) -> ServicePolicy {
-    let dial = service.ejection.0.to_string();
+    let sensitivity = service.ejection.0.to_string();
     ServicePolicy::builder()
         .floor(service.slots_floor)
-        .dial(dial.parse().expect("the grammar bounds the dial to 100"))
+        .sensitivity(
+            sensitivity
+                .parse()
+                .expect("the grammar bounds the sensitivity to 100"),
+        )
         .build()
 }
--- a/crates/auburnbridge_policy/examples/ejection_curve/main.rs
+++ b/crates/auburnbridge_policy/examples/ejection_curve/main.rs
@@ -2,8 +2,8 @@
 //!
 //! `cargo run --release -p auburnbridge_policy --example ejection_curve -- MODE [LOAD] [INTERVAL_MS]`
 //!
-//! The mode `faults` runs each fault at each setup's dial and the baselines, 30 s after the fault;
-//! `noise` runs 24 simulated hours of ordinary noise at the careful setting; `curve` sweeps the dial.
+//! The mode `faults` runs each fault at each setup's sensitivity and the baselines, 30 s after the fault;
+//! `noise` runs 24 simulated hours of ordinary noise at the careful setting; `curve` sweeps the sensitivity.
 //! `LOAD` is the share of capacity in `faults` (0.4), `INTERVAL_MS` the interval at which entries
 //! exchange evidence (250). The seeds are printed. Pure decisions are driven under simulated time: nothing here is a network.
 
@@ -20,7 +20,7 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use auburnbridge_policy::Dial;
+use auburnbridge_policy::Sensitivity;
 use fault::Fault;
 use selector::Kind;
 use simulation::{Outcome, Plan, Setup, run};
@@ -38,7 +38,7 @@
 const SHARE_INTERVAL_US: u64 = 250_000;
 const FAULT_WINDOW_US: u64 = 30_000_000;
 const HOUR_US: u64 = 3_600_000_000;
-/// Noise of each seed in the sweep of the dial.
+/// Noise of each seed in the sweep of the sensitivity.
 const CURVE_WINDOW_US: u64 = HOUR_US / 6;
 
 /// The services of both users. Floors are about 70% of the slots.
@@ -97,11 +97,11 @@
 }
 
 /// The users' points on the curve: Ponnani is careful, Glenfarrow is fast.
-fn dial_of(setup: Setup) -> Dial {
+fn sensitivity_of(setup: Setup) -> Sensitivity {
     if setup.name.starts_with("ponnani") {
-        Dial::CAREFUL
+        Sensitivity::CAREFUL
     } else {
-        Dial::FAST
+        Sensitivity::FAST
     }
 }
 
@@ -120,7 +120,7 @@
                     setup,
                     fault,
                     kind,
-                    dial: dial_of(setup),
+                    sensitivity: sensitivity_of(setup),
                     load,
                     window_us: FAULT_WINDOW_US,
                     share_interval_us: shares_evidence.then_some(share_interval_us),
@@ -134,7 +134,7 @@
 fn measure_noise() {
     println!("load {MEAN_LOAD} of capacity, 24 simulated hours, {DAY_SEEDS} seeds, careful");
     for setup in SETUPS {
-        let plan = noise_plan(setup, Dial::CAREFUL, true, 24 * HOUR_US);
+        let plan = noise_plan(setup, Sensitivity::CAREFUL, true, 24 * HOUR_US);
         report(
             &format!("{} Noise fleet+evidence", setup.name),
             plan,
@@ -148,9 +148,12 @@
     println!("24 simulated hours of noise at load {MEAN_LOAD}, mean of 30 seeds of 10 minutes");
     for setup in SETUPS {
         for step in (0..=100).step_by(50) {
-            let dial: Dial = step.to_string().parse().expect("the dial has 0 to 100");
+            let sensitivity: Sensitivity = step
+                .to_string()
+                .parse()
+                .expect("the sensitivity has 0 to 100");
             for shares_evidence in [false, true] {
-                let noise = noise_plan(setup, dial, shares_evidence, CURVE_WINDOW_US);
+                let noise = noise_plan(setup, sensitivity, shares_evidence, CURVE_WINDOW_US);
                 let outcomes = run_seeds(noise, SEEDS);
                 let false_ejections: u32 = outcomes.iter().map(|o| o.false_ejections).sum();
                 let per_day = f64::from(false_ejections) * 144.0 / SEEDS as f64;
@@ -163,13 +166,13 @@
                 let outcomes = run_seeds(sick, SEEDS);
                 let detection = spread(&outcomes, |o| o.detection_us / 1_000);
                 let ejection = spread(&outcomes, |o| o.ejection_us / 1_000);
-                let mark = if dial == dial_of(setup) {
+                let mark = if sensitivity == sensitivity_of(setup) {
                     " <- user"
                 } else {
                     ""
                 };
                 println!(
-                    "{:14} dial={step:3} evidence={shares_evidence:5} detection_ms={detection:22} ejection_ms={ejection:22} false_per_24h={per_day:.1}{mark}",
+                    "{:14} sensitivity={step:3} evidence={shares_evidence:5} detection_ms={detection:22} ejection_ms={ejection:22} false_per_24h={per_day:.1}{mark}",
                     setup.name
                 );
             }
@@ -177,12 +180,17 @@
     }
 }
 
-fn noise_plan(setup: Setup, dial: Dial, shares_evidence: bool, window_us: u64) -> Plan {
+fn noise_plan(
+    setup: Setup,
+    sensitivity: Sensitivity,
+    shares_evidence: bool,
+    window_us: u64,
+) -> Plan {
     Plan {
         setup,
         fault: Fault::Noise,
         kind: Kind::Fleet,
-        dial,
+        sensitivity,
         load: MEAN_LOAD,
         window_us,
         share_interval_us: shares_evidence.then_some(SHARE_INTERVAL_US),
--- a/crates/auburnbridge_policy/examples/ejection_curve/simulation.rs
+++ b/crates/auburnbridge_policy/examples/ejection_curve/simulation.rs
@@ -7,7 +7,7 @@
 use std::collections::BinaryHeap;
 
 use auburnbridge_policy::{
-    Dial, Member, Observation, Presence, RequestClass, ServicePolicy, TargetKey,
+    Member, Observation, Presence, RequestClass, Sensitivity, ServicePolicy, TargetKey,
 };
 use auburnbridge_types::{DataCentre, Incarnation, Slots, Timestamp};
 use rand::{Rng, SeedableRng};
@@ -56,8 +56,8 @@
     pub fault: Fault,
     /// The decisions.
     pub kind: Kind,
-    /// The policy's dial.
-    pub dial: Dial,
+    /// The policy's sensitivity.
+    pub sensitivity: Sensitivity,
     /// Arrivals as a share of capacity.
     pub load: f64,
     /// Time from the fault to the end.
@@ -126,7 +126,7 @@
     let members: Vec<Member> = (0..setup.targets).map(|at| member(setup, at)).collect();
     let policy = ServicePolicy::builder()
         .floor(Slots(setup.floor))
-        .dial(plan.dial)
+        .sensitivity(plan.sensitivity)
         .build();
     let entries = (0..ENTRIES)
         .map(|entry| {
--- a/crates/auburnbridge_policy/src/fleet.rs
+++ b/crates/auburnbridge_policy/src/fleet.rs
@@ -378,10 +378,10 @@
 
     fn judge(&mut self, now: Timestamp, key: TargetKey) -> Vec<Decision> {
         let target = &self.targets[key];
-        if target.suspicion(now, self.slow_limit_ms()) >= self.policy.dial.threshold() {
+        if target.suspicion(now, self.slow_limit_ms()) >= self.policy.sensitivity.threshold() {
             return self.try_eject(now, key, Reason::Suspicion);
         }
-        if target.remote.assessed >= self.policy.dial.shared_threshold() {
+        if target.remote.assessed >= self.policy.sensitivity.shared_threshold() {
             return self.try_eject(now, key, Reason::SharedSuspicion);
         }
         Vec::new()
@@ -474,7 +474,7 @@
             data_centre: self.data_centre.as_ref(),
         };
         // Half of the threshold: it takes two other entries at least.
-        let share_limit = self.policy.dial.shared_threshold() / 2.0;
+        let share_limit = self.policy.sensitivity.shared_threshold() / 2.0;
         target.remote.assessed = target.remote.assess(&own, share_limit).unwrap_or(0.0);
     }
 
@@ -665,7 +665,7 @@
             action,
             reason,
             suspicion: target.health.suspicion(),
-            threshold: self.policy.dial.threshold(),
+            threshold: self.policy.sensitivity.threshold(),
             in_use: self.in_use(),
             floor: self.policy.floor,
         }
--- a/crates/auburnbridge_policy/src/policy.rs
+++ b/crates/auburnbridge_policy/src/policy.rs
@@ -7,9 +7,9 @@
 
 /// Position on the curve between few false ejections (0) and quick detection (100).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Dial(u8);
+pub struct Sensitivity(u8);
 
-impl Dial {
+impl Sensitivity {
     /// Few false ejections.
     pub const CAREFUL: Self = Self(0);
     /// Quick detection.
@@ -39,7 +39,7 @@
     }
 }
 
-impl FromStr for Dial {
+impl FromStr for Sensitivity {
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
@@ -54,7 +54,7 @@
     }
 }
 
-impl fmt::Display for Dial {
+impl fmt::Display for Sensitivity {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match *self {
             Self::CAREFUL => f.write_str("careful"),
@@ -70,7 +70,7 @@
     /// Slots that ejections never go below.
     pub floor: Slots,
     /// Position on the curve of the ejection policy.
-    pub dial: Dial,
+    pub sensitivity: Sensitivity,
     /// Length of a first ejection; each further one doubles it.
     pub ejection_time: Millis,
     /// Upper bound of an ejection's length.
@@ -86,7 +86,7 @@
     pub fn builder() -> ServicePolicyBuilder {
         ServicePolicyBuilder(Self {
             floor: Slots(0),
-            dial: Dial::CAREFUL,
+            sensitivity: Sensitivity::CAREFUL,
             ejection_time: Millis(5_000),
             ejection_limit: Millis(120_000),
             trial_successes: 5,
@@ -109,8 +109,8 @@
 
     /// Sets the position on the ejection curve.
     #[must_use]
-    pub fn dial(mut self, dial: Dial) -> Self {
-        self.0.dial = dial;
+    pub fn sensitivity(mut self, sensitivity: Sensitivity) -> Self {
+        self.0.sensitivity = sensitivity;
         self
     }
 
--- a/crates/auburnbridge_policy/tests/evidence.rs
+++ b/crates/auburnbridge_policy/tests/evidence.rs
@@ -1,7 +1,7 @@
 //! Guards the evidence of one entry and its exchange between entries.
 
 use auburnbridge_policy::{
-    Action, Dial, EvidenceReport, Fleet, Member, Observation, Presence, RequestClass,
+    Action, EvidenceReport, Fleet, Member, Observation, Presence, RequestClass, Sensitivity,
     ServicePolicy, TargetKey,
 };
 use auburnbridge_types::{Incarnation, Millis, Slots, Timestamp};
@@ -23,7 +23,9 @@
 }
 
 fn fleet(data_centre: &str) -> Fleet {
-    let policy = ServicePolicy::builder().dial(Dial::FAST).build();
+    let policy = ServicePolicy::builder()
+        .sensitivity(Sensitivity::FAST)
+        .build();
     let mut fleet = Fleet::new(policy).with_data_centre(data_centre.parse().unwrap());
     let members: Vec<Member> = (0..4).map(member).collect();
     fleet.reconcile(START, &members);
--- a/crates/auburnbridge_policy/tests/floor.rs
+++ b/crates/auburnbridge_policy/tests/floor.rs
@@ -1,7 +1,7 @@
 //! Guards the floor: every sequence of events over small fleets, seen by one or two entries.
 
 use auburnbridge_policy::{
-    Dial, EvidenceReport, Fleet, Member, Observation, Presence, RequestClass, ServicePolicy,
+    EvidenceReport, Fleet, Member, Observation, Presence, RequestClass, Sensitivity, ServicePolicy,
     ServiceState,
 };
 use auburnbridge_types::{Incarnation, Millis, Slots, Timestamp};
@@ -51,7 +51,7 @@
     fn new(slots: &[u32], floor: u32) -> Self {
         let policy = ServicePolicy::builder()
             .floor(Slots(floor))
-            .dial(Dial::FAST)
+            .sensitivity(Sensitivity::FAST)
             .build();
         let members = slots.iter().enumerate().map(|(at, slots)| {
             Some(Member {
--- a/crates/auburnbridge_rules/src/grammar.rs
+++ b/crates/auburnbridge_rules/src/grammar.rs
@@ -2,7 +2,7 @@
 
 use auburnbridge_types::{ByteSize, Millis, RatePerSecond, Slots};
 
-use crate::model::{EjectionDial, Percent};
+use crate::model::{EjectionSensitivity, Percent};
 pub use crate::reference::reference;
 pub use crate::value::ValueKind;
 
@@ -10,8 +10,8 @@
 pub const DEFAULT_SLOTS_PER_TARGET: Slots = Slots(3);
 /// Largest number of targets of one service when the service line gives none.
 pub const DEFAULT_MOST_TARGETS: u32 = 4_096;
-/// Ejection dial of a service that gives none.
-pub const DEFAULT_EJECTION: EjectionDial = EjectionDial::BALANCED;
+/// Ejection sensitivity of a service that gives none.
+pub const DEFAULT_EJECTION: EjectionSensitivity = EjectionSensitivity::BALANCED;
 /// Retry budget of a service that gives none, as a share of its requests.
 pub const DEFAULT_RETRY_PERCENT: Percent = Percent(10);
 /// Retries allowed on top of the share, so that quiet services can retry at all.
@@ -154,7 +154,7 @@
 /// Trade-off between false ejections and detection time.
 pub const EJECTION: OptionSpec = OptionSpec {
     name: "ejection",
-    kind: ValueKind::Dial,
+    kind: ValueKind::Sensitivity,
     default: Some(DEFAULT_EJECTION.0 as u64),
     meaning: "trade-off between few false ejections and fast detection",
 };
--- a/crates/auburnbridge_rules/src/lib.rs
+++ b/crates/auburnbridge_rules/src/lib.rs
@@ -27,7 +27,9 @@
 pub use edit::LineEdit;
 pub use error::RuleError;
 pub use line::{MAX_LINE_BYTES, file_lines};
-pub use model::{Account, Class, EjectionDial, Method, Percent, Route, Service, Team, TeamScope};
+pub use model::{
+    Account, Class, EjectionSensitivity, Method, Percent, Route, Service, Team, TeamScope,
+};
 pub use path::{InvalidPath, PathPattern, normalize};
 pub use rule_line::{LineKey, RuleLine, rule_lines};
 pub use rules::{MAX_TEXT_BYTES, Rules};
--- a/crates/auburnbridge_rules/src/model.rs
+++ b/crates/auburnbridge_rules/src/model.rs
@@ -56,9 +56,9 @@
 
 /// Position between few false ejections (0) and fast detection (100).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct EjectionDial(pub u8);
+pub struct EjectionSensitivity(pub u8);
 
-impl EjectionDial {
+impl EjectionSensitivity {
     /// Fewest false ejections.
     pub const CAREFUL: Self = Self(0);
     /// Halfway between the two ends.
@@ -79,7 +79,7 @@
     /// Largest number of targets that the service is expected to have.
     pub most_targets: u32,
     /// Trade-off between false ejections and detection time.
-    pub ejection: EjectionDial,
+    pub ejection: EjectionSensitivity,
     /// Retries and hedged requests as a share of the requests.
     pub retry_percent: Percent,
     /// Retries and hedged requests that are allowed on top of the share.
--- a/crates/auburnbridge_rules/src/rule.rs
+++ b/crates/auburnbridge_rules/src/rule.rs
@@ -6,7 +6,7 @@
 
 use crate::grammar;
 use crate::line::ParsedLine;
-use crate::model::{Account, EjectionDial, Percent, Route, Service, Team, TeamScope};
+use crate::model::{Account, EjectionSensitivity, Percent, Route, Service, Team, TeamScope};
 use crate::path::PathPattern;
 
 /// The rule that a line states.
@@ -45,13 +45,15 @@
 }
 
 fn service(line: &ParsedLine<'_>) -> Service {
-    let dial = u8::try_from(line.option(&grammar::EJECTION));
+    let sensitivity = u8::try_from(line.option(&grammar::EJECTION));
     Service {
         name: valid(line.word(0)),
         slots_floor: Slots(line.option_u32(&grammar::SLOTS_FLOOR)),
         slots_per_target: Slots(line.option_u32(&grammar::SLOTS_PER_TARGET)),
         most_targets: line.option_u32(&grammar::MOST_TARGETS),
-        ejection: EjectionDial(dial.expect("the grammar bounds the dial to 100")),
+        ejection: EjectionSensitivity(
+            sensitivity.expect("the grammar bounds the sensitivity to 100"),
+        ),
         retry_percent: Percent(line.option_u32(&grammar::RETRY_PERCENT)),
         retry_rate: RatePerSecond(line.option_u32(&grammar::RETRY_RATE)),
         queue: line.option_u32(&grammar::QUEUE),
--- a/crates/auburnbridge_rules/src/value.rs
+++ b/crates/auburnbridge_rules/src/value.rs
@@ -4,7 +4,7 @@
 
 use strum::IntoEnumIterator;
 
-use crate::model::{Class, EjectionDial, Method};
+use crate::model::{Class, EjectionSensitivity, Method};
 use crate::nearest::nearest;
 use crate::path::PathPattern;
 
@@ -16,10 +16,10 @@
     ("MiB", 1 << 20),
     ("GiB", 1 << 30),
 ];
-const DIAL_WORDS: &[(&str, EjectionDial)] = &[
-    ("careful", EjectionDial::CAREFUL),
-    ("balanced", EjectionDial::BALANCED),
-    ("fast", EjectionDial::FAST),
+const DIAL_WORDS: &[(&str, EjectionSensitivity)] = &[
+    ("careful", EjectionSensitivity::CAREFUL),
+    ("balanced", EjectionSensitivity::BALANCED),
+    ("fast", EjectionSensitivity::FAST),
 ];
 
 /// A kind of value with its bounds, which include both ends.
@@ -35,8 +35,8 @@
     Path,
     /// Class of a route.
     Class,
-    /// Position of the ejection dial.
-    Dial,
+    /// Position of the ejection sensitivity.
+    Sensitivity,
     /// Plain number.
     Count(u64, u64),
     /// Share with its `%`.
@@ -63,7 +63,7 @@
                 Ok(()) => Some(0),
                 Err(invalid) => return Err(format!("{self} ({})", invalid.0)),
             },
-            Self::Dial => read_dial(word),
+            Self::Sensitivity => read_dial(word),
             Self::Count(min, max) => digits(word).filter(within(min, max)),
             Self::Percent(min, max) => read_unit(word, &[("%", 1)]).filter(within(min, max)),
             Self::Rate(min, max) => read_unit(word, &[("/s", 1)]).filter(within(min, max)),
@@ -80,9 +80,9 @@
             Self::Rate(..) => format!("{number}/s"),
             Self::Duration(..) => write_unit(number, DURATION_UNITS),
             Self::Size(..) => write_unit(number, SIZE_UNITS),
-            Self::Dial => DIAL_WORDS
+            Self::Sensitivity => DIAL_WORDS
                 .iter()
-                .find(|(_, dial)| u64::from(dial.0) == number)
+                .find(|(_, sensitivity)| u64::from(sensitivity.0) == number)
                 .map_or_else(|| number.to_string(), |(word, _)| (*word).to_owned()),
             Self::Name | Self::NameOrAll | Self::Method | Self::Path | Self::Class => String::new(),
             Self::Count(..) => number.to_string(),
@@ -93,7 +93,7 @@
         match self {
             Self::Method => Method::iter().map(Into::into).collect(),
             Self::Class => Class::iter().map(Into::into).collect(),
-            Self::Dial => DIAL_WORDS.iter().map(|(word, _)| *word).collect(),
+            Self::Sensitivity => DIAL_WORDS.iter().map(|(word, _)| *word).collect(),
             _ => Vec::new(),
         }
     }
@@ -116,7 +116,7 @@
             Self::Path => {
                 f.write_str("a path such as `/bins/7`, or `/bins/*` for all below `/bins/`")
             }
-            Self::Dial => {
+            Self::Sensitivity => {
                 write_choice(f, &self.words())?;
                 f.write_str(", or a number from 0 (careful) to 100 (fast)")
             }
@@ -174,8 +174,8 @@
     DIAL_WORDS
         .iter()
         .find(|(known, _)| *known == word)
-        .map(|(_, dial)| u64::from(dial.0))
-        .or_else(|| digits(word).filter(|number| *number <= u64::from(EjectionDial::FAST.0)))
+        .map(|(_, sensitivity)| u64::from(sensitivity.0))
+        .or_else(|| digits(word).filter(|number| *number <= u64::from(EjectionSensitivity::FAST.0)))
 }
 
 fn read_unit(word: &str, units: &[(&str, u64)]) -> Option<u64> {
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -1,6 +1,7 @@
 # Starts a small fleet of processes on loopback; sourced by the scripts beside this folder.
 #
-# Takes: bin (folder of the binaries), port (base port), slots and work of each target.
+# Takes: bin (folder of the binaries), port (base port; 400 ports from there are used), entry_count
+# (default 3), slots and work_time of each target.
 # Gives: work (scratch folder), caller_address N, announce_address N, target_address SERVICE N,
 # operator_address, put_rules FILE, and stops everything on exit.
 
@@ -22,24 +23,27 @@
 }
 
 keepers= entries=
+entry_numbers=$(seq 1 "${entry_count:-3}")
 for n in 1 2 3; do
   keepers+="${keepers:+,}{\"vm\":\"keeper-$n\",\"address\":\"127.0.0.1:$((port + n))\"}"
-  entries+="${entries:+,}{\"vm\":\"entry-$n\",\"address\":\"127.0.0.1:$((port + 10 + n))\"}"
 done
-caller_address() { echo "127.0.0.1:$((port + 20 + $1))"; }
-announce_address() { echo "127.0.0.1:$((port + 30 + $1))"; }
+for n in $entry_numbers; do
+  entries+="${entries:+,}{\"vm\":\"entry-$n\",\"address\":\"127.0.0.1:$((port + 100 + n))\"}"
+done
+caller_address() { echo "127.0.0.1:$((port + 200 + $1))"; }
+announce_address() { echo "127.0.0.1:$((port + 300 + $1))"; }
 target_address() { # service, number
   echo "127.0.0.1:$((port + $([ "$1" = stock ] && echo 50 || echo 60) + $2))"
 }
 operator_address=127.0.0.1:$((port + 41))
 
 "$bin/auburnbridge" keys authority --folder "$work/authority"
-for n in 1 2 3; do
-  for role in keeper entry; do
-    "$bin/auburnbridge" keys issue --authority "$work/authority" \
-      --folder "$work/keys/$role-$n" --vm "$role-$n" --role $role
-  done
-done
+issue_key() { # role, number
+  "$bin/auburnbridge" keys issue --authority "$work/authority" \
+    --folder "$work/keys/$1-$2" --vm "$1-$2" --role "$1"
+}
+for n in 1 2 3; do issue_key keeper "$n"; done
+for n in $entry_numbers; do issue_key entry "$n"; done
 echo "quickstart-operator-key-$RANDOM$RANDOM$RANDOM" >"$work/operator-key"
 digest=$(tr -d '\n' <"$work/operator-key" | sha256sum | cut -d' ' -f1)
 
@@ -51,15 +55,15 @@
 {"vm":"keeper-$n","data_centre":"east","peer_address":"127.0.0.1:$((port + n))",$api
  "keys":"keys/keeper-$n","data_folder":"data/keeper-$n","members":[$keepers]}
 JSON
+  start "keeper-$n" "$bin/auburnbridge" keeper --settings "$work/keeper-$n.json"
+done
+for n in $entry_numbers; do
   others=$(echo "$entries" | sed "s/{\"vm\":\"entry-$n\"[^}]*},\{0,1\}//; s/,$//")
   cat >"$work/entry-$n.json" <<JSON
 {"vm":"entry-$n","data_centre":"east","caller_address":"$(caller_address $n)",
- "announce_address":"$(announce_address $n)","peer_address":"127.0.0.1:$((port + 10 + n))",
+ "announce_address":"$(announce_address $n)","peer_address":"127.0.0.1:$((port + 100 + n))",
  "keys":"keys/entry-$n","keepers":[$keepers],"entries":[$others],"balancer_lag":"200ms"}
 JSON
-  start "keeper-$n" "$bin/auburnbridge" keeper --settings "$work/keeper-$n.json"
-done
-for n in 1 2 3; do
   start "entry-$n" "$bin/auburnbridge" entry --settings "$work/entry-$n.json"
 done
 for n in 1 2 3; do
