--- a/crates/auburnbridge_policy/src/health.rs
+++ b/crates/auburnbridge_policy/src/health.rs
@@ -2,8 +2,8 @@
 //!
 //! The evidence is a cumulative sum of log-likelihood ratios (CUSUM) between "this target fails half
 //! of its work" and "this target fails as rarely as a healthy one", bounded below by zero. Among
-//! rules with the same rate of false alarms CUSUM detects a change soonest, and its one threshold is
-//! it is the trade-off between the two users' wishes.
+//! rules with the same rate of false alarms CUSUM detects a change soonest. Its one threshold is
+//! the setting that trades false ejections for detection time.
 
 use auburnbridge_types::{Millis, Timestamp};
 
