Make one piece of code serve what stood several times

Ruled out: merging the one-shot HTTP client of the operator commands with that of the stand-in, since the shipped binary must not depend on the stand-in; the two KeyDigest types, since settings must not depend on the administration API. Change: auburnbridge_messages::call, KeyRing::reload_every, parse_digest and Shared::spawn_every; the rest is removed. A settlement no longer waits after its last failed attempt. Tests are unchanged.

--- a/crates/auburnbridge_entry/src/fleets.rs
+++ b/crates/auburnbridge_entry/src/fleets.rs
@@ -11,7 +11,7 @@
 use auburnbridge_metrics::{Counter, Metrics};
 use auburnbridge_policy::{
     Action, AdmissionPolicy, Choice, Decision, Fleet, Member, Observation, RequestClass,
-    RetryBudget, ServicePolicy, TargetKey, TargetView,
+    RetryBudget, Sensitivity, ServicePolicy, TargetKey, TargetView,
 };
 use auburnbridge_rules::{Rules, Service};
 use auburnbridge_types::{Clock, DataCentre, Incarnation, ServiceName, TargetId, Timestamp, VmId};
@@ -280,13 +280,8 @@
 }
 
 fn policy_of(service: &Service) -> ServicePolicy {
-    let sensitivity = service.ejection.0.to_string();
     ServicePolicy::builder()
         .floor(service.slots_floor)
-        .sensitivity(
-            sensitivity
-                .parse()
-                .expect("the grammar bounds the sensitivity to 100"),
-        )
+        .sensitivity(Sensitivity::new(service.ejection.0))
         .build()
 }
--- a/crates/auburnbridge_entry/src/keeper_client.rs
+++ b/crates/auburnbridge_entry/src/keeper_client.rs
@@ -9,7 +9,7 @@
 
 use auburnbridge_config::{Delta, Edit, EditReply};
 use auburnbridge_ledger::{Command, Reply as LedgerReply};
-use auburnbridge_messages::{Reply, Request};
+use auburnbridge_messages::{self as messages, Reply, Request};
 use auburnbridge_peer::{PeerAddress, Transport};
 use auburnbridge_types::{BoxFuture, Clock, DataCentre, Millis, Revision};
 use log::{debug, warn};
@@ -141,13 +141,9 @@
         request: &Request,
         timeout: Millis,
     ) -> Result<Reply, String> {
-        let body = request.encode().map_err(|error| error.to_string())?;
-        let reply = self
-            .transport
-            .call(keeper, body, timeout)
+        messages::call(self.transport.as_ref(), keeper, request, timeout)
             .await
-            .map_err(|error| format!("{}: {error}", keeper.vm))?;
-        Reply::decode(&reply).map_err(|error| format!("{}: {error}", keeper.vm))
+            .map_err(|error| format!("{}: {error}", keeper.vm))
     }
 }
 
--- a/crates/auburnbridge_entry/src/ledger_client.rs
+++ b/crates/auburnbridge_entry/src/ledger_client.rs
@@ -59,6 +59,9 @@
     pub(crate) async fn settle(&self, command: Command) {
         let name = command.to_string();
         for attempt in 1..=SETTLE_ATTEMPTS {
+            if attempt > 1 {
+                self.clock.sleep(SETTLE_WAIT).await;
+            }
             match self.apply(command.clone()).await {
                 Ok(Reply::Done) => return,
                 Ok(reply) => {
@@ -67,7 +70,6 @@
                 }
                 Err(error) => warn!("ledger command={name} attempt={attempt} failed: {error}"),
             }
-            self.clock.sleep(SETTLE_WAIT).await;
         }
     }
 }
--- a/crates/auburnbridge_entry/src/neighbours.rs
+++ b/crates/auburnbridge_entry/src/neighbours.rs
@@ -4,14 +4,13 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 
 use auburnbridge_config::{Delta, RulesCopy};
 use auburnbridge_membership::{
     Announcement, Entries, EntryAnnouncement, Gossip, Liveness, Members, State, SyncMessage,
     Verdict,
 };
-use auburnbridge_messages::{Reply, Request, ServiceEvidence};
+use auburnbridge_messages::{self as messages, Reply, Request, ServiceEvidence};
 use auburnbridge_peer::{PeerAddress, Transport};
 use auburnbridge_policy::{CrashReport, Member, Presence};
 use auburnbridge_types::{BoxFuture, Clock, Millis, Revision, ServiceName, Timestamp};
@@ -294,17 +293,12 @@
     }
 
     async fn call(&self, peer: &PeerAddress, request: &Request) -> Option<Reply> {
-        let body = request.encode().ok()?;
-        let reply = self
-            .transport
-            .call(peer, body, CALL_TIMEOUT)
+        let reply = messages::call(self.transport.as_ref(), peer, request, CALL_TIMEOUT)
             .await
             .inspect_err(|error| debug!("entry {} did not answer: {error}", peer.vm))
             .ok()?;
         self.note_contact();
-        Reply::decode(&reply)
-            .inspect_err(|error| warn!("entry {} sent no valid reply: {error}", peer.vm))
-            .ok()
+        Some(reply)
     }
 }
 
@@ -347,6 +341,3 @@
         },
     }
 }
-
-/// Interval of rumours and of an entry's own announcement.
-pub(crate) const SPREAD_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/auburnbridge_entry/src/run.rs
+++ b/crates/auburnbridge_entry/src/run.rs
@@ -28,7 +28,7 @@
 
 use crate::entry::{Entry, Location, Ports, RuntimeTasks};
 use crate::keeper_client::KeeperClient;
-use crate::neighbours::{Neighbours, SPREAD_INTERVAL};
+use crate::neighbours::Neighbours;
 use crate::rules_feed::RulesFeed;
 use crate::server::EntryServer;
 use crate::targets_api::targets_app;
@@ -39,8 +39,9 @@
 const EVIDENCE_INTERVAL: Millis = Millis(200);
 /// Longest wait at a planned stop until the ledger knows how all requests ended.
 const SETTLE_LIMIT: Millis = Millis(5_000);
-/// Maintenance intervals between two loads of the keys, which picks up replaced files.
-const KEY_RELOAD_TURNS: usize = 30;
+const KEY_RELOAD_INTERVAL: Millis = Millis(30_000);
+/// Interval of rumours and of an entry's own announcement.
+const SPREAD_INTERVAL: Millis = Millis(200);
 /// Interval at which new announcements reach the fleets.
 const PLACEMENT_INTERVAL: Millis = Millis(100);
 
@@ -270,30 +271,28 @@
             shared.has_caught_up.store(true, Ordering::SeqCst);
             feed.run().await;
         });
-        let shared = Arc::clone(self);
-        task::spawn(async move {
-            loop {
-                shared.neighbours.spread(shared.entry.revision());
-                task::sleep(SPREAD_INTERVAL).await;
-            }
+        self.spawn_every(SPREAD_INTERVAL, |shared| {
+            shared.neighbours.spread(shared.entry.revision());
         });
-        let shared = Arc::clone(self);
-        task::spawn(async move {
-            loop {
-                shared.place();
-                shared.clock.sleep(PLACEMENT_INTERVAL).await;
-            }
+        self.spawn_every(PLACEMENT_INTERVAL, Self::place);
+        self.spawn_every(EVIDENCE_INTERVAL, |shared| {
+            let evidence = shared.entry.fleets().evidence(shared.clock.now());
+            shared.neighbours.send_evidence(evidence);
         });
+        let shared = Arc::clone(self);
+        task::spawn(async move { shared.maintain(&pool).await });
+        let clock = Arc::clone(&self.clock);
+        task::spawn(async move { keys.reload_every(clock.as_ref(), KEY_RELOAD_INTERVAL).await });
+    }
+
+    fn spawn_every(self: &Arc<Self>, interval: Millis, step: impl Fn(&Self) + Send + 'static) {
         let shared = Arc::clone(self);
         task::spawn(async move {
             loop {
-                let evidence = shared.entry.fleets().evidence(shared.clock.now());
-                shared.neighbours.send_evidence(evidence);
-                shared.clock.sleep(EVIDENCE_INTERVAL).await;
+                step(&shared);
+                shared.clock.sleep(interval).await;
             }
         });
-        let shared = Arc::clone(self);
-        task::spawn(async move { shared.maintain(&pool, &keys).await });
     }
 
     /// Brings announcements into the fleets.
@@ -319,14 +318,9 @@
         }
     }
 
-    async fn maintain(&self, pool: &Pool, keys: &KeyRing) {
+    async fn maintain(&self, pool: &Pool) {
         let mut turn = 0;
         loop {
-            if turn % KEY_RELOAD_TURNS == 0
-                && let Err(error) = keys.reload(self.clock.now())
-            {
-                warn!("the keys in force stay, since the folder can't be loaded: {error}");
-            }
             let peers = self.neighbours.peers();
             if !peers.is_empty() {
                 self.neighbours
--- a/crates/auburnbridge_keeper/src/core.rs
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -94,8 +94,6 @@
     pub members: Vec<Member>,
     /// Revision of the rules.
     pub revision: Revision,
-    /// Number of keys in the ledger.
-    pub keys: usize,
 }
 
 /// Sends messages of the log to other keepers.
@@ -399,7 +397,6 @@
             status: self.replica.status(),
             members: self.replica.members().iter().cloned().collect(),
             revision: self.state.config.revision(),
-            keys: self.state.ledger.len(),
         }
     }
 }
--- a/crates/auburnbridge_keeper/src/formation.rs
+++ b/crates/auburnbridge_keeper/src/formation.rs
@@ -8,10 +8,10 @@
 use std::sync::Arc;
 
 use auburnbridge_log::{Member, MemberRole, Members, ReplicaId};
-use auburnbridge_messages::{KeeperHello, Reply, Request};
+use auburnbridge_messages::{self as messages, KeeperHello, Reply, Request};
 use auburnbridge_peer::{PeerAddress, Transport};
 use auburnbridge_types::{Clock, Millis, VmId};
-use log::{debug, info, warn};
+use log::{debug, info};
 
 use crate::core::{CoreHandle, Event};
 
@@ -109,30 +109,18 @@
         if self.keepers.first()?.vm != self.vm {
             return None;
         }
-        let mut members = vec![self.voter(self.vm.clone(), self.replica)];
+        let mut members = vec![voter(self.vm.clone(), self.replica)];
         let others = self.keepers.iter().filter(|keeper| keeper.vm != self.vm);
         for (keeper, hello) in others.zip(hellos) {
             let hello = hello.as_ref()?;
             if !hello.members.is_empty() {
                 return None;
             }
-            members.push(self.voter(keeper.vm.clone(), hello.replica));
+            members.push(voter(keeper.vm.clone(), hello.replica));
         }
         Members::new(members)
     }
 
-    #[expect(
-        clippy::unused_self,
-        reason = "reads as part of the list that it builds"
-    )]
-    fn voter(&self, vm: VmId, replica: ReplicaId) -> Member {
-        Member {
-            replica,
-            vm,
-            role: MemberRole::Voter,
-        }
-    }
-
     async fn ask_to_join(&self) {
         let request = Request::Join {
             replica: self.replica,
@@ -146,15 +134,17 @@
     }
 
     async fn call(&self, keeper: &PeerAddress, request: &Request) -> Option<Reply> {
-        let body = request.encode().expect("a request to join is small");
-        let reply = self
-            .transport
-            .call(keeper, body, CALL_TIMEOUT)
+        messages::call(self.transport.as_ref(), keeper, request, CALL_TIMEOUT)
             .await
             .inspect_err(|error| debug!("keeper {} did not answer: {error}", keeper.vm))
-            .ok()?;
-        Reply::decode(&reply)
-            .inspect_err(|error| warn!("keeper {} sent no valid reply: {error}", keeper.vm))
             .ok()
     }
 }
+
+fn voter(vm: VmId, replica: ReplicaId) -> Member {
+    Member {
+        replica,
+        vm,
+        role: MemberRole::Voter,
+    }
+}
--- a/crates/auburnbridge_keeper/src/operator_store.rs
+++ b/crates/auburnbridge_keeper/src/operator_store.rs
@@ -3,10 +3,8 @@
 use std::sync::Arc;
 
 use auburnbridge_config::{Edit, EditReply, HistoryEntry};
-use auburnbridge_messages::{Reply, Request};
-use auburnbridge_operator::{
-    ConfigStore, FleetStatus, RulesInForce, StoreError, TargetStatus, VmStatus,
-};
+use auburnbridge_messages::{self as messages, Reply, Request};
+use auburnbridge_operator::{ConfigStore, FleetStatus, RulesInForce, StoreError, TargetStatus};
 use auburnbridge_peer::{Delivery, PeerAddress, Transport};
 use auburnbridge_types::{BoxFuture, Millis, VmId};
 use log::debug;
@@ -74,11 +72,10 @@
         let Some(address) = self.keepers.iter().find(|keeper| keeper.vm == *leader) else {
             return (Reply::Refused, false);
         };
-        let Ok(body) = Request::Edit(edit.clone()).encode() else {
-            return (Reply::Refused, false);
-        };
-        match self.transport.call(address, body, FORWARD_TIMEOUT).await {
-            Ok(body) => (Reply::decode(&body).unwrap_or(Reply::Refused), false),
+        let request = Request::Edit(edit.clone());
+        let transport = self.transport.as_ref();
+        match messages::call(transport, address, &request, FORWARD_TIMEOUT).await {
+            Ok(reply) => (reply, false),
             Err(error) => {
                 debug!("the edit could not be forwarded to {leader}: {error}");
                 (Reply::Refused, error.delivery() != Delivery::NotReceived)
@@ -87,21 +84,14 @@
     }
 
     async fn fleet_status(&self) -> Result<FleetStatus, StoreError> {
-        let status = self
-            .server
-            .keeper_status()
+        let report = self
+            .core
+            .ask(|reply| Event::Report { reply })
             .await
             .ok_or(StoreError::Unavailable)?;
-        let vms = status.entries.iter().map(|entry| VmStatus {
-            vm: entry.vm.clone(),
-            data_centre: entry.data_centre.clone(),
-            role: "entry".to_owned(),
-            revision: entry.revision,
-            reported_ms_ago: entry.age_ms,
-        });
         Ok(FleetStatus {
-            revision: status.revision,
-            vms: vms.collect(),
+            revision: report.revision,
+            vms: self.server.entries(),
         })
     }
 }
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -117,11 +117,7 @@
             .name("keeper-core".to_owned())
             .spawn(move || core.run(&events))
             .change_context(KeeperError)?;
-        let server = Arc::new(KeeperServer::new(
-            options.vm.clone(),
-            handle.clone(),
-            Arc::clone(&clock),
-        ));
+        let server = Arc::new(KeeperServer::new(handle.clone(), Arc::clone(&clock)));
         let peer_server = PeerServer::bind(
             options.peer_address,
             Arc::clone(&keys),
@@ -153,7 +149,10 @@
             core: handle.clone(),
         };
         task::spawn(formation.run());
-        task::spawn(reload_keys(keys, reload_clock));
+        task::spawn(async move {
+            keys.reload_every(reload_clock.as_ref(), KEY_RELOAD_INTERVAL)
+                .await;
+        });
         Ok(Self {
             core: handle,
             thread,
@@ -202,16 +201,6 @@
     }
 }
 
-/// Picks up replaced key files; a folder that can't be loaded leaves the keys in force.
-async fn reload_keys(keys: Arc<KeyRing>, clock: Arc<dyn Clock>) {
-    loop {
-        clock.sleep(KEY_RELOAD_INTERVAL).await;
-        if let Err(error) = keys.reload(clock.now()) {
-            warn!("the keys in force stay, since the folder can't be loaded: {error}");
-        }
-    }
-}
-
 async fn serve_operators(
     address: SocketAddr,
     store: OperatorStore,
--- a/crates/auburnbridge_keeper/src/server.rs
+++ b/crates/auburnbridge_keeper/src/server.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use auburnbridge_log::RejectReason;
-use auburnbridge_messages::{EntryRevision, KeeperHello, KeeperStatus, Reply, Request};
+use auburnbridge_messages::{KeeperHello, Reply, Request};
+use auburnbridge_operator::VmStatus;
 use auburnbridge_peer::{Handler, PeerIdentity, Role};
 use auburnbridge_types::{BoxFuture, Clock, DataCentre, Millis, Revision, Timestamp, VmId};
 use log::warn;
@@ -27,17 +28,15 @@
 
 /// A keeper towards the other processes.
 pub struct KeeperServer {
-    vm: VmId,
     core: CoreHandle,
     clock: Arc<dyn Clock>,
     entries: Mutex<BTreeMap<VmId, SeenEntry>>,
 }
 
 impl KeeperServer {
-    /// Creates the server of the keeper on `vm`.
-    pub fn new(vm: VmId, core: CoreHandle, clock: Arc<dyn Clock>) -> Self {
+    /// Creates the server of a keeper.
+    pub fn new(core: CoreHandle, clock: Arc<dyn Clock>) -> Self {
         Self {
-            vm,
             core,
             clock,
             entries: Mutex::default(),
@@ -61,11 +60,6 @@
                     None => Reply::Busy,
                 }
             }
-            (Request::Status, _) => self.status().await,
-            (Request::History, _) => match self.core.ask(|reply| Event::History { reply }).await {
-                Some(entries) => Reply::History(entries),
-                None => Reply::Busy,
-            },
             (Request::Hello(_), Role::Keeper) => self.hello().await,
             (Request::Join { replica }, Role::Keeper) => {
                 let vm = from.vm.clone();
@@ -134,32 +128,21 @@
         }
     }
 
-    async fn status(&self) -> Reply {
-        match self.keeper_status().await {
-            Some(status) => Reply::Status(status),
-            None => Reply::Busy,
-        }
-    }
-
-    /// The state of this keeper and of the entries that it hears from.
-    pub async fn keeper_status(&self) -> Option<KeeperStatus> {
-        let report = self.core.ask(|reply| Event::Report { reply }).await?;
-        let keys = report.keys as u64;
-        let mut status = KeeperStatus::new(self.vm.clone(), &report.status, report.revision, keys);
+    /// The entries that fetched rules from this keeper lately, with what each has in force.
+    pub fn entries(&self) -> Vec<VmStatus> {
         let now = self.clock.now();
-        status.entries = self
-            .entries
+        self.entries
             .lock()
             .iter()
             .filter(|(_, entry)| now.since(entry.seen) < ENTRY_FORGET)
-            .map(|(vm, entry)| EntryRevision {
+            .map(|(vm, entry)| VmStatus {
                 vm: vm.clone(),
                 data_centre: entry.data_centre.clone(),
+                role: Role::Entry.to_string(),
                 revision: entry.revision,
-                age_ms: now.since(entry.seen).0,
+                reported_ms_ago: now.since(entry.seen).0,
             })
-            .collect();
-        Some(status)
+            .collect()
     }
 }
 
--- a/crates/auburnbridge_messages/src/lib.rs
+++ b/crates/auburnbridge_messages/src/lib.rs
@@ -4,13 +4,14 @@
 //! encodes them with the transport's codec, which puts a format version first and bounds the size.
 //! Who may send what is decided by the receiver from the certificate's role.
 
-use auburnbridge_config::{Delta, Edit, EditReply, HistoryEntry};
+use auburnbridge_config::{Delta, Edit, EditReply};
 use auburnbridge_ledger::{Command, Reply as LedgerReply};
-use auburnbridge_log::{Member, Message, ReplicaId, Status};
+use auburnbridge_log::{Member, Message, ReplicaId};
 use auburnbridge_membership::{Announcement, EntryAnnouncement, SyncMessage};
 use auburnbridge_peer::codec::{self, CodecError};
+use auburnbridge_peer::{Delivery, PeerAddress, PeerError, Transport};
 use auburnbridge_policy::{CrashReport, EvidenceReport};
-use auburnbridge_types::{ByteSize, DataCentre, Revision, ServiceName, VmId};
+use auburnbridge_types::{ByteSize, DataCentre, Millis, Revision, ServiceName, VmId};
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
@@ -32,10 +33,6 @@
         /// Data centre of the sender, for the status of the fleet.
         data_centre: DataCentre,
     },
-    /// To a keeper: which VM has which revision in force, and the state of the log.
-    Status,
-    /// To a keeper: the last accepted edits.
-    History,
     /// To a keeper: the sender's replica and the group that it is in, and the same in return.
     Hello(KeeperHello),
     /// To a keeper that leads: a keeper without a group asks to replace the one of its VM.
@@ -90,10 +87,6 @@
     LeadershipLost,
     /// The rules after the sender's revision.
     Rules(Delta),
-    /// State of a keeper.
-    Status(KeeperStatus),
-    /// The last accepted edits, oldest first.
-    History(Vec<HistoryEntry>),
     /// The keeper's replica and group.
     Hello(KeeperHello),
     /// Next step of a comparison of targets.
@@ -115,59 +108,6 @@
     pub members: Vec<Member>,
 }
 
-/// What a keeper knows of itself and of the entries that fetch rules from it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KeeperStatus {
-    /// The keeper.
-    pub vm: VmId,
-    /// Role in the group.
-    pub role: String,
-    /// Term of the log.
-    pub term: u64,
-    /// The leader that it knows.
-    pub leader: Option<VmId>,
-    /// Last record known to be committed.
-    pub commit: u64,
-    /// Last record applied.
-    pub applied: u64,
-    /// Revision of the rules.
-    pub revision: Revision,
-    /// Keys in the ledger.
-    pub keys: u64,
-    /// Entries that fetched rules lately, with the revision that each has in force.
-    pub entries: Vec<EntryRevision>,
-}
-
-/// The revision that an entry has in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EntryRevision {
-    /// The entry.
-    pub vm: VmId,
-    /// Its data centre.
-    pub data_centre: DataCentre,
-    /// The revision.
-    pub revision: Revision,
-    /// Time since it last fetched rules, in milliseconds.
-    pub age_ms: u64,
-}
-
-impl KeeperStatus {
-    /// Describes a keeper by the state of its replica.
-    pub fn new(vm: VmId, status: &Status, revision: Revision, keys: u64) -> Self {
-        Self {
-            vm,
-            role: status.role.to_owned(),
-            term: status.term.0,
-            leader: status.leader.clone(),
-            commit: status.commit.0,
-            applied: status.applied.0,
-            revision,
-            keys,
-            entries: Vec::new(),
-        }
-    }
-}
-
 macro_rules! coded {
     ($type:ty) => {
         impl $type {
@@ -186,3 +126,52 @@
 
 coded!(Request);
 coded!(Reply);
+
+/// Reason why a request has no reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// The request can't be encoded.
+    Request(CodecError),
+    /// The transport failed.
+    Peer(PeerError),
+    /// The reply can't be decoded.
+    Reply(CodecError),
+}
+
+impl CallError {
+    /// What is certain about the arrival of the request.
+    pub const fn delivery(&self) -> Delivery {
+        match self {
+            Self::Request(_) => Delivery::NotReceived,
+            Self::Peer(error) => error.delivery(),
+            Self::Reply(_) => Delivery::Received,
+        }
+    }
+}
+
+impl std::fmt::Display for CallError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Request(error) => write!(f, "the request can't be sent: {error}"),
+            Self::Peer(error) => error.fmt(f),
+            Self::Reply(error) => write!(f, "the reply is not valid: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// Sends a request and waits at most `timeout` for the reply.
+pub async fn call(
+    transport: &dyn Transport,
+    to: &PeerAddress,
+    request: &Request,
+    timeout: Millis,
+) -> Result<Reply, CallError> {
+    let body = request.encode().map_err(CallError::Request)?;
+    let reply = transport
+        .call(to, body, timeout)
+        .await
+        .map_err(CallError::Peer)?;
+    Reply::decode(&reply).map_err(CallError::Reply)
+}
--- a/crates/auburnbridge_peer/src/keys/load.rs
+++ b/crates/auburnbridge_peer/src/keys/load.rs
@@ -4,7 +4,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use auburnbridge_types::Timestamp;
+use auburnbridge_types::{Clock, Millis, Timestamp};
+use log::warn;
 use parking_lot::RwLock;
 use rustls::RootCertStore;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, UnixTime};
@@ -170,6 +171,17 @@
         Ok(true)
     }
 
+    /// Picks up replaced files every `interval`; a folder that can't be loaded leaves the keys in
+    /// force.
+    pub async fn reload_every(&self, clock: &dyn Clock, interval: Millis) {
+        loop {
+            clock.sleep(interval).await;
+            if let Err(error) = self.reload(clock.now()) {
+                warn!("the keys in force stay, since the folder can't be loaded: {error}");
+            }
+        }
+    }
+
     /// The keys in force.
     pub fn current(&self) -> Arc<Keys> {
         Arc::clone(&self.current.read())
--- a/crates/auburnbridge_policy/src/policy.rs
+++ b/crates/auburnbridge_policy/src/policy.rs
@@ -24,6 +24,11 @@
     /// Evidence of several entries needed at the fast end, in nats.
     const FAST_SHARED_THRESHOLD: f64 = 9.0;
 
+    /// The position `value`, at most 100.
+    pub fn new(value: u8) -> Self {
+        Self(value.min(Self::FAST.0))
+    }
+
     /// Evidence of this entry alone at which a target is ejected, in nats.
     pub fn threshold(self) -> f64 {
         self.between(Self::CAREFUL_THRESHOLD, Self::FAST_THRESHOLD)
--- a/crates/auburnbridge_settings/src/lists.rs
+++ b/crates/auburnbridge_settings/src/lists.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use auburnbridge_types::{ParseError, ServiceName, VmId};
+use auburnbridge_types::{ParseError, ServiceName, VmId, parse_digest};
 use serde::de::{DeserializeOwned, Error};
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
@@ -43,16 +43,7 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
-        let invalid = || ParseError::new("64 hexadecimal digits", text);
-        let mut digest = [0; 32];
-        if text.len() != 2 * digest.len() || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-            return Err(invalid());
-        }
-        for (byte, digits) in digest.iter_mut().zip(text.as_bytes().chunks_exact(2)) {
-            let digits = std::str::from_utf8(digits).map_err(|_| invalid())?;
-            *byte = u8::from_str_radix(digits, 16).map_err(|_| invalid())?;
-        }
-        Ok(Self(digest))
+        parse_digest(text).map(Self)
     }
 }
 
--- a/crates/auburnbridge_standin/src/lib.rs
+++ b/crates/auburnbridge_standin/src/lib.rs
@@ -10,5 +10,5 @@
 mod target;
 
 pub use fault::Fault;
-pub use send::{Reply, SendError, send};
+pub use send::{SendError, send};
 pub use target::{Target, TargetOptions, TargetOptionsBuilder};
--- a/crates/auburnbridge_standin/src/send.rs
+++ b/crates/auburnbridge_standin/src/send.rs
@@ -8,9 +8,6 @@
 use async_std::net::TcpStream;
 use auburnbridge_http::{Connection, FramingError, Limits, Request, RequestInfo, Response};
 
-/// A whole response.
-pub type Reply = Response;
-
 /// Reason why no whole response came.
 #[derive(Debug)]
 pub enum SendError {
@@ -35,7 +32,11 @@
 impl std::error::Error for SendError {}
 
 /// Sends `req` to `address` and reads the whole response.
-pub async fn send(address: SocketAddr, req: &Request, limit: Duration) -> Result<Reply, SendError> {
+pub async fn send(
+    address: SocketAddr,
+    req: &Request,
+    limit: Duration,
+) -> Result<Response, SendError> {
     let exchange = async {
         let stream = TcpStream::connect(address)
             .await
--- a/crates/auburnbridge_types/src/idempotency.rs
+++ b/crates/auburnbridge_types/src/idempotency.rs
@@ -83,14 +83,19 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
-        let error = || ParseError::new("64 hexadecimal digits", text);
-        if text.len() != 64 || !text.is_ascii() {
-            return Err(error());
-        }
-        let mut digest = [0; 32];
-        for (byte, at) in digest.iter_mut().zip((0..64).step_by(2)) {
-            *byte = u8::from_str_radix(&text[at..at + 2], 16).map_err(|_| error())?;
-        }
-        Ok(Self(digest))
+        parse_digest(text).map(Self)
+    }
+}
+
+/// Parses the 64 hexadecimal digits of a SHA-256 digest.
+pub fn parse_digest(text: &str) -> Result<[u8; 32], ParseError> {
+    let error = || ParseError::new("64 hexadecimal digits", text);
+    if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return Err(error());
+    }
+    let mut digest = [0; 32];
+    for (byte, at) in digest.iter_mut().zip((0..64).step_by(2)) {
+        *byte = u8::from_str_radix(&text[at..at + 2], 16).map_err(|_| error())?;
     }
+    Ok(digest)
 }
