--- /dev/null
+++ b/crates/auburnbridge/src/commands/control.rs
@@ -0,0 +1,114 @@
+//! `auburnbridge control`
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use async_std::task;
+use auburnbridge_keeper::{
+    Admission, ControlOptions, Keeper, KeeperOptions, PeerSecurity, keeper_at,
+};
+use auburnbridge_log::Config;
+use auburnbridge_operator::OperatorKeys;
+use auburnbridge_peer::PeerAddress;
+use auburnbridge_settings::{ControlSettings, Settings};
+use auburnbridge_utility::UtilityDialect;
+use futures_lite::FutureExt;
+use log::{info, warn};
+use parking_lot::Mutex;
+
+use crate::commands::port;
+use crate::failure::Failure;
+use crate::signals::{ProcessSignal, ProcessSignals};
+
+const FAILURE_CHECK: Duration = Duration::from_millis(250);
+
+/// Holds the replicated state and serves a platform's control interface.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "control")]
+pub(crate) struct ControlArguments {
+    /// settings file of this keeper
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+pub(crate) fn run(arguments: &ControlArguments) -> Result<(), Failure> {
+    let settings = ControlSettings::load(&arguments.settings)?;
+    let mut signals = ProcessSignals::new()?;
+    let peer_port = port(settings.peer_port)?;
+    let keepers = Arc::new(Mutex::new(keepers_at(&settings.seeds, peer_port)));
+    let options = KeeperOptions {
+        vm: keeper_at(settings.vm_address, peer_port).vm,
+        peer_address: SocketAddr::new(settings.vm_address, peer_port),
+        security: PeerSecurity::Unprotected,
+        data_folder: settings.data_folder,
+        keepers: Arc::clone(&keepers),
+        may_found: settings.founds_group,
+        admission: Admission {
+            admits_new_vms: true,
+            least_voters: 2 * settings.tolerated_losses as usize + 1,
+        },
+        vms_are_addresses: true,
+        heartbeat_interval: settings.heartbeat_interval,
+        control: Some(ControlOptions {
+            address: settings.control_address,
+            dialect: Arc::new(UtilityDialect),
+            body_limit: settings.body_limit,
+        }),
+        log: Config::builder()
+            .election_timeout(settings.election_timeout)
+            .heartbeat_interval(settings.heartbeat_interval)
+            .snapshot_after_records(settings.snapshot_every)
+            .build(),
+        segment_size: settings.segment_size,
+        metrics_address: None,
+        operator_address: None,
+        operator_keys: OperatorKeys::new(Vec::new()),
+    };
+    task::block_on(async {
+        let keeper = Keeper::start(options)
+            .await
+            .map_err(|report| Failure::from_report(&report))?;
+        let failed = async {
+            while !keeper.has_failed() {
+                task::sleep(FAILURE_CHECK).await;
+            }
+        };
+        let stopped = async {
+            while let ProcessSignal::Reload = signals.next().await {
+                reload(&arguments.settings, peer_port, &keepers);
+            }
+        };
+        stopped.or(failed).await;
+        let counts = keeper
+            .stop()
+            .await
+            .map_err(|report| Failure::from_report(&report))?;
+        info!(
+            "keeper stopped syncs={} records={}",
+            counts.syncs, counts.records
+        );
+        Ok(())
+    })
+}
+
+/// Takes the seeds of the changed settings; everything else holds from the next start on.
+fn reload(path: &Path, peer_port: u16, keepers: &Mutex<Vec<PeerAddress>>) {
+    match ControlSettings::load(path) {
+        Ok(settings) => {
+            info!("settings reloaded seeds={:?}", settings.seeds);
+            *keepers.lock() = keepers_at(&settings.seeds, peer_port);
+        }
+        Err(error) => warn!("settings kept: the changed file is invalid: {error}"),
+    }
+}
+
+/// The keepers behind control addresses.
+fn keepers_at(seeds: &[SocketAddr], peer_port: u16) -> Vec<PeerAddress> {
+    seeds
+        .iter()
+        .map(|seed| keeper_at(seed.ip(), peer_port))
+        .collect()
+}
--- /dev/null
+++ b/crates/auburnbridge/src/commands/gateway.rs
@@ -0,0 +1,83 @@
+//! `auburnbridge gateway`
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use argh::FromArgs;
+use async_std::task;
+use auburnbridge_gateway::{GatewayOptions, RunningGateway};
+use auburnbridge_keeper::keeper_at;
+use auburnbridge_policy::balance::SendBudgetOptions;
+use auburnbridge_settings::{GatewaySettings, Settings};
+use auburnbridge_utility::UtilityDialect;
+use log::{info, warn};
+use parking_lot::Mutex;
+
+use crate::commands::port;
+use crate::failure::Failure;
+use crate::signals::{ProcessSignal, ProcessSignals};
+
+/// Forwards requests along published routes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub(crate) struct GatewayArguments {
+    /// settings file of this gateway
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+pub(crate) fn run(arguments: &GatewayArguments) -> Result<(), Failure> {
+    let settings = GatewaySettings::load(&arguments.settings)?;
+    let mut signals = ProcessSignals::new()?;
+    let seeds = Arc::new(Mutex::new(addresses(&settings.seeds)));
+    let options = GatewayOptions {
+        vm: keeper_at(settings.vm_address, 0).vm,
+        data_centre: settings.data_centre,
+        caller_address: settings.caller_address,
+        readiness_address: settings.readiness_address,
+        peer_address: SocketAddr::new(settings.vm_address, port(settings.peer_port)?),
+        seeds: Arc::clone(&seeds),
+        keeper_port: port(settings.keeper_port)?,
+        dialect: Arc::new(UtilityDialect),
+        balancer_lag: settings.balancer_lag,
+        shutdown_limit: settings.shutdown_limit,
+        body_memory: settings.body_memory,
+        connections_per_target: settings.connections_per_target as usize,
+        floor_share: settings.floor_share.0,
+        sends: SendBudgetOptions {
+            ratio: settings.resend_share.0,
+            allowance: f64::from(settings.resend_allowance),
+            window: settings.resend_window,
+        },
+    };
+    task::block_on(async {
+        let gateway = RunningGateway::start(options)
+            .await
+            .map_err(|report| Failure::from_report(&report))?;
+        while let ProcessSignal::Reload = signals.next().await {
+            reload(&arguments.settings, &seeds);
+        }
+        match gateway.stop().await {
+            0 => Ok(()),
+            remaining => Err(Failure::new(format!(
+                "{remaining} requests were still in flight at the shutdown limit"
+            ))),
+        }
+    })
+}
+
+/// Takes the seeds of the changed settings; everything else holds from the next start on.
+fn reload(path: &Path, seeds: &Mutex<Vec<IpAddr>>) {
+    match GatewaySettings::load(path) {
+        Ok(settings) => {
+            info!("settings reloaded seeds={:?}", settings.seeds);
+            *seeds.lock() = addresses(&settings.seeds);
+        }
+        Err(error) => warn!("settings kept: the changed file is invalid: {error}"),
+    }
+}
+
+fn addresses(seeds: &[SocketAddr]) -> Vec<IpAddr> {
+    seeds.iter().map(SocketAddr::ip).collect()
+}
--- a/crates/auburnbridge/src/commands/keeper.rs
+++ b/crates/auburnbridge/src/commands/keeper.rs
@@ -1,16 +1,18 @@
 //! `auburnbridge keeper`
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use argh::FromArgs;
 use async_std::task;
-use auburnbridge_keeper::{Keeper, KeeperOptions};
+use auburnbridge_keeper::{Admission, Keeper, KeeperOptions, PeerSecurity};
 use auburnbridge_log::Config;
 use auburnbridge_operator::{KeyDigest, OperatorKey, OperatorKeys};
 use auburnbridge_rules::TeamScope;
 use auburnbridge_settings::{KeeperSettings, ServiceScope, Settings};
 use futures_lite::FutureExt;
+use parking_lot::Mutex;
 
 use crate::commands::peer_addresses;
 use crate::failure::Failure;
@@ -33,9 +35,17 @@
     let options = KeeperOptions {
         vm: settings.vm,
         peer_address: settings.peer_address,
-        keys: settings.keys,
+        security: PeerSecurity::MutualTls(settings.keys),
         data_folder: settings.data_folder,
-        keepers: peer_addresses(&settings.members),
+        keepers: Arc::new(Mutex::new(peer_addresses(&settings.members))),
+        may_found: true,
+        admission: Admission {
+            admits_new_vms: false,
+            least_voters: 1,
+        },
+        vms_are_addresses: false,
+        heartbeat_interval: settings.heartbeat_interval,
+        control: None,
         log: Config::builder()
             .election_timeout(settings.election_timeout)
             .heartbeat_interval(settings.heartbeat_interval)
--- a/crates/auburnbridge/src/main.rs
+++ b/crates/auburnbridge/src/main.rs
@@ -21,6 +21,8 @@
 enum Command {
     Entry(commands::entry::EntryArguments),
     Keeper(commands::keeper::KeeperArguments),
+    Gateway(commands::gateway::GatewayArguments),
+    Control(commands::control::ControlArguments),
     Check(commands::check::CheckArguments),
     Keys(commands::keys::KeysArguments),
     Rules(commands::rules::RulesArguments),
@@ -35,6 +37,8 @@
     let result = match arguments.command {
         Command::Entry(arguments) => commands::entry::run(&arguments),
         Command::Keeper(arguments) => commands::keeper::run(&arguments),
+        Command::Gateway(arguments) => commands::gateway::run(&arguments),
+        Command::Control(arguments) => commands::control::run(&arguments),
         Command::Check(arguments) => commands::check::run(&arguments),
         Command::Keys(arguments) => commands::keys::run(arguments),
         Command::Rules(arguments) => commands::rules::run(arguments),
--- a/crates/auburnbridge_caller/src/lib.rs
+++ b/crates/auburnbridge_caller/src/lib.rs
@@ -7,6 +7,7 @@
 mod disconnect;
 mod lifecycle;
 mod listener;
+mod pipeline;
 mod problem;
 mod tide_service;
 mod tracker;
@@ -14,6 +15,7 @@
 pub use disconnect::{Disconnect, DisconnectSignal};
 pub use lifecycle::{Lifecycle, Phase};
 pub use listener::{Listener, ListenerOptions, ListenerOptionsBuilder, Service};
+pub use pipeline::LimitSource;
 pub use problem::{OUTCOME_HEADER, Problem};
 pub use tide_service::TideService;
 pub use tracker::{TaskGuard, TaskTracker};
--- a/crates/auburnbridge_caller/src/listener.rs
+++ b/crates/auburnbridge_caller/src/listener.rs
@@ -13,13 +13,13 @@
 use futures_lite::FutureExt;
 use log::{debug, info, warn};
 
-use crate::{Disconnect, Lifecycle, Phase, Problem};
+use crate::{Disconnect, Lifecycle, LimitSource, Phase, Problem};
 
 /// Pause after a failed accept, such as on too many open files.
 const ACCEPT_PAUSE: Millis = Millis(20);
 /// Time that an idle connection stays readable after the shutdown began, so that a request that was
 /// already on its way gets an answer.
-const LINGER: Millis = Millis(500);
+pub(crate) const LINGER: Millis = Millis(500);
 
 /// Handles whole requests.
 pub trait Service: Send + Sync + 'static {
@@ -36,11 +36,13 @@
 #[derive(Clone)]
 pub struct ListenerOptions {
     limits: Limits,
-    clock: Arc<dyn Clock>,
+    pub(crate) clock: Arc<dyn Clock>,
     idle_timeout: Millis,
     request_timeout: Millis,
-    write_timeout: Millis,
+    pub(crate) write_timeout: Millis,
     connection_limit: usize,
+    pub(crate) pipeline_depth: usize,
+    limit_source: Option<Arc<dyn LimitSource>>,
 }
 
 impl ListenerOptions {
@@ -53,6 +55,8 @@
             request_timeout: Millis(15_000),
             write_timeout: Millis(15_000),
             connection_limit: 10_000,
+            pipeline_depth: 1,
+            limit_source: None,
         })
     }
 }
@@ -103,6 +107,15 @@
         self
     }
 
+    /// Handles up to this many requests of a connection at the same time, under limits that may change
+    /// meanwhile; without it they are handled one after the other.
+    #[must_use]
+    pub fn pipelined(mut self, depth: usize, limits: Arc<dyn LimitSource>) -> Self {
+        self.0.pipeline_depth = depth.max(1);
+        self.0.limit_source = Some(limits);
+        self
+    }
+
     /// The finished options.
     pub fn build(self) -> ListenerOptions {
         self.0
@@ -115,10 +128,10 @@
     shared: Arc<Shared>,
 }
 
-struct Shared {
-    service: Arc<dyn Service>,
-    lifecycle: Arc<Lifecycle>,
-    options: ListenerOptions,
+pub(crate) struct Shared {
+    pub(crate) service: Arc<dyn Service>,
+    pub(crate) lifecycle: Arc<Lifecycle>,
+    pub(crate) options: ListenerOptions,
     connections: AtomicUsize,
 }
 
@@ -176,9 +189,17 @@
             if let Err(error) = stream.set_nodelay(true) {
                 debug!("can't set TCP_NODELAY for {caller}: {error}");
             }
-            shared
-                .serve_connection(Connection::new(stream), caller)
-                .await;
+            match &shared.options.limit_source {
+                Some(limits) => {
+                    let limits = Arc::clone(limits);
+                    shared.serve_pipelined(stream, caller, &*limits).await;
+                }
+                None => {
+                    shared
+                        .serve_connection(Connection::new(stream), caller)
+                        .await;
+                }
+            }
             shared.connections.fetch_sub(1, Ordering::SeqCst);
         });
     }
--- a/crates/auburnbridge_config/src/lib.rs
+++ b/crates/auburnbridge_config/src/lib.rs
@@ -7,6 +7,9 @@
 //! An edit runs at most once. Its id is a UUID version 7, whose creation time bounds how long the
 //! id must be remembered: an id that is remembered gets its first reply again, and one that is too
 //! old to be remembered with certainty is refused as expired.
+//!
+//! Beside the rules stands a [`Published`] document of opaque format, for platforms whose operators
+//! send whole configurations with versions of their own.
 
 mod change;
 mod config;
@@ -15,6 +18,7 @@
 mod edit_ids;
 mod history;
 mod line_difference;
+mod published;
 mod rules_copy;
 mod snapshot;
 
@@ -24,5 +28,6 @@
 pub use edit::{Author, Edit, EditId, EditReply, MAX_REPLY_ERRORS};
 pub use edit_ids::{EDIT_ID_RETENTION, MAX_EDIT_IDS, MAX_KEPT_ERROR_BYTES};
 pub use history::{HistoryEntry, MAX_HISTORY};
+pub use published::{Publish, PublishReply, Published};
 pub use rules_copy::{DeltaError, RulesCopy};
 pub use snapshot::SnapshotError;
--- /dev/null
+++ b/crates/auburnbridge_gateway/src/answer.rs
@@ -0,0 +1,60 @@
+//! Answers that the gateway makes itself.
+
+use auburnbridge_http::Response;
+use auburnbridge_types::Millis;
+use strum::{Display, IntoStaticStr};
+
+/// Why a request gets no answer of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Failure {
+    /// No configuration has arrived.
+    NoConfiguration,
+    /// No route matches.
+    NoRoute,
+    /// No target of the service can take the request in time; it has not run.
+    NoRoom,
+    /// The request crashed the targets that ran it; it has not run again.
+    Poisoned,
+    /// A target may have run the request and gave no whole answer.
+    Broken,
+    /// The time was over while a target had the request.
+    TimedOut,
+}
+
+impl Failure {
+    /// Whether the request has certainly not run.
+    pub(crate) fn is_not_run(self) -> bool {
+        match self {
+            Self::NoConfiguration | Self::NoRoute | Self::NoRoom | Self::Poisoned => true,
+            Self::Broken | Self::TimedOut => false,
+        }
+    }
+
+    fn status(self) -> u16 {
+        match self {
+            Self::NoConfiguration | Self::NoRoom | Self::Poisoned => 503,
+            Self::NoRoute => 404,
+            Self::Broken => 502,
+            Self::TimedOut => 504,
+        }
+    }
+
+    /// The response, with the advice when to come back.
+    pub(crate) fn to_response(self, retry_after: Option<Millis>) -> Response {
+        let mut response = Response::new(self.status());
+        response.headers.append("Content-Type", "text/plain");
+        if let Some(wait) = retry_after {
+            response
+                .headers
+                .append("Retry-After", seconds(wait));
+        }
+        response.body = self.to_string().into_bytes().into();
+        response
+    }
+}
+
+/// A time in seconds with three decimals.
+fn seconds(time: Millis) -> String {
+    format!("{}.{:03}", time.0 / 1000, time.0 % 1000)
+}
--- /dev/null
+++ b/crates/auburnbridge_gateway/src/neighbours.rs
@@ -0,0 +1,203 @@
+//! What gateways tell each other, in datagrams that may be lost.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::net::UdpSocket;
+use auburnbridge_messages::GatewayLocation;
+use auburnbridge_peer::codec;
+use auburnbridge_policy::CrashReport;
+use auburnbridge_policy::balance::{LoadReport, ToldFinding};
+use auburnbridge_types::{ByteSize, DataCentre, Millis, VmId};
+use futures_lite::FutureExt;
+use log::debug;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::Gateway;
+
+/// Longest datagram; a larger one would be fragmented.
+const DATAGRAM_LIMIT: ByteSize = ByteSize(1_400);
+/// Findings in one datagram.
+const MOST_FINDINGS: usize = 64;
+/// Targets with requests in flight in one datagram.
+const MOST_LOADS: usize = 128;
+/// Interval of the reports of requests in flight within a data centre.
+const NEAR_INTERVAL: Millis = Millis(100);
+/// Reports within a data centre for each one to the others, whose targets are used as a reserve.
+const REPORTS_PER_FAR: u32 = 8;
+/// Pause between two datagrams with findings, which gathers those of one event.
+const GATHER: Millis = Millis(2);
+
+/// What one gateway tells the others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GatewayReport {
+    /// The sender's VM.
+    pub from: VmId,
+    /// What it found out about targets.
+    pub findings: Vec<ToldFinding>,
+    /// Requests that crashed a target.
+    pub crashes: Vec<CrashReport>,
+    /// What it has in flight, in some of the reports.
+    pub load: Option<LoadReport>,
+}
+
+/// The other gateways.
+pub struct Neighbours {
+    vm: VmId,
+    data_centre: DataCentre,
+    socket: UdpSocket,
+    others: Mutex<Vec<GatewayLocation>>,
+}
+
+impl Neighbours {
+    /// Binds the socket for datagrams of other gateways.
+    pub async fn bind(
+        vm: VmId,
+        data_centre: DataCentre,
+        address: SocketAddr,
+    ) -> std::io::Result<Self> {
+        Ok(Self {
+            vm,
+            data_centre,
+            socket: UdpSocket::bind(address).await?,
+            others: Mutex::default(),
+        })
+    }
+
+    /// Takes over the gateways that are running; gives their number, this one included.
+    pub fn set_gateways(&self, mut gateways: Vec<GatewayLocation>) -> usize {
+        gateways.retain(|gateway| gateway.vm != self.vm);
+        let count = gateways.len() + 1;
+        *self.others.lock() = gateways;
+        count
+    }
+
+    /// Takes in the reports of the others until the process ends.
+    pub async fn receive(self: Arc<Self>, gateway: Arc<Gateway>) {
+        let mut buf = vec![0; 2 * 1_400];
+        loop {
+            let length = match self.socket.recv_from(&mut buf).await {
+                Ok((length, _)) => length,
+                Err(error) => {
+                    // A datagram to a gateway that has ended comes back as an error.
+                    debug!("can't receive a datagram: {error}");
+                    gateway.clock.sleep(GATHER).await;
+                    continue;
+                }
+            };
+            match codec::decode::<GatewayReport>(&buf[..length], DATAGRAM_LIMIT) {
+                Ok(report) => take(&gateway, report),
+                Err(error) => debug!("refused a datagram: {error}"),
+            }
+        }
+    }
+
+    /// Tells the others of findings at once and of requests in flight at intervals.
+    pub async fn tell(self: Arc<Self>, gateway: Arc<Gateway>) {
+        let mut turn: u32 = 0;
+        let mut next_report = gateway.clock.now();
+        let mut told: HashSet<VmId> = HashSet::new();
+        loop {
+            let news = gateway.news.listen();
+            let now = gateway.clock.now();
+            let wait = next_report.since(now);
+            if wait > Millis(0) {
+                let is_news = async {
+                    news.await;
+                    true
+                };
+                let is_due = async {
+                    gateway.clock.sleep(wait).await;
+                    false
+                };
+                if is_news.or(is_due).await {
+                    gateway.clock.sleep(GATHER).await;
+                }
+            }
+            let now = gateway.clock.now();
+            let load = (now >= next_report).then(|| {
+                next_report = now.after(NEAR_INTERVAL);
+                turn = turn.wrapping_add(1);
+                load_of(&gateway)
+            });
+            self.send_reports(&gateway, load, turn % REPORTS_PER_FAR == 0, &mut told)
+                .await;
+        }
+    }
+
+    async fn send_reports(
+        &self,
+        gateway: &Gateway,
+        load: Option<LoadReport>,
+        is_far_turn: bool,
+        told: &mut HashSet<VmId>,
+    ) {
+        let mut findings: Vec<ToldFinding> = gateway
+            .services
+            .gates()
+            .iter()
+            .flat_map(|gate| gate.take_untold())
+            .collect();
+        findings.truncate(MOST_FINDINGS);
+        let crashes = gateway.take_untold_crashes();
+        let others = self.others.lock().clone();
+        for other in others {
+            let is_near = other.data_centre == self.data_centre;
+            let load = load
+                .clone()
+                .filter(|_| is_near || is_far_turn)
+                // An empty report is news only after one that was not.
+                .filter(|load| !load.in_flight.is_empty() || told.contains(&other.vm));
+            if let Some(load) = &load {
+                if load.in_flight.is_empty() {
+                    told.remove(&other.vm);
+                } else {
+                    told.insert(other.vm.clone());
+                }
+            }
+            if findings.is_empty() && crashes.is_empty() && load.is_none() {
+                continue;
+            }
+            let report = GatewayReport {
+                from: self.vm.clone(),
+                findings: findings.clone(),
+                crashes: crashes.clone(),
+                load,
+            };
+            self.send(other.address, &report).await;
+        }
+    }
+
+    async fn send(&self, to: SocketAddr, report: &GatewayReport) {
+        match codec::encode(report, DATAGRAM_LIMIT) {
+            Ok(datagram) => {
+                if let Err(error) = self.socket.send_to(&datagram, to).await {
+                    debug!("can't send a datagram to {to}: {error}");
+                }
+            }
+            Err(error) => debug!("a report is too long for a datagram: {error}"),
+        }
+    }
+}
+
+fn load_of(gateway: &Gateway) -> LoadReport {
+    let mut in_flight: Vec<_> = gateway
+        .services
+        .gates()
+        .iter()
+        .flat_map(|gate| gate.load_report().in_flight)
+        .collect();
+    in_flight.truncate(MOST_LOADS);
+    LoadReport { in_flight }
+}
+
+fn take(gateway: &Gateway, report: GatewayReport) {
+    gateway
+        .services
+        .hear(&report.from, &report.findings, report.load.as_ref());
+    for crash in report.crashes {
+        gateway.record_crash(crash);
+    }
+}
--- a/crates/auburnbridge_http/src/connection.rs
+++ b/crates/auburnbridge_http/src/connection.rs
@@ -19,6 +19,8 @@
 const KEPT_BUFFER_BYTES: usize = 4 * READ_BYTES;
 /// Longest chunk-size line, which bounds a chunk's extension.
 const CHUNK_LINE_BYTES: usize = 256;
+/// Bytes that are read beyond the message that is being handled.
+const READ_AHEAD_BYTES: usize = 256 * 1024;
 /// Interim responses that are skipped before the final one.
 const MAX_INTERIM_RESPONSES: usize = 8;
 
@@ -171,6 +173,17 @@
         Ok(self.fill().await? > 0)
     }
 
+    /// Waits for bytes beyond those that are buffered; `false` at the end of the stream.
+    ///
+    /// It may be dropped and repeated without losing bytes. The buffer grows by what arrives, at most
+    /// by [`READ_AHEAD_BYTES`] in all; then it never completes.
+    pub async fn wait_for_more(&mut self) -> Result<bool, FramingError> {
+        if self.leftover().len() >= READ_AHEAD_BYTES {
+            return std::future::pending().await;
+        }
+        Ok(self.fill().await? > 0)
+    }
+
     /// Reads until the buffer holds a head, and gives the head's length.
     async fn read_head(
         &mut self,
@@ -216,10 +229,30 @@
             Framing::Empty => {}
             Framing::Sized(length) => self.read_bytes(length, &mut body).await?,
             Framing::Chunked => self.read_chunks(limits, &mut body).await?,
+            Framing::UntilClose => self.read_until_close(limits, &mut body).await?,
         }
         Ok(body.finish())
     }
 
+    async fn read_until_close(
+        &mut self,
+        limits: &Limits,
+        body: &mut BodyBuilder,
+    ) -> Result<(), FramingError> {
+        loop {
+            let buffered = self.leftover();
+            if buffered.len() as u64 > limits.body_bytes - body.len() {
+                return Err(FramingError::BodyTooLarge);
+            }
+            let taken = buffered.len();
+            body.append(buffered)?;
+            self.consume(taken);
+            if self.fill().await? == 0 {
+                return Ok(());
+            }
+        }
+    }
+
     async fn read_chunks(
         &mut self,
         limits: &Limits,
@@ -353,6 +386,6 @@
 fn check_size(framing: Framing, limits: &Limits) -> Result<(), FramingError> {
     match framing {
         Framing::Sized(length) if length > limits.body_bytes => Err(FramingError::BodyTooLarge),
-        Framing::Empty | Framing::Sized(_) | Framing::Chunked => Ok(()),
+        Framing::Empty | Framing::Sized(_) | Framing::Chunked | Framing::UntilClose => Ok(()),
     }
 }
--- a/crates/auburnbridge_http/src/head.rs
+++ b/crates/auburnbridge_http/src/head.rs
@@ -18,6 +18,8 @@
     Sized(u64),
     /// The body is chunked.
     Chunked,
+    /// The body ends with the connection.
+    UntilClose,
 }
 
 /// A parsed request head.
@@ -138,6 +140,10 @@
             (_, true) => Framing::Chunked,
             (Some(0), false) => Framing::Empty,
             (Some(length), false) => Framing::Sized(length),
+            (None, false) if limits.accepts_unframed => {
+                verdict = Verdict::Retire;
+                Framing::UntilClose
+            }
             // A body up to the end of the connection can't be told from a truncated one.
             (None, false) => return Err(FramingError::LengthMissing),
         }
--- a/crates/auburnbridge_http/src/limits.rs
+++ b/crates/auburnbridge_http/src/limits.rs
@@ -18,6 +18,7 @@
     pub(crate) headers: usize,
     pub(crate) body_bytes: u64,
     pub(crate) budget: Option<MemoryBudget>,
+    pub(crate) accepts_unframed: bool,
 }
 
 impl Default for Limits {
@@ -27,6 +28,7 @@
             headers: DEFAULT_HEADERS,
             body_bytes: DEFAULT_BODY_BYTES,
             budget: None,
+            accepts_unframed: false,
         }
     }
 }
@@ -53,6 +55,16 @@
         self
     }
 
+    /// Accepts responses whose body has no length and ends with the connection (default no).
+    ///
+    /// Such a body is whole only if the connection was closed and not reset, and a sender that fails
+    /// may close it as well; so this is for targets that seal their answers.
+    #[must_use]
+    pub fn with_unframed_responses(mut self) -> Self {
+        self.accepts_unframed = true;
+        self
+    }
+
     /// Charges bodies to a budget that is shared with other messages.
     #[must_use]
     pub fn with_budget(mut self, budget: MemoryBudget) -> Self {
--- /dev/null
+++ b/crates/auburnbridge_keeper/src/control.rs
@@ -0,0 +1,156 @@
+//! The control interface: configurations of operators and announcements of targets, in the formats
+//! of a platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use auburnbridge_caller::{Disconnect, Service};
+use auburnbridge_config::Publish;
+use auburnbridge_http::{Request, Response};
+use auburnbridge_membership::{Announcement, State, Verdict};
+use auburnbridge_messages::{pack_document, unpack_document};
+use auburnbridge_routing::{CallError, ControlCall, Dialect, PublishedDocument};
+use auburnbridge_types::{BoxFuture, Incarnation, Millis, TargetId};
+use log::{info, warn};
+
+use crate::catalogue::{Catalogue, LeavingTarget};
+use crate::group_client::GroupClient;
+
+/// Longest wait for the group; callers go to another keeper after a second without an answer.
+const GROUP_LIMIT: Millis = Millis(850);
+
+/// Serves the control interface of one keeper.
+pub struct ControlService {
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) catalogue: Arc<Catalogue>,
+    pub(crate) group: Arc<GroupClient>,
+}
+
+impl ControlService {
+    async fn answer(&self, req: Request) -> Response {
+        match self.dialect.read_call(&req) {
+            Ok(ControlCall::Publish(Ok(document))) => self.publish(document).await,
+            Ok(ControlCall::Publish(Err(error))) => {
+                info!("configuration refused reason={error}");
+                text(400, &error.to_string())
+            }
+            Ok(ControlCall::ReadPublished) => self.read().await,
+            Ok(ControlCall::Announce(Ok(announcement))) => self.announce(announcement).await,
+            Ok(ControlCall::Announce(Err(error))) => {
+                info!("announcement refused path={} reason={error}", req.path);
+                text(400, &error.to_string())
+            }
+            Ok(ControlCall::Leave {
+                target,
+                incarnation,
+            }) => self.leave(&target, incarnation).await,
+            Err(error @ CallError::UnknownPath) => text(404, &error.to_string()),
+            Err(error @ CallError::UnknownMethod) => text(405, &error.to_string()),
+        }
+    }
+
+    async fn publish(&self, document: PublishedDocument) -> Response {
+        let version = document.version;
+        let order = Publish {
+            version: version.0,
+            document: pack_document(&document.bytes),
+        };
+        match self.group.publish(order, GROUP_LIMIT).await {
+            Ok(()) => {
+                info!("configuration version={version} acknowledged=true");
+                text(200, "")
+            }
+            Err(error) => {
+                warn!("configuration version={version} acknowledged=false reason={error}");
+                text(503, "no quorum answered in time; send it again")
+            }
+        }
+    }
+
+    async fn read(&self) -> Response {
+        let document = match self.group.read(GROUP_LIMIT).await {
+            Ok(Some(document)) => document,
+            Ok(None) => return text(503, "no configuration has been published"),
+            Err(error) => {
+                warn!("configuration read=false reason={error}");
+                return text(503, "no quorum answered in time");
+            }
+        };
+        match unpack_document(&document.document) {
+            Ok(bytes) => json(bytes),
+            Err(error) => {
+                warn!("configuration version={} can't be unpacked: {error}", document.version);
+                text(500, "the stored configuration can't be unpacked")
+            }
+        }
+    }
+
+    async fn announce(&self, announcement: Announcement) -> Response {
+        if announcement.state == State::Leaving {
+            return self.record_departure(announcement).await;
+        }
+        match self.catalogue.announce(announcement.clone()) {
+            Verdict::Accepted | Verdict::Left | Verdict::Outdated => json(b"{}".to_vec()),
+            verdict @ (Verdict::Conflict | Verdict::Full) => {
+                warn!(
+                    "announcement refused target={} incarnation={} verdict={verdict}",
+                    announcement.target, announcement.incarnation
+                );
+                text(409, "another process has this id, or there is no room")
+            }
+        }
+    }
+
+    async fn leave(&self, target: &TargetId, incarnation: Option<Incarnation>) -> Response {
+        match self.catalogue.leaving(target, incarnation) {
+            LeavingTarget::Present(announcement) => self.record_departure(announcement).await,
+            LeavingTarget::Departed => json(b"{}".to_vec()),
+            // Another keeper may know it; the caller goes there.
+            LeavingTarget::Unknown => text(503, "no announcement of this target has arrived here"),
+        }
+    }
+
+    async fn record_departure(&self, announcement: Announcement) -> Response {
+        if self.catalogue.has_departed(&announcement) {
+            return json(b"{}".to_vec());
+        }
+        let (target, incarnation) = (announcement.target.clone(), announcement.incarnation);
+        match self.group.depart(announcement, GROUP_LIMIT).await {
+            Ok(()) => {
+                info!("departure target={target} incarnation={incarnation} acknowledged=true");
+                json(b"{}".to_vec())
+            }
+            Err(error) => {
+                warn!(
+                    "departure target={target} incarnation={incarnation} acknowledged=false reason={error}"
+                );
+                text(503, "no quorum answered in time; send it again")
+            }
+        }
+    }
+}
+
+impl Service for ControlService {
+    fn respond(
+        &self,
+        req: Request,
+        _caller: SocketAddr,
+        _disconnect: Disconnect,
+    ) -> BoxFuture<'_, Response> {
+        Box::pin(self.answer(req))
+    }
+}
+
+fn text(status: u16, body: &str) -> Response {
+    let mut response = Response::new(status);
+    response.headers.append("Content-Type", "text/plain");
+    response.body = body.as_bytes().to_vec().into();
+    response
+}
+
+fn json(body: Vec<u8>) -> Response {
+    let mut response = Response::new(200);
+    response.headers.append("Content-Type", "application/json");
+    response.body = body.into();
+    response
+}
--- a/crates/auburnbridge_keeper/src/core.rs
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -9,11 +9,12 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use auburnbridge_config::{Delta, HistoryEntry};
+use auburnbridge_config::{Delta, HistoryEntry, PublishReply};
 use auburnbridge_log::{
     Input, LogIndex, Member, MemberChange, MemberRole, Members, Message, Output, Persist,
     RejectReason, Replica, ReplicaId, Status, Token,
 };
+use auburnbridge_membership::Announcement;
 use auburnbridge_metrics::{Counter, Metrics};
 use auburnbridge_rules::Rules;
 use auburnbridge_store::{Store, StoreError};
@@ -22,8 +23,6 @@
 
 use crate::state::{KeeperState, StateCommand, StateReply};
 
-/// Interval of the replica's ticks while nothing else happens.
-const TICK: Duration = Duration::from_millis(15);
 /// Events that are handled before the writes that they caused.
 const BATCH: usize = 512;
 /// Events that may wait; senders beyond it are told that the keeper is busy.
@@ -46,6 +45,11 @@
         /// Receives the result.
         reply: Sender<Result<StateReply, RejectReason>>,
     },
+    /// A request for the published document, newer than any acknowledgement before the request.
+    ReadPublished {
+        /// Receives the version and the document, if one is in force.
+        reply: Sender<Result<Option<PublishedVersion>, RejectReason>>,
+    },
     /// A request for the rules after a revision.
     Rules {
         /// The revision that the asker has.
@@ -85,6 +89,30 @@
     Stop,
 }
 
+/// A published version with its document.
+pub type PublishedVersion = (u64, Arc<[u8]>);
+
+/// Hears what is committed, on the thread of the log; it must not block.
+pub trait CommitObserver: Send + Sync {
+    /// A document is in force.
+    fn published(&self, version: u64, document: &Arc<[u8]>);
+
+    /// A target has left.
+    fn departed(&self, announcement: &Announcement);
+
+    /// The state is as new as that of a leader which was in contact with a quorum at `time`.
+    fn confirmed(&self, time: Timestamp);
+}
+
+/// Which folders may become members, and how many voters an order needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Admission {
+    /// Whether folders on VMs without a member may join.
+    pub admits_new_vms: bool,
+    /// Voters that the group must have before it takes orders.
+    pub least_voters: usize,
+}
+
 /// State of a keeper for other threads.
 #[derive(Clone, Debug)]
 pub struct Report {
@@ -106,6 +134,7 @@
 enum Waiter {
     Proposal(Sender<Result<StateReply, RejectReason>>),
     Change(Sender<Result<(), RejectReason>>),
+    Read(Sender<Result<Option<PublishedVersion>, RejectReason>>),
 }
 
 /// Reason why the thread ends before it is told to.
@@ -143,6 +172,16 @@
     }
 }
 
+/// Settings of a [`Core`].
+pub struct CoreOptions {
+    /// Who may join, and when orders are taken.
+    pub admission: Admission,
+    /// Hears what is committed.
+    pub observer: Option<Arc<dyn CommitObserver>>,
+    /// Interval of the replica's ticks while nothing else happens.
+    pub tick: Duration,
+}
+
 /// A keeper's replica with everything that it needs.
 pub struct Core {
     replica: Replica,
@@ -154,6 +193,9 @@
     next_token: u64,
     commits: CommitCounts,
     metrics: Metrics,
+    admission: Admission,
+    observer: Option<Arc<dyn CommitObserver>>,
+    tick: Duration,
 }
 
 /// Counts of syncs and of the records that they carried, for the metrics.
@@ -173,6 +215,11 @@
         transport: Box<dyn LogTransport>,
         clock: Arc<dyn Clock>,
         metrics: Metrics,
+        CoreOptions {
+            admission,
+            observer,
+            tick,
+        }: CoreOptions,
     ) -> Result<Self, CoreError> {
         let mut core = Self {
             replica,
@@ -184,6 +231,9 @@
             next_token: 0,
             commits: CommitCounts::default(),
             metrics,
+            admission,
+            observer,
+            tick,
         };
         if core.replica.status().superseded {
             return Err(CoreError::FolderSuperseded);
@@ -195,7 +245,7 @@
     /// Handles events until [`Event::Stop`], the end of the queue or an error.
     pub fn run(mut self, events: &Receiver<Event>) -> Result<CommitCounts, CoreError> {
         loop {
-            let first = match events.recv_timeout(TICK) {
+            let first = match events.recv_timeout(self.tick) {
                 Ok(event) => Some(event),
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return Ok(self.commits),
@@ -209,13 +259,40 @@
             }
             outputs.extend(self.step(Input::Tick));
             self.handle(outputs)?;
+            self.report_contact();
+        }
+    }
+
+    /// Tells the observer up to when the applied state is known to be complete.
+    fn report_contact(&self) {
+        let Some(observer) = &self.observer else {
+            return;
+        };
+        let status = self.replica.status();
+        let confirmed = match status.role {
+            // A leader without a quorum steps down within an election timeout.
+            "leader" if status.applied == status.commit => Some(self.clock.now()),
+            "follower" if status.applied == status.commit => status.leader_contact,
+            _ => None,
+        };
+        if let Some(time) = confirmed {
+            observer.confirmed(time);
         }
     }
 
+    /// Whether the group is large enough that an order survives the losses it must survive.
+    fn takes_orders(&self) -> bool {
+        self.replica.members().voters().count() >= self.admission.least_voters
+    }
+
     fn take(&mut self, event: Event) -> Vec<Output> {
         match event {
             Event::Message { from, message } => self.step(Input::Message { from, message }),
             Event::Propose { command, reply } => {
+                if !self.takes_orders() {
+                    let _ = reply.try_send(Err(RejectReason::Busy));
+                    return Vec::new();
+                }
                 let data = postcard::to_stdvec(&command).expect("commands can be encoded");
                 let token = self.wait_for(Waiter::Proposal(reply));
                 self.step(Input::Propose {
@@ -223,6 +300,10 @@
                     data: data.into(),
                 })
             }
+            Event::ReadPublished { reply } => {
+                let token = self.wait_for(Waiter::Read(reply));
+                self.step(Input::Read { token })
+            }
             Event::Rules { have, reply } => {
                 let _ = reply.try_send(self.state.config.delta_since(have));
                 Vec::new()
@@ -282,6 +363,13 @@
                 let _ = reply.try_send(Ok(()));
                 return Vec::new();
             }
+            (None, None) if self.admission.admits_new_vms => {
+                MemberChange::AddLearner(Member {
+                    replica,
+                    vm,
+                    role: MemberRole::Learner,
+                })
+            }
             (None, None) => {
                 warn!("keeper join refused vm={vm}: no member of the group is on this VM");
                 let _ = reply.try_send(Err(RejectReason::InvalidChange));
@@ -329,12 +417,19 @@
                 }
             }
             Output::Reject { token, reason } => self.reject(token, reason),
-            // Reads of the rules are answered from the applied state: a revision only rises, and an
-            // entry refuses a lower one.
-            Output::ReadReady { .. } => {}
+            // Reads of the rules don't come here: a revision only rises, and an entry refuses a lower
+            // one, so they are answered from the applied state.
+            Output::ReadReady { token, .. } => {
+                if let Some(Waiter::Read(reply)) = self.take_waiter(Some(token)) {
+                    let _ = reply.try_send(Ok(self.state.published.current()));
+                }
+            }
             Output::InstallSnapshot { meta, data } => {
                 match KeeperState::restore(&data) {
-                    Ok(state) => self.state = state,
+                    Ok(state) => {
+                        self.state = state;
+                        self.report_state();
+                    }
                     // The store has checked the bytes, so another program version wrote them.
                     Err(error) => panic!("snapshot at {}: {error}", meta.index),
                 }
@@ -370,12 +465,39 @@
             // Skipping a record that other replicas apply would make the states differ.
             Err(error) => panic!("record {index} can't be decoded, upgrade this keeper: {error}"),
         };
+        let departed = match &command {
+            StateCommand::Depart(announcement) => Some(announcement.clone()),
+            _ => None,
+        };
         let reply = self.state.apply(time, command);
+        if let Some(observer) = &self.observer {
+            if let Some(announcement) = departed {
+                observer.departed(&announcement);
+            }
+            if let (StateReply::Published(PublishReply::Accepted), Some((version, document))) =
+                (&reply, self.state.published.current())
+            {
+                observer.published(version, &document);
+            }
+        }
         if let Some(Waiter::Proposal(waiter)) = self.take_waiter(token) {
             let _ = waiter.try_send(Ok(reply));
         }
     }
 
+    /// Reports the whole state after a snapshot has replaced it.
+    fn report_state(&self) {
+        let Some(observer) = &self.observer else {
+            return;
+        };
+        if let Some((version, document)) = self.state.published.current() {
+            observer.published(version, &document);
+        }
+        for announcement in &self.state.departures {
+            observer.departed(announcement);
+        }
+    }
+
     fn reject(&mut self, token: Token, reason: RejectReason) {
         match self.take_waiter(Some(token)) {
             Some(Waiter::Proposal(reply)) => {
@@ -384,6 +506,9 @@
             Some(Waiter::Change(reply)) => {
                 let _ = reply.try_send(Err(reason));
             }
+            Some(Waiter::Read(reply)) => {
+                let _ = reply.try_send(Err(reason));
+            }
             None => {}
         }
     }
--- a/crates/auburnbridge_keeper/src/formation.rs
+++ b/crates/auburnbridge_keeper/src/formation.rs
@@ -1,7 +1,8 @@
 //! How a keeper finds its group: founding a new one, taking over a list, or joining as a replacement.
 //!
 //! The keeper that stands first in the settings founds the group, and only if every other one says
-//! that it is in none; the others take the list over from any member that lists their folder. An
+//! that it is in none; the others take the list over from any member that lists their folder. Where
+//! the settings name only a few keepers, the rest ask those to be added. An
 //! empty folder on the VM of a member is therefore never taken for the member: it is not in the
 //! list, and asks the leader to be added as a learner.
 
@@ -11,9 +12,11 @@
 use auburnbridge_messages::{self as messages, KeeperHello, Reply, Request};
 use auburnbridge_peer::{PeerAddress, Transport};
 use auburnbridge_types::{Clock, Millis, VmId};
+use parking_lot::Mutex;
 use log::{debug, info};
 
 use crate::core::{CoreHandle, Event};
+use crate::directory::Directory;
 
 const RETRY: Millis = Millis(200);
 const CALL_TIMEOUT: Millis = Millis(1_000);
@@ -22,8 +25,11 @@
 pub(crate) struct Formation {
     pub(crate) vm: VmId,
     pub(crate) replica: ReplicaId,
-    /// The keepers of the settings, this one included, in their order.
-    pub(crate) keepers: Vec<PeerAddress>,
+    /// The keepers of the settings in their order; they may change while the process runs.
+    pub(crate) keepers: Arc<Mutex<Vec<PeerAddress>>>,
+    /// Whether this keeper may found a group, which only the first start of a fleet does.
+    pub(crate) may_found: bool,
+    pub(crate) directory: Directory,
     pub(crate) transport: Arc<dyn Transport>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) core: CoreHandle,
@@ -55,9 +61,12 @@
         if own_role == Some(MemberRole::Voter) {
             return Step::Done;
         }
-        let hellos = self.greet_others(report.members.clone()).await;
+        let keepers = self.keepers.lock().clone();
+        let hellos = self.greet_others(&keepers, report.members.clone()).await;
         if own_role.is_none()
-            && let Some(members) = self.listed_by(&hellos).or_else(|| self.found(&hellos))
+            && let Some(members) = self
+                .listed_by(&hellos)
+                .or_else(|| self.found(&keepers, &hellos))
         {
             self.core.send(Event::Bootstrap(members));
             return Step::Wait;
@@ -67,19 +76,23 @@
             .flatten()
             .any(|hello| !hello.members.is_empty())
         {
-            self.ask_to_join().await;
+            self.ask_to_join(&keepers, &hellos).await;
         }
         Step::Wait
     }
 
     /// Asks every other keeper for its folder and group; `None` for one that doesn't answer.
-    async fn greet_others(&self, members: Vec<Member>) -> Vec<Option<KeeperHello>> {
+    async fn greet_others(
+        &self,
+        keepers: &[PeerAddress],
+        members: Vec<Member>,
+    ) -> Vec<Option<KeeperHello>> {
         let hello = KeeperHello {
             replica: self.replica,
             members,
         };
         let mut hellos = Vec::new();
-        for keeper in self.keepers.iter().filter(|keeper| keeper.vm != self.vm) {
+        for keeper in keepers.iter().filter(|keeper| keeper.vm != self.vm) {
             hellos.push(
                 match self.call(keeper, &Request::Hello(hello.clone())).await {
                     Some(Reply::Hello(hello)) => Some(hello),
@@ -105,12 +118,16 @@
     }
 
     /// The list of a new group, if this keeper is to found it.
-    fn found(&self, hellos: &[Option<KeeperHello>]) -> Option<Members> {
-        if self.keepers.first()?.vm != self.vm {
+    fn found(
+        &self,
+        keepers: &[PeerAddress],
+        hellos: &[Option<KeeperHello>],
+    ) -> Option<Members> {
+        if !self.may_found || keepers.first()?.vm != self.vm {
             return None;
         }
         let mut members = vec![voter(self.vm.clone(), self.replica)];
-        let others = self.keepers.iter().filter(|keeper| keeper.vm != self.vm);
+        let others = keepers.iter().filter(|keeper| keeper.vm != self.vm);
         for (keeper, hello) in others.zip(hellos) {
             let hello = hello.as_ref()?;
             if !hello.members.is_empty() {
@@ -121,14 +138,35 @@
         Members::new(members)
     }
 
-    async fn ask_to_join(&self) {
+    async fn ask_to_join(&self, keepers: &[PeerAddress], hellos: &[Option<KeeperHello>]) {
         let request = Request::Join {
             replica: self.replica,
         };
-        for keeper in self.keepers.iter().filter(|keeper| keeper.vm != self.vm) {
-            if let Some(Reply::Done) = self.call(keeper, &request).await {
-                debug!("keeper {} took a step of the join", keeper.vm);
-                return;
+        let mut candidates: Vec<PeerAddress> = keepers.to_vec();
+        for member in hellos.iter().flatten().flat_map(|hello| &hello.members) {
+            let is_listed = candidates.iter().any(|keeper| keeper.vm == member.vm);
+            if !is_listed && let Some(keeper) = self.directory.find(&member.vm) {
+                candidates.push(keeper);
+            }
+        }
+        for keeper in candidates.iter().filter(|keeper| keeper.vm != self.vm) {
+            match self.call(keeper, &request).await {
+                Some(Reply::Done) => {
+                    debug!("keeper {} took a step of the join", keeper.vm);
+                    return;
+                }
+                Some(Reply::NotLeader {
+                    leader: Some(leader),
+                }) => {
+                    let Some(leader) = self.directory.find(&leader) else {
+                        continue;
+                    };
+                    if let Some(Reply::Done) = self.call(&leader, &request).await {
+                        debug!("keeper {} took a step of the join", leader.vm);
+                    }
+                    return;
+                }
+                _ => {}
             }
         }
     }
--- a/crates/auburnbridge_keeper/src/lib.rs
+++ b/crates/auburnbridge_keeper/src/lib.rs
@@ -1,13 +1,24 @@
 //! The keeper role: the replicated log with its store, state machines and server.
 
+mod catalogue;
+mod control;
 mod core;
+mod directory;
 mod formation;
+mod group_client;
 mod operator_store;
 mod run;
 mod server;
 mod state;
 
-pub use core::{CommitCounts, Core, CoreError, CoreHandle, Event, LogTransport, QUEUE, Report};
-pub use run::{Keeper, KeeperError, KeeperOptions};
+pub use catalogue::{Catalogue, LeavingTarget};
+pub use control::ControlService;
+pub use core::{
+    Admission, CommitCounts, CommitObserver, Core, CoreError, CoreHandle, CoreOptions, Event,
+    LogTransport, PublishedVersion, QUEUE, Report,
+};
+pub use directory::{Directory, keeper_at};
+pub use group_client::{GroupClient, Unavailable};
+pub use run::{ControlOptions, Keeper, KeeperError, KeeperOptions, PeerSecurity};
 pub use server::KeeperServer;
 pub use state::{KeeperState, RestoreError, StateCommand, StateReply};
--- a/crates/auburnbridge_keeper/src/operator_store.rs
+++ b/crates/auburnbridge_keeper/src/operator_store.rs
@@ -5,11 +5,12 @@
 use auburnbridge_config::{Edit, EditReply, HistoryEntry};
 use auburnbridge_messages::{self as messages, Reply, Request};
 use auburnbridge_operator::{ConfigStore, FleetStatus, RulesInForce, StoreError, TargetStatus};
-use auburnbridge_peer::{Delivery, PeerAddress, Transport};
+use auburnbridge_peer::{Delivery, Transport};
 use auburnbridge_types::{BoxFuture, Millis, VmId};
 use log::debug;
 
 use crate::core::{CoreHandle, Event};
+use crate::directory::Directory;
 use crate::server::KeeperServer;
 use crate::state::StateCommand;
 
@@ -22,7 +23,7 @@
 pub struct OperatorStore {
     server: Arc<KeeperServer>,
     core: CoreHandle,
-    keepers: Vec<PeerAddress>,
+    directory: Directory,
     transport: Arc<dyn Transport>,
 }
 
@@ -31,13 +32,13 @@
     pub fn new(
         server: Arc<KeeperServer>,
         core: CoreHandle,
-        keepers: Vec<PeerAddress>,
+        directory: Directory,
         transport: Arc<dyn Transport>,
     ) -> Self {
         Self {
             server,
             core,
-            keepers,
+            directory,
             transport,
         }
     }
@@ -69,12 +70,12 @@
 
     /// The leader's reply, and whether the edit may be proposed there without a reply.
     async fn forward(&self, leader: &VmId, edit: &Edit) -> (Reply, bool) {
-        let Some(address) = self.keepers.iter().find(|keeper| keeper.vm == *leader) else {
+        let Some(address) = self.directory.find(leader) else {
             return (Reply::Refused, false);
         };
         let request = Request::Edit(edit.clone());
         let transport = self.transport.as_ref();
-        match messages::call(transport, address, &request, FORWARD_TIMEOUT).await {
+        match messages::call(transport, &address, &request, FORWARD_TIMEOUT).await {
             Ok(reply) => (reply, false),
             Err(error) => {
                 debug!("the edit could not be forwarded to {leader}: {error}");
--- a/crates/auburnbridge_keeper/src/server.rs
+++ b/crates/auburnbridge_keeper/src/server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use auburnbridge_log::RejectReason;
+use auburnbridge_config::Publish;
 use auburnbridge_messages::{KeeperHello, Reply, Request};
 use auburnbridge_operator::VmStatus;
 use auburnbridge_peer::{Handler, PeerIdentity, Role};
@@ -11,6 +12,7 @@
 use log::warn;
 use parking_lot::Mutex;
 
+use crate::catalogue::Catalogue;
 use crate::core::{CoreHandle, Event};
 use crate::state::{StateCommand, StateReply};
 
@@ -31,12 +33,14 @@
     core: CoreHandle,
     clock: Arc<dyn Clock>,
     entries: Mutex<BTreeMap<VmId, SeenEntry>>,
+    catalogue: Arc<Catalogue>,
 }
 
 impl KeeperServer {
     /// Creates the server of a keeper.
-    pub fn new(core: CoreHandle, clock: Arc<dyn Clock>) -> Self {
+    pub fn new(core: CoreHandle, clock: Arc<dyn Clock>, catalogue: Arc<Catalogue>) -> Self {
         Self {
+            catalogue,
             core,
             clock,
             entries: Mutex::default(),
@@ -51,6 +55,21 @@
             }
             // Another keeper forwards what an operator asked of it.
             (Request::Edit(edit), Role::Keeper) => self.propose(StateCommand::Edit(edit)).await,
+            (Request::Publish(order), Role::Keeper) => {
+                self.propose(StateCommand::Publish(order)).await
+            }
+            (Request::Depart(target), Role::Keeper) => {
+                self.propose(StateCommand::Depart(target)).await
+            }
+            (Request::ReadPublished, Role::Keeper) => self.read_published().await,
+            (Request::Watch(watch), Role::Entry) => {
+                Reply::Watched(self.catalogue.watch(&from.vm, watch).await)
+            }
+            (Request::Heard(heard), Role::Keeper) => {
+                self.catalogue.merge(heard);
+                Reply::Done
+            }
+            (Request::FetchTargets, Role::Keeper) => Reply::Targets(self.catalogue.targets()),
             (Request::FetchRules { have, data_centre }, role) => {
                 if role == Role::Entry {
                     self.note_entry(&from.vm, have, data_centre);
@@ -97,6 +116,20 @@
         {
             Some(Ok(StateReply::Ledger(reply))) => Reply::Ledger(reply),
             Some(Ok(StateReply::Edit(reply))) => Reply::Edit(reply),
+            Some(Ok(StateReply::Published(reply))) => Reply::Published(reply),
+            Some(Ok(StateReply::Departed)) => Reply::Done,
+            Some(Err(reason)) => rejection(reason),
+            None => Reply::Busy,
+        }
+    }
+
+    /// Reads the published document, if this keeper leads.
+    pub async fn read_published(&self) -> Reply {
+        match self.core.ask(|reply| Event::ReadPublished { reply }).await {
+            Some(Ok(current)) => Reply::Document(current.map(|(version, document)| Publish {
+                version,
+                document: document.to_vec(),
+            })),
             Some(Err(reason)) => rejection(reason),
             None => Reply::Busy,
         }
--- a/crates/auburnbridge_keeper/src/state.rs
+++ b/crates/auburnbridge_keeper/src/state.rs
@@ -1,7 +1,11 @@
-//! The state machines over the replicated log: the ledger and the rules.
+//! The state machines over the replicated log: the ledger, the rules, the published configuration and
+//! the departures of targets.
 
-use auburnbridge_config::{Config, Edit, EditReply};
+use std::collections::VecDeque;
+
+use auburnbridge_config::{Config, Edit, EditReply, Publish, PublishReply, Published};
 use auburnbridge_ledger::{Command, Ledger, Reply};
+use auburnbridge_membership::Announcement;
 use auburnbridge_types::Timestamp;
 use serde::{Deserialize, Serialize};
 
@@ -12,6 +16,10 @@
     Ledger(Command),
     /// For the rules.
     Edit(Edit),
+    /// Puts a configuration document in force.
+    Publish(Publish),
+    /// A target leaves; its announcement states which of its lives.
+    Depart(Announcement),
 }
 
 /// Reply to a [`StateCommand`].
@@ -21,6 +29,10 @@
     Ledger(Reply),
     /// The reply to an edit.
     Edit(EditReply),
+    /// The reply to a published document.
+    Published(PublishReply),
+    /// The departure is recorded.
+    Departed,
 }
 
 /// Reason why a snapshot can't be taken over.
@@ -35,19 +47,28 @@
 
 impl std::error::Error for RestoreError {}
 
-/// Both state machines.
+/// Departures that are kept; the oldest is dropped first. A day has hundreds.
+const DEPARTURE_LIMIT: usize = 4_096;
+
+/// All state machines.
 #[derive(Clone, Debug, Default)]
 pub struct KeeperState {
     /// Grants and stored answers.
     pub ledger: Ledger,
     /// Rules and their history.
     pub config: Config,
+    /// Published configuration.
+    pub published: Published,
+    /// Targets that left, oldest first.
+    pub departures: VecDeque<Announcement>,
 }
 
 #[derive(Serialize, Deserialize)]
 struct SnapshotParts {
     ledger: Vec<u8>,
     config: Vec<u8>,
+    published: Published,
+    departures: VecDeque<Announcement>,
 }
 
 impl KeeperState {
@@ -60,7 +81,25 @@
                 self.apply_retention(time);
                 StateReply::Edit(reply)
             }
+            StateCommand::Publish(order) => StateReply::Published(self.published.apply(order)),
+            StateCommand::Depart(announcement) => {
+                self.record_departure(announcement);
+                StateReply::Departed
+            }
+        }
+    }
+
+    fn record_departure(&mut self, announcement: Announcement) {
+        let is_known = self.departures.iter().any(|known| {
+            known.target == announcement.target && known.incarnation == announcement.incarnation
+        });
+        if is_known {
+            return;
+        }
+        if self.departures.len() >= DEPARTURE_LIMIT {
+            self.departures.pop_front();
         }
+        self.departures.push_back(announcement);
     }
 
     /// Makes the ledger follow the rules' retention of keys.
@@ -71,11 +110,13 @@
         }
     }
 
-    /// Encodes both state machines.
+    /// Encodes all state machines.
     pub fn snapshot(&self) -> Vec<u8> {
         let parts = SnapshotParts {
             ledger: self.ledger.snapshot(),
             config: self.config.snapshot(),
+            published: self.published.clone(),
+            departures: self.departures.clone(),
         };
         postcard::to_stdvec(&parts).expect("byte strings can be encoded")
     }
@@ -89,6 +130,8 @@
                 .map_err(|error| RestoreError(error.to_string()))?,
             config: Config::restore(&parts.config)
                 .map_err(|error| RestoreError(error.to_string()))?,
+            published: parts.published,
+            departures: parts.departures,
         })
     }
 }
--- a/crates/auburnbridge_log/src/replica/mod.rs
+++ b/crates/auburnbridge_log/src/replica/mod.rs
@@ -75,6 +75,8 @@
     pub term: Term,
     /// VM of the leader, if one is known.
     pub leader: Option<VmId>,
+    /// When the leader was last heard; `None` before that and while this replica leads.
+    pub leader_contact: Option<Timestamp>,
     /// Last record in memory.
     pub last: LogIndex,
     /// Last synced record.
@@ -187,6 +189,7 @@
             role: (&self.role).into(),
             term: self.hard.term,
             leader: self.leader().cloned(),
+            leader_contact: self.leader().and(self.leader_contact),
             last: self.log.last_index(),
             synced: self.writer.synced(),
             commit: self.commit,
--- a/crates/auburnbridge_membership/src/membership.rs
+++ b/crates/auburnbridge_membership/src/membership.rs
@@ -180,6 +180,19 @@
             })
     }
 
+    /// What is known of an id: its last announcement, and whether that was its departure.
+    pub fn get(&self, group: &A::Group, id: &A::Id) -> Option<&A> {
+        self.record(group, id).map(Record::announcement)
+    }
+
+    /// Every announcement, with the departures that are remembered.
+    pub fn iter(&self) -> impl Iterator<Item = &A> {
+        self.groups
+            .values()
+            .flat_map(|group| group.records.values())
+            .map(Record::announcement)
+    }
+
     /// The groups that have records.
     pub fn groups(&self) -> impl Iterator<Item = &A::Group> {
         self.groups.keys()
--- a/crates/auburnbridge_messages/src/lib.rs
+++ b/crates/auburnbridge_messages/src/lib.rs
@@ -4,7 +4,9 @@
 //! encodes them with the transport's codec, which puts a format version first and bounds the size.
 //! Who may send what is decided by the receiver from the certificate's role.
 
-use auburnbridge_config::{Delta, Edit, EditReply};
+use std::net::SocketAddr;
+
+use auburnbridge_config::{Delta, Edit, EditReply, Publish, PublishReply};
 use auburnbridge_ledger::{Command, Reply as LedgerReply};
 use auburnbridge_log::{Member, Message, ReplicaId};
 use auburnbridge_membership::{Announcement, EntryAnnouncement, SyncMessage};
@@ -57,6 +59,90 @@
     SyncTargets(SyncMessage<Announcement>),
     /// Between entries: one step of the comparison of entries.
     SyncEntries(SyncMessage<EntryAnnouncement>),
+    /// To the keeper that leads: puts a configuration document in force.
+    Publish(Publish),
+    /// To the keeper that leads: records that a target has left.
+    Depart(Announcement),
+    /// To the keeper that leads: the published document.
+    ReadPublished,
+    /// From a gateway to a keeper: waits for a change of what a gateway follows.
+    Watch(Watch),
+    /// Between keepers, one way: announcements and gateways that are new to the sender.
+    Heard(Heard),
+    /// Between keepers: everything that the receiver knows of the targets.
+    FetchTargets,
+}
+
+/// Position in the changes of one keeper's list of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListPosition {
+    /// Random number of the keeper's process.
+    pub boot: u64,
+    /// Number of changes so far.
+    pub changes: u64,
+}
+
+/// What a gateway has, so that it gets what it lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Watch {
+    /// Version of the published document that the gateway has.
+    pub version: Option<u64>,
+    /// Position of the gateway's list of targets.
+    pub position: Option<ListPosition>,
+    /// Longest wait for a change.
+    pub wait: Millis,
+    /// Where the gateway takes datagrams of other gateways.
+    pub address: SocketAddr,
+    /// Where the gateway runs.
+    pub data_centre: DataCentre,
+}
+
+/// Reply to a [`Watch`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Watched {
+    /// The published document, if it is newer than the gateway's.
+    pub document: Option<Publish>,
+    /// Position after `targets`.
+    pub position: ListPosition,
+    /// Targets that changed; all of them if the position is another keeper's.
+    pub targets: Vec<Announcement>,
+    /// Time since the keeper's state was last known to be complete.
+    pub confirmed_before: Option<Millis>,
+    /// VMs of the keepers.
+    pub keepers: Vec<VmId>,
+    /// The gateways that are running.
+    pub gateways: Vec<GatewayLocation>,
+}
+
+/// A running gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayLocation {
+    /// Its VM.
+    pub vm: VmId,
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: DataCentre,
+}
+
+/// What a keeper heard from targets and gateways.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Announcements of targets.
+    pub targets: Vec<Announcement>,
+    /// Gateways that watch the sender.
+    pub gateways: Vec<GatewayLocation>,
+}
+
+/// Packs a configuration document for the log and the network; JSON shrinks to about a quarter.
+pub fn pack_document(document: &[u8]) -> Vec<u8> {
+    lz4_flex::compress_prepend_size(document)
+}
+
+/// Unpacks what [`pack_document`] packed.
+pub fn unpack_document(packed: &[u8]) -> Result<Vec<u8>, CodecError> {
+    lz4_flex::decompress_size_prepended(packed)
+        .map_err(|error| CodecError::Malformed(error.to_string()))
 }
 
 /// Evidence about the targets of one service.
@@ -89,6 +175,14 @@
     Rules(Delta),
     /// The keeper's replica and group.
     Hello(KeeperHello),
+    /// The published document is dealt with, after a quorum synced it.
+    Published(PublishReply),
+    /// The published document that was in force when the call arrived.
+    Document(Option<Publish>),
+    /// What a gateway lacked.
+    Watched(Watched),
+    /// Everything that is known of the targets, departures included.
+    Targets(Vec<Announcement>),
     /// Next step of a comparison of targets.
     SyncTargets(Option<SyncMessage<Announcement>>),
     /// Next step of a comparison of entries.
--- a/crates/auburnbridge_peer/src/lib.rs
+++ b/crates/auburnbridge_peer/src/lib.rs
@@ -1,4 +1,5 @@
-//! Transport between our own processes: QUIC with mutual TLS.
+//! Transport between our own processes: QUIC with mutual TLS, or plain TCP where a deployment has no
+//! keys (see [`plain`]).
 //!
 //! A process calls others through a [`Transport`] and serves them with a [`PeerServer`]. Bodies are
 //! opaque to the transport; [`codec`] encodes and decodes them. Who the other side is follows from
@@ -11,6 +12,7 @@
 
 pub mod codec;
 pub mod keys;
+pub mod plain;
 
 mod budget;
 mod certificate;
--- /dev/null
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -0,0 +1,430 @@
+//! The targets of one service and the choice among them.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+
+use auburnbridge_types::{DataCentre, Incarnation, Millis, TargetId, Timestamp, VmId};
+use rand::Rng;
+use slotmap::SlotMap;
+
+use super::evidence::{Finding, Origin};
+use super::target::{BalancedKey, BalancedMember, BalancedTarget, COLD_TIME};
+use super::told::{LoadReport, TargetHash, ToldFinding};
+use crate::RequestClass;
+
+/// Time after which a gateway's report of its requests in flight no longer counts.
+const REPORT_LIFETIME: Millis = Millis(1_500);
+/// Time between two idempotent requests from here that test a suspected target.
+const TEST_INTERVAL: Millis = Millis(1_000);
+/// Weight of the newest answer in the average answer time.
+const LATENCY_WEIGHT: f64 = 0.05;
+/// Answer time that is assumed before any was measured.
+const ASSUMED_LATENCY_MS: f64 = 250.0;
+/// Multiple of the average answer time from which an answer is slow. Rare long requests take five
+/// times the usual time.
+const SLOW_FACTOR: f64 = 3.0;
+
+/// Settings of a [`Balancer`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct BalancerOptions {
+    /// Where the gateway runs.
+    pub data_centre: DataCentre,
+    /// Share of the targets that get work even if they are suspected.
+    pub floor_share: f64,
+}
+
+/// The target picked for one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pick {
+    /// Handle for [`Balancer::finish`].
+    pub key: BalancedKey,
+    /// Its name.
+    pub target: TargetId,
+    /// Where it accepts requests.
+    pub address: SocketAddr,
+    /// Number of its life.
+    pub incarnation: Incarnation,
+    /// Requests in flight on it from all gateways, with this one.
+    pub in_flight: u32,
+    /// Evidence against it, in nats.
+    pub suspicion: f64,
+}
+
+/// Counts of a service's targets, for logs and estimates.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetSummary {
+    /// Targets that are announced.
+    pub targets: u32,
+    /// Those without suspicion.
+    pub trusted: u32,
+    /// Slots of the trusted ones.
+    pub slots: u32,
+    /// Requests in flight on all of them from all gateways.
+    pub in_flight: u32,
+    /// Requests in flight from this gateway.
+    pub own: u32,
+}
+
+/// Order in which targets are taken; lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// Trusted and free in this data centre; traffic between data centres costs more.
+    NearFree,
+    /// Trusted and free elsewhere.
+    Free,
+    /// Suspected but free, for a request that can be sent again elsewhere.
+    SuspectFree,
+    /// Busy: the request would wait in the target's own queue.
+    Busy,
+    /// Suspected but free, for a request that a failure would lose.
+    Risky,
+    /// Down or suspected and busy.
+    Last,
+}
+
+/// The targets of one service.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    options: BalancerOptions,
+    targets: SlotMap<BalancedKey, BalancedTarget>,
+    by_id: HashMap<TargetId, BalancedKey>,
+    by_hash: HashMap<TargetHash, BalancedKey>,
+    /// Last report of each other gateway.
+    reports: HashMap<VmId, (Timestamp, LoadReport)>,
+    latency_ms: f64,
+    /// Findings that the other gateways have not been told yet.
+    untold: Vec<ToldFinding>,
+}
+
+impl Balancer {
+    /// Creates a balancer without targets.
+    pub fn new(options: BalancerOptions) -> Self {
+        Self {
+            options,
+            targets: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            by_hash: HashMap::new(),
+            reports: HashMap::new(),
+            latency_ms: ASSUMED_LATENCY_MS,
+            untold: Vec::new(),
+        }
+    }
+
+    /// Takes over the targets that take work; those that are not listed have left.
+    pub fn set_members(&mut self, now: Timestamp, members: &[BalancedMember]) {
+        // A gateway that starts can't tell which targets are cold.
+        let cold_until = match self.by_id.len() {
+            0 => Timestamp(0),
+            _ => now.after(COLD_TIME),
+        };
+        let listed: HashSet<&TargetId> = members.iter().map(|member| &member.id).collect();
+        self.by_id.retain(|id, key| {
+            let stays = listed.contains(id);
+            if !stays {
+                self.targets.remove(*key);
+            }
+            stays
+        });
+        for member in members {
+            match self.by_id.get(&member.id) {
+                None => {
+                    let target = BalancedTarget::new(member.clone(), cold_until);
+                    let key = self.targets.insert(target);
+                    self.by_id.insert(member.id.clone(), key);
+                }
+                Some(key) => {
+                    let target = &mut self.targets[*key];
+                    if target.member.incarnation == member.incarnation {
+                        target.member = member.clone();
+                    } else {
+                        target.restart(now, member.clone());
+                    }
+                }
+            }
+        }
+        self.by_hash = self
+            .targets
+            .iter()
+            .map(|(key, target)| (target.hash, key))
+            .collect();
+        self.count_reports(now);
+    }
+
+    /// Picks a target with a free slot and counts the request as in flight on it; `None` means that
+    /// the request should wait for one.
+    pub fn pick(
+        &mut self,
+        now: Timestamp,
+        class: RequestClass,
+        tried: &[BalancedKey],
+        rng: &mut impl Rng,
+    ) -> Option<Pick> {
+        let worst = match class {
+            RequestClass::Idempotent => Rank::SuspectFree,
+            // A suspected target would lose the request for good.
+            RequestClass::Once => Rank::Free,
+        };
+        if class == RequestClass::Idempotent
+            && let Some(key) = self.suspect_to_test(now, tried)
+        {
+            return Some(self.start(now, key));
+        }
+        let key = self.pick_up_to(now, class, worst, tried, rng)?;
+        Some(self.start(now, key))
+    }
+
+    /// Picks the least bad target, also one that is busy or suspected, for a request that can't wait
+    /// any longer.
+    pub fn pick_any(
+        &mut self,
+        now: Timestamp,
+        class: RequestClass,
+        tried: &[BalancedKey],
+        rng: &mut impl Rng,
+    ) -> Option<Pick> {
+        let key = self.pick_up_to(now, class, Rank::Last, tried, rng)?;
+        Some(self.start(now, key))
+    }
+
+    fn start(&mut self, now: Timestamp, key: BalancedKey) -> Pick {
+        let target = &mut self.targets[key];
+        target.own += 1;
+        target.last_sent = now;
+        Pick {
+            key,
+            target: target.member.id.clone(),
+            address: target.member.address,
+            incarnation: target.member.incarnation,
+            in_flight: target.in_flight(),
+            suspicion: target.suspicion(now),
+        }
+    }
+
+    /// A suspected target that no request has tested for a while. Idempotent requests can be sent
+    /// again elsewhere, so they are the ones that find out.
+    fn suspect_to_test(&self, now: Timestamp, tried: &[BalancedKey]) -> Option<BalancedKey> {
+        if !tried.is_empty() {
+            return None;
+        }
+        self.targets
+            .iter()
+            .filter(|(_, target)| target.is_suspect(now) && !target.is_down(now))
+            .filter(|(_, target)| target.own == 0 && target.free(now) > 0)
+            .filter(|(_, target)| now.since(target.last_sent) >= TEST_INTERVAL)
+            .min_by_key(|(_, target)| target.last_sent)
+            .map(|(key, _)| key)
+    }
+
+    /// A random target among those of the best rank, weighted by free slots, so that gateways with
+    /// the same view don't all take the same one.
+    fn pick_up_to(
+        &self,
+        now: Timestamp,
+        class: RequestClass,
+        worst: Rank,
+        tried: &[BalancedKey],
+        rng: &mut impl Rng,
+    ) -> Option<BalancedKey> {
+        let trust_limit = self.trust_limit(now);
+        let mut best = worst;
+        let mut candidates: Vec<(BalancedKey, u32)> = Vec::new();
+        for (key, target) in &self.targets {
+            if tried.contains(&key) {
+                continue;
+            }
+            let rank = self.rank(now, class, target, trust_limit);
+            if rank > best {
+                continue;
+            }
+            if rank < best {
+                best = rank;
+                candidates.clear();
+            }
+            candidates.push((key, weight(now, rank, target)));
+        }
+        let total: u32 = candidates.iter().map(|(_, weight)| weight).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut drawn = rng.random_range(0..total);
+        candidates.into_iter().find_map(|(key, weight)| {
+            if drawn < weight {
+                return Some(key);
+            }
+            drawn -= weight;
+            None
+        })
+    }
+
+    fn rank(
+        &self,
+        now: Timestamp,
+        class: RequestClass,
+        target: &BalancedTarget,
+        trust_limit: f64,
+    ) -> Rank {
+        let is_trusted = target.suspicion(now) <= trust_limit;
+        if target.is_down(now) {
+            return Rank::Last;
+        }
+        let is_free = target.free(now) > 0 && now >= target.shed_until;
+        match (is_trusted, is_free) {
+            (true, true) if target.member.data_centre == self.options.data_centre => {
+                Rank::NearFree
+            }
+            (true, true) => Rank::Free,
+            (false, true) if class == RequestClass::Once => Rank::Risky,
+            (false, true) => Rank::SuspectFree,
+            (true, false) => Rank::Busy,
+            (false, false) => Rank::Last,
+        }
+    }
+
+    /// Suspicion up to which targets are trusted: the usual limit, or as much as it takes for the
+    /// floor's share of the targets to get work.
+    fn trust_limit(&self, now: Timestamp) -> f64 {
+        let mut suspicions: Vec<f64> = self
+            .targets
+            .values()
+            .filter(|target| !target.is_down(now))
+            .map(|target| target.suspicion(now))
+            .collect();
+        if suspicions.is_empty() {
+            return super::target::SUSPECT_NATS;
+        }
+        suspicions.sort_by(f64::total_cmp);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss,
+            reason = "a share of a count of targets"
+        )]
+        let floor = (suspicions.len() as f64 * self.options.floor_share).ceil() as usize;
+        let at_floor = suspicions[floor.clamp(1, suspicions.len()) - 1];
+        at_floor.max(super::target::SUSPECT_NATS - f64::EPSILON)
+    }
+
+    /// Ends a request on a target and takes what it says as evidence.
+    pub fn finish(&mut self, now: Timestamp, key: BalancedKey, finding: Option<Finding>) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        target.own = target.own.saturating_sub(1);
+        let Some(finding) = finding else {
+            return;
+        };
+        // A success is news for the others only if they may suspect the target too.
+        let is_told = finding.is_told()
+            || (matches!(finding, Finding::Answered | Finding::Slow)
+                && target.evidence.nats(now) > 0.5);
+        target.observe(now, finding, Origin::Own);
+        if is_told {
+            self.untold.push(ToldFinding {
+                target: target.hash,
+                finding,
+            });
+        }
+    }
+
+    /// The finding that an answer after `time` is, and its part in the average answer time.
+    pub fn judge_answer(&mut self, time: Millis) -> Finding {
+        let time_ms = f64::from(u32::try_from(time.0).unwrap_or(u32::MAX));
+        let is_slow = time_ms > self.latency_ms * SLOW_FACTOR;
+        self.latency_ms += (time_ms - self.latency_ms) * LATENCY_WEIGHT;
+        if is_slow {
+            Finding::Slow
+        } else {
+            Finding::Answered
+        }
+    }
+
+    /// Average answer time of the service.
+    pub fn latency(&self) -> Millis {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "an average of times is neither negative nor above their maximum"
+        )]
+        Millis(self.latency_ms as u64)
+    }
+
+    /// Takes over what another gateway found.
+    pub fn hear_findings(&mut self, now: Timestamp, findings: &[ToldFinding]) {
+        for told in findings {
+            if let Some(key) = self.by_hash.get(&told.target) {
+                self.targets[*key].observe(now, told.finding, Origin::Told);
+            }
+        }
+    }
+
+    /// Takes over what another gateway has in flight.
+    pub fn hear_load(&mut self, now: Timestamp, from: &VmId, report: LoadReport) {
+        self.reports.insert(from.clone(), (now, report));
+        self.count_reports(now);
+    }
+
+    fn count_reports(&mut self, now: Timestamp) {
+        self.reports
+            .retain(|_, (at, _)| now.since(*at) < REPORT_LIFETIME);
+        for target in self.targets.values_mut() {
+            target.others = 0;
+        }
+        for (_, report) in self.reports.values() {
+            for (hash, count) in &report.in_flight {
+                if let Some(key) = self.by_hash.get(hash) {
+                    self.targets[*key].others += u32::from(*count);
+                }
+            }
+        }
+    }
+
+    /// The findings since the last call, for the other gateways.
+    pub fn take_untold(&mut self) -> Vec<ToldFinding> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Whether there is news for the other gateways.
+    pub fn has_untold(&self) -> bool {
+        !self.untold.is_empty()
+    }
+
+    /// What this gateway has in flight.
+    pub fn load_report(&self) -> LoadReport {
+        LoadReport {
+            in_flight: self
+                .targets
+                .values()
+                .filter(|target| target.own > 0)
+                .map(|target| (target.hash, u8::try_from(target.own).unwrap_or(u8::MAX)))
+                .collect(),
+        }
+    }
+
+    /// Counts of the targets.
+    pub fn summary(&self, now: Timestamp) -> TargetSummary {
+        let mut summary = TargetSummary::default();
+        for target in self.targets.values() {
+            summary.targets += 1;
+            summary.in_flight += target.in_flight();
+            summary.own += target.own;
+            if !target.is_down(now) && !target.is_suspect(now) {
+                summary.trusted += 1;
+                summary.slots += target.member.slots.0;
+            }
+        }
+        summary
+    }
+}
+
+/// Weight of a candidate in the draw.
+fn weight(now: Timestamp, rank: Rank, target: &BalancedTarget) -> u32 {
+    match rank {
+        Rank::NearFree | Rank::Free | Rank::SuspectFree | Rank::Risky => {
+            let free = target.free(now);
+            free * free
+        }
+        // Of busy targets the less loaded ones; of the last ones any.
+        Rank::Busy => 64 / (1 + target.in_flight().saturating_sub(target.capacity(now))).min(64),
+        Rank::Last => 1,
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_policy/src/balance/evidence.rs
@@ -0,0 +1,119 @@
+//! Evidence against a target, as the log of the odds that it fails its work.
+
+use auburnbridge_types::{Millis, Timestamp};
+use serde::{Deserialize, Serialize};
+use strum::{Display, IntoStaticStr};
+
+/// What one exchange says about its target.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Finding {
+    /// A whole answer in usual time.
+    Answered,
+    /// A whole answer that took several times the usual time.
+    Slow,
+    /// The target's own error, which healthy targets give now and then.
+    ServerError,
+    /// The answer broke off or was no answer.
+    Broken,
+    /// No answer within several times the usual time.
+    Silent,
+    /// The target had no room.
+    Shed,
+    /// The target refused the connection: its process is not running.
+    Refused,
+    /// No connection came about.
+    Unreachable,
+    /// Another target has the address.
+    Replaced,
+}
+
+/// Whose finding it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// Of this gateway.
+    Own,
+    /// Told by another gateway.
+    Told,
+}
+
+/// Failing targets fail half of their work or more; healthy ones answer with an error of their own
+/// about one time in a hundred. The weights are the logarithms of these ratios, in nats.
+const ERROR_NATS: f64 = 3.7;
+/// A healthy target hardly ever breaks an answer off.
+const BROKEN_NATS: f64 = 4.5;
+/// Rare long requests look silent too.
+const SILENT_NATS: f64 = 3.0;
+/// A slow answer is an answer, and long requests are as rare as errors.
+const SLOW_NATS: f64 = 2.0;
+/// An answer is half as likely from a target that fails half of its work.
+const ANSWER_NATS: f64 = -0.7;
+/// Failures to connect happen on a lossy path as well.
+const UNREACHABLE_NATS: f64 = 3.0;
+/// Evidence is not added up beyond this, so that recovery takes a bounded time.
+const MOST_NATS: f64 = 14.0;
+/// Evidence halves in this time without news: partial failures last some seconds.
+const HALF_LIFE: Millis = Millis(2_500);
+
+/// Evidence that fades.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Evidence {
+    nats: f64,
+    at: Timestamp,
+}
+
+impl Evidence {
+    /// The evidence at `now`, in nats.
+    pub(super) fn nats(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.at).0;
+        let age = f64::from(u32::try_from(age).unwrap_or(u32::MAX));
+        self.nats * 0.5_f64.powf(age / HALF_LIFE.0 as f64)
+    }
+
+    pub(super) fn add(&mut self, now: Timestamp, nats: f64) {
+        self.nats = (self.nats(now) + nats).clamp(0.0, MOST_NATS);
+        self.at = now;
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.nats = 0.0;
+    }
+}
+
+impl Finding {
+    /// Evidence about the target itself, in nats.
+    pub(super) fn target_nats(self) -> f64 {
+        match self {
+            Self::Answered => ANSWER_NATS,
+            Self::Slow => SLOW_NATS,
+            Self::ServerError => ERROR_NATS,
+            Self::Broken => BROKEN_NATS,
+            Self::Silent => SILENT_NATS,
+            Self::Shed | Self::Refused | Self::Unreachable | Self::Replaced => 0.0,
+        }
+    }
+
+    /// Evidence about the path from this gateway to the target, in nats.
+    pub(super) fn path_nats(self) -> f64 {
+        match self {
+            Self::Unreachable => UNREACHABLE_NATS,
+            // An answer came over the path.
+            Self::Answered | Self::Slow | Self::ServerError | Self::Shed => -MOST_NATS,
+            // Silence may be due to the path, in which case others see nothing.
+            Self::Silent => SILENT_NATS / 2.0,
+            Self::Broken | Self::Refused | Self::Replaced => 0.0,
+        }
+    }
+
+    /// Whether the other gateways are told in any case.
+    pub fn is_told(self) -> bool {
+        match self {
+            Self::ServerError | Self::Broken | Self::Silent | Self::Refused | Self::Replaced => {
+                true
+            }
+            Self::Answered | Self::Slow | Self::Shed | Self::Unreachable => false,
+        }
+    }
+}
--- a/crates/auburnbridge_policy/src/lib.rs
+++ b/crates/auburnbridge_policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! for the log.
 
 mod admission;
+pub mod balance;
 mod decision;
 mod evidence;
 mod fleet;
--- /dev/null
+++ b/crates/auburnbridge_routing/src/split.rs
@@ -0,0 +1,74 @@
+//! Division of a route's requests among its destinations.
+//!
+//! Smooth weighted round robin: in any run of requests each destination gets its share to within
+//! one request, which a random draw reaches only in the long run.
+
+use std::collections::HashMap;
+
+use crate::{Destination, PublishedRoute};
+
+/// Position in the sequence of one route.
+#[derive(Clone, Debug, Default)]
+pub struct SplitState {
+    credits: Vec<i64>,
+}
+
+impl SplitState {
+    /// Starts at a random point, so that entries don't all begin with the same destination.
+    pub fn starting_at(destinations: &[Destination], offset: u32) -> Self {
+        let mut state = Self::default();
+        let total: u32 = destinations.iter().map(|to| to.weight.0).sum();
+        for _ in 0..offset % total.max(1) {
+            state.next(destinations);
+        }
+        state
+    }
+
+    /// The destination of the next request.
+    pub fn next<'a>(&mut self, destinations: &'a [Destination]) -> Option<&'a Destination> {
+        self.credits.resize(destinations.len(), 0);
+        let total: i64 = destinations.iter().map(|to| i64::from(to.weight.0)).sum();
+        for (credit, to) in self.credits.iter_mut().zip(destinations) {
+            *credit += i64::from(to.weight.0);
+        }
+        let at = (0..destinations.len())
+            .filter(|at| destinations[*at].weight.0 > 0)
+            .max_by_key(|at| self.credits[*at])?;
+        self.credits[at] -= total;
+        Some(&destinations[at])
+    }
+}
+
+/// Positions of the routes that have several destinations.
+#[derive(Clone, Debug, Default)]
+pub struct Splits {
+    states: HashMap<String, (Vec<Destination>, SplitState)>,
+}
+
+impl Splits {
+    /// The destination of the next request of `route`; `offset` is drawn once per route.
+    ///
+    /// A change of the weights starts the route's sequence anew.
+    pub fn next<'a>(
+        &mut self,
+        route: &'a PublishedRoute,
+        offset: impl FnOnce() -> u32,
+    ) -> Option<&'a Destination> {
+        if let [only] = route.destinations.as_slice() {
+            return Some(only);
+        }
+        let known = self.states.get(&route.name);
+        if known.is_none_or(|(destinations, _)| *destinations != route.destinations) {
+            let state = SplitState::starting_at(&route.destinations, offset());
+            self.states
+                .insert(route.name.clone(), (route.destinations.clone(), state));
+        }
+        let (_, state) = self.states.get_mut(&route.name)?;
+        state.next(&route.destinations)
+    }
+
+    /// Forgets the routes that are not in `keep`.
+    pub fn retain(&mut self, mut keep: impl FnMut(&str) -> bool) {
+        self.states.retain(|name, _| keep(name));
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_settings/src/gateway.rs
@@ -0,0 +1,64 @@
+//! Settings of the role `gateway`.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+
+use auburnbridge_types::{ByteSize, DataCentre, Millis};
+
+use crate::check::Checks;
+use crate::declare::{Declaration, Settings, settings};
+use crate::value::Share;
+
+settings! {
+    /// Settings of a gateway.
+    GatewaySettings, "gateway" {
+        /// IP address of this VM, which is also its name among the gateways.
+        vm_address: IpAddr [required],
+        /// Data centre of this VM.
+        data_centre: DataCentre [required],
+        /// TCP address for callers.
+        caller_address: SocketAddr [required],
+        /// TCP address for the platform's readiness checks.
+        readiness_address: SocketAddr [required],
+        /// UDP port for datagrams of other gateways. They are neither authenticated nor encrypted.
+        peer_port: u32 [required] ["1" to "65535"],
+        /// TCP port at which keepers serve our other processes.
+        keeper_port: u32 [required] ["1" to "65535"],
+        /// Control addresses of some keepers.
+        seeds: Vec<SocketAddr> [required] ["1" to "16"],
+        /// Time for which the load balancer may still send connections after readiness has changed.
+        balancer_lag: Millis [default "2500ms"] ["0s" to "5min"],
+        /// Longest time for requests in progress after that, until the process ends.
+        shutdown_limit: Millis [default "3s"] ["100ms" to "10min"],
+        /// Memory for the bodies of all requests in progress and their answers.
+        body_memory: ByteSize [default "128MiB"] ["1MiB" to "4GiB"],
+        /// Most connections to one target.
+        connections_per_target: u32 [default "20"] ["1" to "350"],
+        /// Share of a service's targets that get work even if they are suspected.
+        floor_share: Share [default "0.7"] ["0" to "1"],
+        /// Sends beyond the first one of each request, as a share of the requests of a window.
+        resend_share: Share [default "0.1"] ["0" to "1"],
+        /// Such sends that are allowed on top in a window, over all gateways.
+        resend_allowance: u32 [default "20"] ["0" to "1000000"],
+        /// Length of a window.
+        resend_window: Millis [default "10s"] ["1s" to "10min"],
+    }
+}
+
+impl Settings for GatewaySettings {
+    const ROLE: &'static str = "gateway";
+    const OPTIONS: &'static [Declaration] = Self::DECLARATIONS;
+
+    fn read(checks: &mut Checks<'_>) -> Option<Self> {
+        Self::read_options(checks)
+    }
+
+    fn check(&self, checks: &mut Checks<'_>) {
+        checks.refuse_shared_addresses(&[
+            ("caller_address", self.caller_address),
+            ("readiness_address", self.readiness_address),
+        ]);
+    }
+
+    fn resolve_paths(&mut self, _folder: &Path) {}
+}
--- a/crates/auburnbridge_settings/src/keeper.rs
+++ b/crates/auburnbridge_settings/src/keeper.rs
@@ -54,14 +54,7 @@
     }
 
     fn check(&self, checks: &mut Checks<'_>) {
-        let heartbeats = self.heartbeat_interval.0 * HEARTBEATS_PER_ELECTION;
-        if heartbeats > self.election_timeout.0 {
-            checks.refuse(
-                "heartbeat_interval",
-                "`heartbeat_interval` is over a third of `election_timeout`",
-                "lower it or raise `election_timeout`",
-            );
-        }
+        check_heartbeats(checks, self.heartbeat_interval, self.election_timeout);
         if self.operator_address.is_some() && self.operator_keys.is_empty() {
             checks.refuse(
                 "operator_address",
@@ -84,3 +77,14 @@
         self.data_folder = folder.join(&self.data_folder);
     }
 }
+
+/// Records a heartbeat interval that is too long for the election timeout.
+pub(crate) fn check_heartbeats(checks: &mut Checks<'_>, interval: Millis, timeout: Millis) {
+    if interval.0 * HEARTBEATS_PER_ELECTION > timeout.0 {
+        checks.refuse(
+            "heartbeat_interval",
+            "`heartbeat_interval` is over a third of `election_timeout`",
+            "lower it or raise `election_timeout`",
+        );
+    }
+}
--- a/crates/auburnbridge_settings/src/lib.rs
+++ b/crates/auburnbridge_settings/src/lib.rs
@@ -6,20 +6,24 @@
 //! reported together, each with its line, the offending text and what to write instead.
 
 mod check;
+mod control;
 mod declare;
 mod document;
 mod entry;
 mod error;
+mod gateway;
 mod keeper;
 mod lists;
 mod reference;
 mod value;
 
 pub use check::Checks;
+pub use control::ControlSettings;
 pub use declare::{Declaration, Presence, Range, Settings};
 pub use entry::EntrySettings;
 pub use error::{Problem, SettingsError};
+pub use gateway::GatewaySettings;
 pub use keeper::KeeperSettings;
 pub use lists::{KeyDigest, OperatorKey, PeerLocation, ServiceScope};
 pub use reference::reference;
-pub use value::Value;
+pub use value::{Share, Value};
--- a/crates/auburnbridge_settings/src/lists.rs
+++ b/crates/auburnbridge_settings/src/lists.rs
@@ -115,6 +115,26 @@
     }
 }
 
+impl Value for Vec<SocketAddr> {
+    const KIND: &'static str = "a list of addresses, each an IP address and a port";
+    const EXAMPLE: &'static str = r#"["10.0.0.1:7400"]"#;
+    const RANGE_UNIT: &'static str = " items";
+
+    fn from_text(text: &str) -> Option<Self> {
+        Self::from_json(text).ok()
+    }
+
+    fn from_json(json: &str) -> Result<Self, ValueError> {
+        let items = items_from_json::<SocketAddr>(json, Self::KIND)?;
+        refuse_repeated(&items, "address", |address| *address)?;
+        Ok(values(items))
+    }
+
+    fn is_within(&self, first: &str, last: &str) -> bool {
+        is_between(&self.len(), first, last, |text| text.parse().ok())
+    }
+}
+
 impl Value for Vec<OperatorKey> {
     const KIND: &'static str = "a list of keys, each with `name`, `sha256` and `services`";
     const EXAMPLE: &'static str =
--- a/crates/auburnbridge_settings/src/value.rs
+++ b/crates/auburnbridge_settings/src/value.rs
@@ -1,6 +1,6 @@
 //! Types of options and their spelling.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 use auburnbridge_types::{ByteSize, DataCentre, Millis, VmId};
@@ -88,6 +88,7 @@
     VmId, "a name of 1 to 64 characters from `a-z A-Z 0-9 . _ : -`", r#""entry-1""#;
     DataCentre, "a name of 1 to 64 characters from `a-z A-Z 0-9 . _ : -`", r#""north""#;
     SocketAddr, "an IP address and a port", r#""10.0.0.1:7400""#;
+    IpAddr, "an IP address", r#""10.0.0.1""#;
 }
 
 impl Value for PathBuf {
@@ -104,6 +105,9 @@
     const EXAMPLE: &'static str = r#""5s""#;
 
     fn from_text(text: &str) -> Option<Self> {
+        if let Some(millis) = millis_with_decimals(text) {
+            return Some(millis);
+        }
         let duration = humantime::parse_duration(text).ok()?;
         let has_fraction = duration.subsec_nanos() % 1_000_000 != 0;
         let millis = u64::try_from(duration.as_millis()).ok()?;
@@ -115,6 +119,21 @@
     }
 }
 
+/// Reads a duration such as `2.5s`, which `humantime` doesn't know.
+fn millis_with_decimals(text: &str) -> Option<Millis> {
+    let (whole, decimals) = text.strip_suffix('s')?.split_once('.')?;
+    let is_number = |part: &str| !part.is_empty() && part.bytes().all(|b| b.is_ascii_digit());
+    if !is_number(whole) || !is_number(decimals) || decimals.len() > 3 {
+        return None;
+    }
+    let thousandths: u64 = format!("{decimals:0<3}").parse().ok()?;
+    let whole: u64 = whole.parse().ok()?;
+    whole
+        .checked_mul(1_000)?
+        .checked_add(thousandths)
+        .map(Millis)
+}
+
 impl Value for ByteSize {
     const KIND: &'static str = "a size with its unit (B, KiB, MiB, GiB)";
     const EXAMPLE: &'static str = r#""64MiB""#;
@@ -163,6 +182,42 @@
 
 number_value!(u32, u64);
 
+/// A share between zero and one.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Share(pub f64);
+
+impl Eq for Share {}
+
+impl Value for Share {
+    const KIND: &'static str = "a share from 0 to 1";
+    const EXAMPLE: &'static str = "0.7";
+
+    fn from_text(text: &str) -> Option<Self> {
+        text.parse().ok().filter(|value: &f64| value.is_finite()).map(Self)
+    }
+
+    fn from_json(json: &str) -> Result<Self, ValueError> {
+        Self::from_text(json).ok_or_else(|| ValueError::not_a(Self::KIND))
+    }
+
+    fn is_within(&self, first: &str, last: &str) -> bool {
+        is_between(self, first, last, Self::from_text)
+    }
+}
+
+impl Value for bool {
+    const KIND: &'static str = "`true` or `false`";
+    const EXAMPLE: &'static str = "true";
+
+    fn from_text(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+
+    fn from_json(json: &str) -> Result<Self, ValueError> {
+        serde_json::from_str(json).map_err(|_| ValueError::not_a(Self::KIND))
+    }
+}
+
 impl<T: Value> Value for Option<T> {
     const KIND: &'static str = T::KIND;
     const EXAMPLE: &'static str = T::EXAMPLE;
--- a/crates/auburnbridge_target/src/exchange.rs
+++ b/crates/auburnbridge_target/src/exchange.rs
@@ -115,6 +115,45 @@
     }
 }
 
+/// A request as it goes out.
+pub(crate) struct Outgoing<'a> {
+    pub(crate) encoded: &'a [u8],
+    pub(crate) info: RequestInfo,
+    /// Header whose value the answer repeats.
+    pub(crate) echo: Option<(&'static str, &'a [u8])>,
+}
+
+impl Outgoing<'_> {
+    /// Whether the response answers another request.
+    fn is_stray(&self, response: &Response) -> bool {
+        let Some((name, value)) = self.echo else {
+            return false;
+        };
+        response
+            .headers
+            .get(name)
+            .is_some_and(|echoed| echoed != value)
+    }
+}
+
+/// Answers to earlier requests that are skipped before the right one.
+const MOST_STRAYS: usize = 4;
+
+/// Reads the response to the request; tells as well whether strays came before it.
+async fn read_answer(
+    connection: &mut Connection<TcpStream>,
+    outgoing: &Outgoing<'_>,
+    limits: &Limits,
+) -> Result<(Response, bool), FramingError> {
+    for strays in 0..=MOST_STRAYS {
+        let response = connection.read_response(outgoing.info, limits).await?;
+        if !outgoing.is_stray(&response) {
+            return Ok((response, strays > 0));
+        }
+    }
+    Err(FramingError::TooManyInterim)
+}
+
 /// How a run on one connection ended.
 pub(crate) enum Run {
     /// A whole answer; the verdict tells whether the connection may be used again.
@@ -131,19 +170,18 @@
 /// Sets `written` as soon as the kernel has accepted a byte.
 pub(crate) async fn run(
     connection: &mut Connection<TcpStream>,
-    encoded: &[u8],
-    info: RequestInfo,
+    outgoing: &Outgoing<'_>,
     limits: &Limits,
     written: &AtomicBool,
 ) -> Run {
     enum Step {
         Wrote(io::Result<()>),
-        Read(Result<Response, FramingError>),
+        Read(Result<(Response, bool), FramingError>),
     }
 
     let stream = connection.get_ref().clone();
-    let mut write = pin!(write_all(stream, encoded, written));
-    let mut read = pin!(connection.read_response(info, limits));
+    let mut write = pin!(write_all(stream, outgoing.encoded, written));
+    let mut read = pin!(read_answer(connection, outgoing, limits));
     let step = or(async { Step::Wrote(write.as_mut().await) }, async {
         Step::Read(read.as_mut().await)
     })
@@ -158,11 +196,11 @@
     match answer {
         // Nothing was asked yet, so these bytes answer no request of ours.
         _ if !written.load(Ordering::Relaxed) => Run::Closed,
-        Ok(response) if is_written_whole => {
+        Ok((response, false)) if is_written_whole => {
             let verdict = response.verdict;
             Run::Answered(response, verdict)
         }
-        Ok(response) => Run::Answered(response, Verdict::Retire),
+        Ok((response, _)) => Run::Answered(response, Verdict::Retire),
         Err(error) => Run::Failed(error),
     }
 }
--- a/crates/auburnbridge_target/src/lib.rs
+++ b/crates/auburnbridge_target/src/lib.rs
@@ -12,9 +12,11 @@
 //! over an await.
 
 mod connect;
+mod crash;
 mod exchange;
 mod idle;
 mod pool;
 
+pub use crash::refuses_connections;
 pub use exchange::{Exchange, ExchangeResult, NotSent, Unknown};
 pub use pool::{Pool, PoolBuilder};
--- a/crates/auburnbridge_target/src/pool.rs
+++ b/crates/auburnbridge_target/src/pool.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 
 use crate::connect::connect;
-use crate::exchange::{Exchange, ExchangeResult, NotSent, Run, Unknown, run};
+use crate::exchange::{Exchange, ExchangeResult, NotSent, Outgoing, Run, Unknown, run};
 use crate::idle::TargetConnections;
 
 const DEFAULT_CONNECT_TIMEOUT: Millis = Millis(250);
@@ -32,6 +32,7 @@
     idle_timeout: Millis,
     freshness: Millis,
     connections_per_target: usize,
+    echo_header: Option<&'static str>,
 }
 
 impl PoolBuilder {
@@ -63,6 +64,15 @@
         self
     }
 
+    /// Names a header of the request that targets repeat in its answer (default none).
+    ///
+    /// An answer that repeats another value is a late one to an earlier request; it is skipped.
+    #[must_use]
+    pub fn echo_header(mut self, name: &'static str) -> Self {
+        self.echo_header = Some(name);
+        self
+    }
+
     /// Creates the pool.
     pub fn build(self) -> Pool {
         Pool {
@@ -94,6 +104,7 @@
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             freshness: DEFAULT_FRESHNESS,
             connections_per_target: DEFAULT_CONNECTIONS_PER_TARGET,
+            echo_header: None,
         }
     }
 
@@ -171,9 +182,16 @@
                 Err(reason) => return Exchange::not_sent(reason),
             };
             let is_reused = lease.is_reused;
-            let info = RequestInfo::from(request);
+            let outgoing = Outgoing {
+                encoded: &encoded,
+                info: RequestInfo::from(request),
+                echo: self
+                    .options
+                    .echo_header
+                    .and_then(|name| Some((name, request.headers.get(name)?))),
+            };
             let exchange = self
-                .run_lease(lease, &target, &encoded, info, limits, deadline)
+                .run_lease(lease, &target, &outgoing, limits, deadline)
                 .await;
             match exchange.result {
                 // The idle connection closed under us; no byte was written, so another will do.
@@ -239,8 +257,7 @@
         &self,
         mut lease: Lease,
         target: &TargetConnections,
-        encoded: &[u8],
-        info: RequestInfo,
+        outgoing: &Outgoing<'_>,
         limits: &Limits,
         deadline: Timestamp,
     ) -> Exchange {
@@ -250,7 +267,7 @@
         }
         let received = lease.connection.received();
         let written = AtomicBool::new(false);
-        let running = run(&mut lease.connection, encoded, info, limits, &written);
+        let running = run(&mut lease.connection, outgoing, limits, &written);
         let run = or(async { Some(running.await) }, async {
             self.until(deadline).await;
             None
--- /dev/null
+++ b/crates/auburnbridge_telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Telemetry.
--- a/crates/auburnbridge_types/src/clock.rs
+++ b/crates/auburnbridge_types/src/clock.rs
@@ -9,6 +9,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use parking_lot::Mutex;
 
 use crate::{Millis, Timestamp};
@@ -42,6 +43,48 @@
     }
 }
 
+/// A clock whose readings advance with the time since the boot of the machine.
+///
+/// It starts at the time of day and is not affected when that is set. Unlike the monotonic clock it
+/// counts the time for which the machine was suspended, so that a deadline passes meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub struct BootClock {
+    /// Time of day at the boot of the machine, as seen when the clock was created.
+    booted: Timestamp,
+}
+
+impl BootClock {
+    /// Reads both clocks of the machine once.
+    pub fn new() -> Self {
+        let since_boot = time_since_boot();
+        Self {
+            booted: Timestamp(RuntimeClock.now().0.saturating_sub(since_boot.0)),
+        }
+    }
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> Timestamp {
+        self.booted.after(time_since_boot())
+    }
+
+    fn sleep(&self, duration: Millis) -> BoxFuture<'static, ()> {
+        RuntimeClock.sleep(duration)
+    }
+}
+
+fn time_since_boot() -> Millis {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .expect("Linux has had a boot-time clock since version 2.6.39");
+    Millis(u64::try_from(Duration::from(time).as_millis()).unwrap_or(u64::MAX))
+}
+
 /// A clock that moves only when a test advances it.
 #[derive(Clone, Debug)]
 pub struct PausedClock {
