Remember failing targets and test them rarely

Cause: targets fail three quarters of their work for 5 to 25 s at a time with a good health check, and evidence that halved in 2.5 s, a test a second from each gateway and a floor that counted failing targets kept sending them work. Ruled out: our own connections (each break came on a new one). Change: evidence halves in 8 s, answers to tests clear it, tests wait for 1.5 to 3 s without news of the target, and the floor counts only targets that probably work.

--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -173,6 +173,7 @@
         balancer: BalancerOptions {
             data_centre: options.data_centre.clone(),
             floor_share: options.floor_share,
+            seed: rand::random(),
         },
         sends: options.sends,
         seed: rand::random(),
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -7,15 +7,17 @@
 use rand::Rng;
 use slotmap::SlotMap;
 
-use super::evidence::{Finding, Origin};
+use super::evidence::{Finding, Origin, STRONG_NATS};
 use super::target::{BalancedKey, BalancedMember, BalancedTarget, COLD_TIME};
 use super::told::{LoadReport, TargetHash, ToldFinding};
 use crate::RequestClass;
 
 /// Time after which a gateway's report of its requests in flight no longer counts.
 const REPORT_LIFETIME: Millis = Millis(1_500);
-/// Time between two idempotent requests from here that test a suspected target.
-const TEST_INTERVAL: Millis = Millis(1_000);
+/// Time without news after which an idempotent request tests a target that is probably well.
+const WEAK_TEST_INTERVAL: Millis = Millis(300);
+/// The same for a target that probably fails.
+const STRONG_TEST_INTERVAL: Millis = Millis(1_500);
 /// Weight of the newest answer in the average answer time.
 const LATENCY_WEIGHT: f64 = 0.05;
 /// Answer time that is assumed before any was measured.
@@ -31,6 +33,8 @@
     pub data_centre: DataCentre,
     /// Share of the targets that get work even if they are suspected.
     pub floor_share: f64,
+    /// Number by which this gateway's times differ from those of others.
+    pub seed: u64,
 }
 
 /// The target picked for one request.
@@ -189,7 +193,7 @@
     fn start(&mut self, now: Timestamp, key: BalancedKey) -> Pick {
         let target = &mut self.targets[key];
         target.own += 1;
-        target.last_sent = now;
+        target.last_news = now;
         Pick {
             key,
             target: target.member.id.clone(),
@@ -210,11 +214,23 @@
             .iter()
             .filter(|(_, target)| target.is_suspect(now) && !target.is_down(now))
             .filter(|(_, target)| target.own == 0 && target.free(now) > 0)
-            .filter(|(_, target)| now.since(target.last_sent) >= TEST_INTERVAL)
-            .min_by_key(|(_, target)| target.last_sent)
+            .filter(|(_, target)| now.since(target.last_news) >= self.test_interval(now, target))
+            .min_by_key(|(_, target)| target.last_news)
             .map(|(key, _)| key)
     }
 
+    /// Gateways with the same view would all test at the same moment, so each waits for a time of its
+    /// own, up to twice the shortest one.
+    fn test_interval(&self, now: Timestamp, target: &BalancedTarget) -> Millis {
+        let shortest = if target.suspicion(now) < STRONG_NATS {
+            WEAK_TEST_INTERVAL
+        } else {
+            STRONG_TEST_INTERVAL
+        };
+        let spread = (self.options.seed ^ u64::from(target.hash.0)) % shortest.0;
+        Millis(shortest.0 + spread)
+    }
+
     /// A random target among those of the best rank, weighted by free slots, so that gateways with
     /// the same view don't all take the same one.
     fn pick_up_to(
@@ -263,7 +279,7 @@
         target: &BalancedTarget,
         trust_limit: f64,
     ) -> Rank {
-        let is_trusted = target.suspicion(now) <= trust_limit;
+        let is_trusted = target.suspicion(now) < trust_limit;
         if target.is_down(now) {
             return Rank::Last;
         }
@@ -281,7 +297,8 @@
     }
 
     /// Suspicion up to which targets are trusted: the usual limit, or as much as it takes for the
-    /// floor's share of the targets to get work.
+    /// floor's share of the targets to get work. Targets that probably fail are no capacity, and
+    /// don't count towards the floor.
     fn trust_limit(&self, now: Timestamp) -> f64 {
         let mut suspicions: Vec<f64> = self
             .targets
@@ -301,7 +318,7 @@
         )]
         let floor = (suspicions.len() as f64 * self.options.floor_share).ceil() as usize;
         let at_floor = suspicions[floor.clamp(1, suspicions.len()) - 1];
-        at_floor.max(super::target::SUSPECT_NATS - f64::EPSILON)
+        at_floor.clamp(super::target::SUSPECT_NATS, STRONG_NATS)
     }
 
     /// Ends a request on a target and takes what it says as evidence.
--- a/crates/auburnbridge_policy/src/balance/evidence.rs
+++ b/crates/auburnbridge_policy/src/balance/evidence.rs
@@ -39,23 +39,25 @@
     Told,
 }
 
-/// Failing targets fail half of their work or more; healthy ones answer with an error of their own
-/// about one time in a hundred. The weights are the logarithms of these ratios, in nats.
-const ERROR_NATS: f64 = 3.7;
+/// The weights are logarithms of odds, in nats. Healthy targets answer with an error of their own
+/// about one time in a hundred, and there are far more of them than of failing ones.
+const ERROR_NATS: f64 = 2.0;
 /// A healthy target hardly ever breaks an answer off.
 const BROKEN_NATS: f64 = 4.5;
 /// Rare long requests look silent too.
 const SILENT_NATS: f64 = 3.0;
 /// A slow answer is an answer, and long requests are as rare as errors.
 const SLOW_NATS: f64 = 2.0;
-/// An answer is half as likely from a target that fails half of its work.
-const ANSWER_NATS: f64 = -0.7;
+/// An answer is a quarter as likely from a target that fails three quarters of its work.
+const ANSWER_NATS: f64 = -1.4;
 /// Failures to connect happen on a lossy path as well.
 const UNREACHABLE_NATS: f64 = 3.0;
-/// Evidence is not added up beyond this, so that recovery takes a bounded time.
-const MOST_NATS: f64 = 14.0;
-/// Evidence halves in this time without news: partial failures last some seconds.
-const HALF_LIFE: Millis = Millis(2_500);
+/// Evidence is not added up beyond this, so that a few answers in a row clear a target.
+const MOST_NATS: f64 = 6.0;
+/// Evidence halves in this time without news: partial failures last 5 to 25 seconds.
+const HALF_LIFE: Millis = Millis(8_000);
+/// Evidence that one error or slow answer doesn't reach, and one broken answer does.
+pub(super) const STRONG_NATS: f64 = 3.5;
 
 /// Evidence that fades.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/auburnbridge_policy/src/balance/target.rs
+++ b/crates/auburnbridge_policy/src/balance/target.rs
@@ -55,8 +55,8 @@
     down_time: Millis,
     pub(super) shed_until: Timestamp,
     pub(super) cold_until: Timestamp,
-    /// When this gateway last sent it a request.
-    pub(super) last_sent: Timestamp,
+    /// When a request last went there from here, or another gateway told of one.
+    pub(super) last_news: Timestamp,
     /// Whether another target has its address.
     pub(super) is_replaced: bool,
 }
@@ -74,7 +74,7 @@
             down_time: FIRST_DOWN,
             shed_until: Timestamp(0),
             cold_until,
-            last_sent: Timestamp(0),
+            last_news: Timestamp(0),
             is_replaced: false,
         }
     }
@@ -112,6 +112,7 @@
 
     pub(super) fn observe(&mut self, now: Timestamp, finding: Finding, origin: Origin) {
         self.evidence.add(now, finding.target_nats());
+        self.last_news = now;
         if origin == Origin::Own {
             self.path.add(now, finding.path_nats());
         }
