Begin with a cached view after a loss of power; let lower ranks wait behind better ones

Cause 1: after all machines lose power the gateways had no configuration until the keepers had elected a leader, and no targets until these announced themselves again: 2 s of refusals. Cause 2: under a burst, idempotent requests went to targets that fail three quarters of their work (133 of 340 failed twice in seconds 22 to 28), and then, taking their place on busy targets, delayed work of a better rank by 400 ms. Ruled out: retries (the budget allowed them), our own processor time (1.5% of a core). Change: keepers store the committed view beside the log and begin with it; strongly suspected targets come last for all; estimates count the arrivals of better ranks, and only the best rank takes busy targets.

--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -73,7 +73,7 @@
 
     /// Serves the request unless its caller goes away, which also ends it at the target.
     pub(crate) async fn run(mut self) -> Response {
-        self.gate.record_request();
+        self.gate.record_request(self.incoming.route.priority.0);
         let disconnect = self.disconnect;
         let gone = async {
             disconnect.wait().await;
@@ -315,7 +315,7 @@
         } else {
             Failure::NoRoom
         };
-        let refusal = refusal.unwrap_or_else(|| self.gate.refusal());
+        let refusal = refusal.unwrap_or_else(|| self.gate.refusal(self.incoming.route.priority.0));
         let response = failure.to_response(Some(refusal.retry_after));
         self.log_end(response.status, failure.into(), Some(refusal.retry_after));
         response
--- a/crates/auburnbridge_gateway/src/gate.rs
+++ b/crates/auburnbridge_gateway/src/gate.rs
@@ -151,10 +151,12 @@
         self.state.lock().gateways = count.max(1);
     }
 
-    /// Counts a request for the budget of further sends.
-    pub(crate) fn record_request(&self) {
+    /// Counts a request of a rank, for the budget of further sends and the estimates of waits.
+    pub(crate) fn record_request(&self, rank: u32) {
         let now = self.clock.now();
-        self.state.lock().budget.record_request(now);
+        let mut state = self.state.lock();
+        state.budget.record_request(now);
+        state.waiting.record_arrival(now, rank);
     }
 
     /// Takes one further send from the budget if it has one.
@@ -175,10 +177,10 @@
     }
 
     /// When a request that was refused may come back.
-    pub(crate) fn refusal(&self) -> Refusal {
+    pub(crate) fn refusal(&self, rank: u32) -> Refusal {
         let now = self.clock.now();
         let state = self.state.lock();
-        state.waiting.refusal(&state.capacity(now))
+        state.waiting.refusal(now, rank, &state.capacity(now))
     }
 
     /// Waits for a target; dropping the future gives the place up.
@@ -228,12 +230,18 @@
         self.pick_any(&need)
     }
 
-    /// Time after which a request takes a target without a free slot.
+    /// Time after which a request no longer waits for a free slot. One of the best rank then takes a
+    /// busy target; the others leave those to it and wait for as long as they can be answered.
     fn patience(&self, now: Timestamp, need: &Need<'_>) -> Millis {
-        let needed = self.state.lock().capacity(now).needed();
+        let state = self.state.lock();
+        let needed = state.capacity(now).needed();
         let objective = need.objective.since(now).0.saturating_sub(needed.0);
         let deadline = need.deadline.since(now).0.saturating_sub(needed.0);
-        Millis((objective / 2).min(deadline))
+        if state.waiting.is_best_rank(now, need.rank) {
+            Millis((objective / 2).min(deadline))
+        } else {
+            Millis(deadline)
+        }
     }
 
     /// The least bad target for a request that can't wait any longer, if it can answer in time.
@@ -241,7 +249,7 @@
         let now = self.clock.now();
         let state = &mut *self.state.lock();
         let capacity = state.capacity(now);
-        let refusal = state.waiting.refusal(&capacity);
+        let refusal = state.waiting.refusal(now, need.rank, &capacity);
         if now.after(capacity.needed()) > need.deadline {
             return Err(refusal);
         }
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -38,6 +38,11 @@
 const ONCE_FRESHNESS: Millis = Millis(200);
 /// Idle time after which a connection to a target is closed; targets close theirs after ten seconds.
 const POOL_IDLE: Millis = Millis(4_000);
+/// Longest wait for a connection to a keeper; another one may be there.
+const KEEPER_CONNECT_TIMEOUT: Millis = Millis(300);
+/// Waits between attempts to connect to one keeper.
+const KEEPER_FIRST_BACKOFF: Millis = Millis(20);
+const KEEPER_LAST_BACKOFF: Millis = Millis(200);
 /// Interval at which idle connections and waiting requests are looked after.
 const MAINTENANCE_INTERVAL: Millis = Millis(50);
 /// Turns of that interval between two looks at idle connections.
@@ -208,6 +213,9 @@
     let peer_options = Options::builder()
         .message_limit(MESSAGE_LIMIT)
         .clock(Arc::clone(clock))
+        .connect_timeout(KEEPER_CONNECT_TIMEOUT)
+        .first_backoff(KEEPER_FIRST_BACKOFF)
+        .last_backoff(KEEPER_LAST_BACKOFF)
         .build();
     let transport: Arc<dyn Transport> = Arc::new(PlainTransport::new(identity, peer_options));
     Feed {
@@ -272,8 +280,8 @@
         if self.gateway.routes().is_none() {
             return Err("no configuration has arrived yet");
         }
-        if !self.feed.is_current() {
-            return Err("no keeper that is up to date has answered yet");
+        if !self.feed.is_current() && self.gateway.services().targets() == 0 {
+            return Err("neither targets nor a keeper that is up to date are known yet");
         }
         Ok(())
     }
--- a/crates/auburnbridge_keeper/src/catalogue.rs
+++ b/crates/auburnbridge_keeper/src/catalogue.rs
@@ -18,6 +18,7 @@
 use parking_lot::Mutex;
 
 use crate::core::CommitObserver;
+use crate::view_cache::CachedView;
 
 /// Changes that are kept for gateways that follow; one that lags further gets the whole list.
 const KEPT_CHANGES: usize = 4_096;
@@ -45,6 +46,8 @@
     unsent: Vec<Announcement>,
     /// Gateways that watched this keeper since the other keepers were told.
     watching: HashMap<VmId, GatewayLocation>,
+    /// Number of changes and version of the view that was last cached.
+    cached: Option<(u64, Option<u64>)>,
 }
 
 /// What is known of a target that says it leaves.
@@ -74,6 +77,7 @@
                 gateways: HashMap::new(),
                 unsent: Vec::new(),
                 watching: HashMap::new(),
+                cached: None,
             }),
             changed: Event::new(),
         }
@@ -164,6 +168,43 @@
         self.state.lock().members.iter().cloned().collect()
     }
 
+    /// Begins with a view that was committed before the process started.
+    pub fn begin_with(&self, view: CachedView) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        for announcement in view.targets {
+            state.take(now, announcement);
+        }
+        state.document = view
+            .document
+            .map(|published| (published.version, published.document.into()));
+    }
+
+    /// The committed view, if it has changed since the last call.
+    pub fn changed_view(&self) -> Option<CachedView> {
+        let mut state = self.state.lock();
+        let stamp = (
+            state.changes,
+            state.document.as_ref().map(|(version, _)| *version),
+        );
+        if state.cached == Some(stamp) {
+            return None;
+        }
+        state.cached = Some(stamp);
+        Some(CachedView {
+            document: state.document.as_ref().map(|(version, document)| Publish {
+                version: *version,
+                document: document.to_vec(),
+            }),
+            targets: state.members.iter().cloned().collect(),
+        })
+    }
+
+    /// Makes the next call of [`Catalogue::changed_view`] give the view again.
+    pub fn view_not_stored(&self) {
+        self.state.lock().cached = None;
+    }
+
     /// Takes over the VMs of the keepers.
     pub fn set_keepers(&self, keepers: Vec<VmId>) {
         self.state.lock().keepers = keepers;
@@ -299,7 +340,15 @@
 
 impl CommitObserver for Catalogue {
     fn published(&self, version: u64, document: &Arc<[u8]>) {
-        self.state.lock().document = Some((version, Arc::clone(document)));
+        {
+            let mut state = self.state.lock();
+            // The log is applied from its start; what was cached may be newer than its first records.
+            let held = state.document.as_ref().map(|(version, _)| *version);
+            if held.is_some_and(|held| held > version) {
+                return;
+            }
+            state.document = Some((version, Arc::clone(document)));
+        }
         info!("configuration version={version} applied=true");
         self.changed.notify(usize::MAX);
     }
--- a/crates/auburnbridge_keeper/src/lib.rs
+++ b/crates/auburnbridge_keeper/src/lib.rs
@@ -10,6 +10,7 @@
 mod run;
 mod server;
 mod state;
+mod view_cache;
 
 pub use catalogue::{Catalogue, LeavingTarget};
 pub use control::ControlService;
@@ -21,4 +22,5 @@
 pub use group_client::{GroupClient, Unavailable};
 pub use run::{ControlOptions, Keeper, KeeperError, KeeperOptions, PeerSecurity};
 pub use server::KeeperServer;
+pub use view_cache::{CachedView, ViewCache, read_view};
 pub use state::{KeeperState, RestoreError, StateCommand, StateReply};
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -35,6 +35,7 @@
 use crate::directory::Directory;
 use crate::formation::Formation;
 use crate::group_client::GroupClient;
+use crate::view_cache::{ViewCache, read_view};
 use crate::operator_store::OperatorStore;
 use crate::server::KeeperServer;
 
@@ -49,6 +50,12 @@
 const HOUSEKEEPING_TURNS: u32 = 5;
 /// Longest wait for another keeper's list of targets at the start.
 const FETCH_TIMEOUT: Millis = Millis(500);
+/// Longest wait for a connection to another process. A VM that is off answers nothing.
+const CONNECT_TIMEOUT: Millis = Millis(400);
+/// Waits between attempts to connect, which begin with the first. After a loss of power everywhere
+/// the group forms as soon as the last wait allows.
+const FIRST_BACKOFF: Millis = Millis(20);
+const LAST_BACKOFF: Millis = Millis(200);
 /// Ticks per heartbeat interval.
 const TICKS_PER_HEARTBEAT: u64 = 5;
 
@@ -162,6 +169,9 @@
         let peer_options = Options::builder()
             .message_limit(MESSAGE_LIMIT)
             .clock(Arc::clone(clock))
+            .connect_timeout(CONNECT_TIMEOUT)
+            .first_backoff(FIRST_BACKOFF)
+            .last_backoff(LAST_BACKOFF)
             .build();
         Ok(match &options.security {
             PeerSecurity::MutualTls(folder) => {
@@ -234,6 +244,11 @@
             directory: directory.clone(),
         };
         let catalogue = Arc::new(Catalogue::new(Arc::clone(&clock), rand::random()));
+        if let Some(view) = read_view(&options.data_folder) {
+            info!("keeper begins with the cached view targets={}", view.targets.len());
+            catalogue.begin_with(view);
+        }
+        let cache = ViewCache::start(&options.data_folder).change_context(KeeperError)?;
         let core = Core::new(
             replica,
             store,
@@ -296,6 +311,7 @@
         let spreading = Spreading {
             own: options.vm.clone(),
             catalogue,
+            cache,
             core: handle.clone(),
             directory: directory.clone(),
             transport: Arc::clone(&transport),
@@ -403,6 +419,7 @@
 struct Spreading {
     own: VmId,
     catalogue: Arc<Catalogue>,
+    cache: ViewCache,
     core: CoreHandle,
     directory: Directory,
     transport: Arc<dyn Transport>,
@@ -418,6 +435,7 @@
             if turn % HOUSEKEEPING_TURNS == 0 {
                 others = self.other_members().await;
                 self.catalogue.expire();
+                self.cache_view();
                 if !has_targets {
                     has_targets = self.fetch_targets(&others).await;
                 }
@@ -430,6 +448,15 @@
         }
     }
 
+    fn cache_view(&self) {
+        let Some(view) = self.catalogue.changed_view() else {
+            return;
+        };
+        if !self.cache.store(view) {
+            self.catalogue.view_not_stored();
+        }
+    }
+
     async fn other_members(&self) -> Vec<PeerAddress> {
         let Some(report) = self.core.ask(|reply| Event::Report { reply }).await else {
             return Vec::new();
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -76,11 +76,11 @@
     NearFree,
     /// Trusted and free elsewhere.
     Free,
-    /// Suspected but free, for a request that can be sent again elsewhere.
+    /// Weakly suspected but free, for a request that can be sent again elsewhere.
     SuspectFree,
     /// Busy: the request would wait in the target's own queue.
     Busy,
-    /// Suspected but free, for a request that a failure would lose.
+    /// Suspected but free, where a failure is likely or would lose the request.
     Risky,
     /// Down or suspected and busy.
     Last,
@@ -279,7 +279,9 @@
         target: &BalancedTarget,
         trust_limit: f64,
     ) -> Rank {
-        let is_trusted = target.suspicion(now) < trust_limit;
+        let suspicion = target.suspicion(now);
+        let is_trusted = suspicion < trust_limit;
+        let is_risky = class == RequestClass::Once || suspicion >= STRONG_NATS;
         if target.is_down(now) {
             return Rank::Last;
         }
@@ -289,7 +291,7 @@
                 Rank::NearFree
             }
             (true, true) => Rank::Free,
-            (false, true) if class == RequestClass::Once => Rank::Risky,
+            (false, true) if is_risky => Rank::Risky,
             (false, true) => Rank::SuspectFree,
             (true, false) => Rank::Busy,
             (false, false) => Rank::Last,
--- a/crates/auburnbridge_policy/src/balance/waiting.rs
+++ b/crates/auburnbridge_policy/src/balance/waiting.rs
@@ -2,6 +2,8 @@
 //!
 //! They start by rank, then in the order of their deadlines. A request that can't be answered before
 //! its deadline is refused when it arrives, so that its caller can do something else with the time.
+//! For that the arrivals of each rank are counted: whoever waits also waits for requests of a better
+//! rank that are yet to come.
 
 use std::collections::BTreeMap;
 
@@ -12,6 +14,10 @@
 /// Part of the usual answer time that must be left before a deadline. Half of the requests take
 /// less than the average.
 const NEEDED_SHARE: f64 = 0.9;
+/// Part of the capacity that must be left by better ranks for a request to be taken in.
+const LEAST_SHARE: f64 = 0.05;
+/// Time over which arrivals are averaged.
+const RATE_TIME: Millis = Millis(1_000);
 /// Shortest advice when to come back; less is within the error of the estimate.
 const SHORTEST_RETRY: Millis = Millis(100);
 /// Longest advice when to come back.
@@ -70,6 +76,27 @@
 pub struct WaitingRoom<T> {
     waiting: BTreeMap<WaitingKey, T>,
     next_number: u64,
+    arrivals: BTreeMap<u32, ArrivalRate>,
+}
+
+/// Arrivals of one rank, as a count that fades.
+#[derive(Clone, Copy, Debug, Default)]
+struct ArrivalRate {
+    count: f64,
+    at: Timestamp,
+}
+
+impl ArrivalRate {
+    fn fade(&mut self, now: Timestamp) {
+        let age = milliseconds(now.since(self.at));
+        self.count *= (-age / milliseconds(RATE_TIME)).exp();
+        self.at = now;
+    }
+
+    fn per_ms(mut self, now: Timestamp) -> f64 {
+        self.fade(now);
+        self.count / milliseconds(RATE_TIME)
+    }
 }
 
 impl<T> Default for WaitingRoom<T> {
@@ -77,6 +104,7 @@
         Self {
             waiting: BTreeMap::new(),
             next_number: 0,
+            arrivals: BTreeMap::new(),
         }
     }
 }
@@ -95,13 +123,17 @@
         self.in_flight < self.slots
     }
 
-    fn wait_behind(&self, ahead: usize) -> Millis {
-        let turns = if self.has_room() {
-            count(ahead)
-        } else {
-            count(ahead + 1)
-        };
-        whole_millis(turns / self.own_rate_per_ms())
+    /// Wait behind so many requests while those of a better rank arrive at a rate.
+    fn wait_behind(&self, ahead: usize, better_per_ms: f64) -> Millis {
+        if self.has_room() && ahead == 0 {
+            return Millis(0);
+        }
+        let rate = self.own_rate_per_ms();
+        let left = rate - better_per_ms;
+        if left < rate * LEAST_SHARE {
+            return LONGEST_RETRY;
+        }
+        whole_millis(count(ahead + 1) / left)
     }
 
     /// Time that an answer needs from the start of the request.
@@ -111,6 +143,27 @@
 }
 
 impl<T> WaitingRoom<T> {
+    /// Counts a request of the rank, whether it waits or not.
+    pub fn record_arrival(&mut self, now: Timestamp, rank: u32) {
+        let arrivals = self.arrivals.entry(rank).or_default();
+        arrivals.fade(now);
+        arrivals.count += 1.0;
+    }
+
+    /// Arrivals of better ranks than `rank`.
+    fn better_per_ms(&self, now: Timestamp, rank: u32) -> f64 {
+        self.arrivals
+            .range(..rank)
+            .map(|(_, arrivals)| arrivals.per_ms(now))
+            .sum()
+    }
+
+    /// Whether no request of a better rank has arrived lately or waits.
+    pub fn is_best_rank(&self, now: Timestamp, rank: u32) -> bool {
+        let is_first = self.first().is_none_or(|(key, _)| key.rank >= rank);
+        is_first && self.better_per_ms(now, rank) * milliseconds(RATE_TIME) < 0.5
+    }
+
     /// Takes a request in, or refuses it if it would wait in vain.
     pub fn offer(
         &mut self,
@@ -124,10 +177,11 @@
             number: self.next_number,
         };
         let ahead = self.waiting.range(..key).count();
-        let wait = capacity.wait_behind(ahead);
+        let better = self.better_per_ms(now, offer.rank);
+        let wait = capacity.wait_behind(ahead, better);
         let is_late = now.after(wait).after(capacity.needed()) > offer.deadline;
         if is_late || self.waiting.len() >= MOST_WAITING {
-            return Err(self.refusal(capacity));
+            return Err(self.refusal(now, offer.rank, capacity));
         }
         self.next_number += 1;
         self.waiting.insert(key, offer.item);
@@ -135,8 +189,9 @@
     }
 
     /// The refusal of a request that gets no slot in time.
-    pub fn refusal(&self, capacity: &Capacity) -> Refusal {
-        let wait = capacity.wait_behind(self.waiting.len());
+    pub fn refusal(&self, now: Timestamp, rank: u32, capacity: &Capacity) -> Refusal {
+        let better = self.better_per_ms(now, rank);
+        let wait = capacity.wait_behind(self.waiting.len(), better);
         Refusal {
             retry_after: wait.clamp(SHORTEST_RETRY, LONGEST_RETRY),
         }
--- a/crates/auburnbridge_settings/src/control.rs
+++ b/crates/auburnbridge_settings/src/control.rs
@@ -39,9 +39,9 @@
         segment_size: ByteSize [default "4MiB"] ["1MiB" to "1GiB"],
         /// Silence of the leader after which a keeper stands for election; up to twice this, at
         /// random.
-        election_timeout: Millis [default "700ms"] ["100ms" to "10s"],
+        election_timeout: Millis [default "350ms"] ["100ms" to "10s"],
         /// Interval between the heartbeats of a leader.
-        heartbeat_interval: Millis [default "150ms"] ["10ms" to "3s"],
+        heartbeat_interval: Millis [default "100ms"] ["10ms" to "3s"],
     }
 }
 
