--- a/crates/auburnbridge/src/commands/control.rs
+++ b/crates/auburnbridge/src/commands/control.rs
@@ -19,7 +19,7 @@
 use log::{info, warn};
 use parking_lot::Mutex;
 
-use crate::commands::port;
+use crate::commands::{init_json_log, port};
 use crate::failure::Failure;
 use crate::signals::{ProcessSignal, ProcessSignals};
 
@@ -36,6 +36,7 @@
 
 pub(crate) fn run(arguments: &ControlArguments) -> Result<(), Failure> {
     let settings = ControlSettings::load(&arguments.settings)?;
+    init_json_log(settings.log_lines_per_second)?;
     let mut signals = ProcessSignals::new()?;
     let peer_port = port(settings.peer_port)?;
     let keepers = Arc::new(Mutex::new(keepers_at(&settings.seeds, peer_port)));
@@ -56,6 +57,7 @@
             address: settings.control_address,
             dialect: Arc::new(UtilityDialect),
             body_limit: settings.body_limit,
+            metrics_address: settings.metrics_address,
         }),
         log: Config::builder()
             .election_timeout(settings.election_timeout)
@@ -86,10 +88,7 @@
             .stop()
             .await
             .map_err(|report| Failure::from_report(&report))?;
-        info!(
-            "keeper stopped syncs={} records={}",
-            counts.syncs, counts.records
-        );
+        info!(syncs = counts.syncs, records = counts.records; "keeper stopped");
         Ok(())
     })
 }
@@ -98,10 +97,10 @@
 fn reload(path: &Path, peer_port: u16, keepers: &Mutex<Vec<PeerAddress>>) {
     match ControlSettings::load(path) {
         Ok(settings) => {
-            info!("settings reloaded seeds={:?}", settings.seeds);
+            info!(seeds:? = settings.seeds; "settings reloaded");
             *keepers.lock() = keepers_at(&settings.seeds, peer_port);
         }
-        Err(error) => warn!("settings kept: the changed file is invalid: {error}"),
+        Err(error) => warn!(error:% = error; "settings kept: the changed file is invalid"),
     }
 }
 
--- a/crates/auburnbridge/src/commands/gateway.rs
+++ b/crates/auburnbridge/src/commands/gateway.rs
@@ -14,7 +14,7 @@
 use log::{info, warn};
 use parking_lot::Mutex;
 
-use crate::commands::port;
+use crate::commands::{init_json_log, port};
 use crate::failure::Failure;
 use crate::signals::{ProcessSignal, ProcessSignals};
 
@@ -29,6 +29,7 @@
 
 pub(crate) fn run(arguments: &GatewayArguments) -> Result<(), Failure> {
     let settings = GatewaySettings::load(&arguments.settings)?;
+    init_json_log(settings.log_lines_per_second)?;
     let mut signals = ProcessSignals::new()?;
     let seeds = Arc::new(Mutex::new(addresses(&settings.seeds)));
     let options = GatewayOptions {
@@ -50,6 +51,7 @@
             allowance: f64::from(settings.resend_allowance),
             window: settings.resend_window,
         },
+        metrics_address: settings.metrics_address,
     };
     task::block_on(async {
         let gateway = RunningGateway::start(options)
@@ -71,10 +73,10 @@
 fn reload(path: &Path, seeds: &Mutex<Vec<IpAddr>>) {
     match GatewaySettings::load(path) {
         Ok(settings) => {
-            info!("settings reloaded seeds={:?}", settings.seeds);
+            info!(seeds:? = settings.seeds; "settings reloaded");
             *seeds.lock() = addresses(&settings.seeds);
         }
-        Err(error) => warn!("settings kept: the changed file is invalid: {error}"),
+        Err(error) => warn!(error:% = error; "settings kept: the changed file is invalid"),
     }
 }
 
--- a/crates/auburnbridge/src/commands/mod.rs
+++ b/crates/auburnbridge/src/commands/mod.rs
@@ -12,9 +12,20 @@
 
 use auburnbridge_peer::PeerAddress;
 use auburnbridge_settings::PeerLocation;
+use auburnbridge_telemetry::LogOptions;
 
 use crate::failure::Failure;
 
+/// Makes JSON lines on standard output the log of the process.
+fn init_json_log(lines_per_second: u64) -> Result<(), Failure> {
+    let options = LogOptions {
+        lines_per_second,
+        ..LogOptions::default()
+    };
+    auburnbridge_telemetry::init(options)
+        .map_err(|error| Failure::new(format!("can't start the log: {error}")))
+}
+
 /// A port of the settings, whose range is checked when they are loaded.
 fn port(number: u32) -> Result<u16, Failure> {
     u16::try_from(number).map_err(|_| Failure::new(format!("{number} is no port")))
--- a/crates/auburnbridge/src/main.rs
+++ b/crates/auburnbridge/src/main.rs
@@ -29,11 +29,20 @@
     Targets(commands::targets::TargetsArguments),
 }
 
+impl Command {
+    /// Whether the command starts the JSON log itself, once it has read its settings.
+    fn logs_json(&self) -> bool {
+        matches!(self, Self::Gateway(_) | Self::Control(_))
+    }
+}
+
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format_timestamp_millis()
-        .init();
+    if !arguments.command.logs_json() {
+        env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+            .format_timestamp_millis()
+            .init();
+    }
     let result = match arguments.command {
         Command::Entry(arguments) => commands::entry::run(&arguments),
         Command::Keeper(arguments) => commands::keeper::run(&arguments),
--- a/crates/auburnbridge_gateway/src/feed.rs
+++ b/crates/auburnbridge_gateway/src/feed.rs
@@ -115,14 +115,18 @@
                 }
                 Err(error) => {
                     if position.is_some() {
-                        warn!("keeper {} lost: {error}", keeper.vm);
+                        warn!(keeper = keeper.vm.as_str(), error:% = error; "keeper lost");
                     }
                     self.clock.sleep(RETRY).await;
                     return;
                 }
             };
             if position.is_none() {
-                info!("keeper {} followed", keeper.vm);
+                info!(
+                    keeper = keeper.vm.as_str(),
+                    confirmed_before_ms = watched.confirmed_before.map_or(u64::MAX, |age| age.0);
+                    "keeper followed"
+                );
             }
             let is_complete = watched.confirmed_before.is_some_and(|age| age < STALE);
             position = Some(self.take(watched));
@@ -150,8 +154,8 @@
                     self.gateway.put_in_force(routes);
                 }
                 Err(error) => warn!(
-                    "configuration version={} can't be put in force: {error}",
-                    published.version
+                    version = published.version, error = error;
+                    "configuration can't be put in force"
                 ),
             }
         }
--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -9,6 +9,7 @@
 use auburnbridge_policy::balance::{BalancedKey, Finding, Refusal};
 use auburnbridge_policy::{CrashReport, RequestClass};
 use auburnbridge_target::{Exchange, ExchangeResult, NotSent, Unknown, refuses_connections};
+use auburnbridge_telemetry::{ExchangeLabels, RequestLabels};
 use auburnbridge_types::{Millis, Timestamp};
 use futures_lite::FutureExt;
 use log::info;
@@ -82,7 +83,7 @@
         let attempt = self.attempt_id().to_owned();
         let served = gone.or(async { Some(self.serve().await) }).await;
         served.unwrap_or_else(|| {
-            info!("request cancelled attempt={attempt}: the caller disconnected");
+            info!(attempt = attempt; "request cancelled: the caller disconnected");
             Failure::Broken.to_response(None)
         })
     }
@@ -345,33 +346,39 @@
             Outcome::MayHaveRun(failure) => (*failure).into(),
             Outcome::ServerError(_) => "server-error",
         };
+        let finding: &'static str = finding.map_or("none", Into::into);
         info!(
-            "exchange attempt={} service={} target={} incarnation={} in_flight={} suspicion={:.1} reused={reused} time={time} result={result} finding={}",
-            self.attempt_id(),
-            self.gate.name(),
-            pick.target,
-            pick.incarnation,
-            pick.in_flight,
-            pick.suspicion,
-            finding.map_or("none", Into::into)
+            attempt = self.attempt_id(), service = self.gate.name().as_str(),
+            target_id = pick.target.as_str(), incarnation = pick.incarnation.0,
+            in_flight = pick.in_flight, suspicion = pick.suspicion, reused = reused,
+            time_ms = time.0, result = result, finding = finding;
+            "exchange"
         );
+        let labels = ExchangeLabels {
+            service: self.gate.name().to_string(),
+            finding: finding.to_owned(),
+        };
+        self.gateway.metrics.record_exchange(labels, time);
     }
 
     fn log_end(&self, status: u16, result: &str, retry_after: Option<Millis>) {
         let now = self.gateway.clock.now();
+        let time = now.since(self.incoming.arrived);
         info!(
-            "request attempt={} route={} service={} class={} status={status} result={result} not_run={} sends={} unsent={} time={} left={} retry_after={}",
-            self.attempt_id(),
-            self.incoming.route.name,
-            self.gate.name(),
-            self.incoming.route.class,
-            !self.may_have_run && status != 200,
-            self.sends,
-            self.unsent,
-            now.since(self.incoming.arrived),
-            self.incoming.deadline.since(now),
-            retry_after.unwrap_or_default()
+            attempt = self.attempt_id(), route = self.incoming.route.name,
+            service = self.gate.name().as_str(), class:% = self.incoming.route.class,
+            status = status, result = result, not_run = retry_after.is_some(), sends = self.sends,
+            unsent = self.unsent, time_ms = time.0,
+            left_ms = self.incoming.deadline.since(now).0,
+            retry_after_ms = retry_after.unwrap_or_default().0;
+            "request"
         );
+        let labels = RequestLabels {
+            service: self.gate.name().to_string(),
+            class: self.incoming.route.class.to_string(),
+            result: result.to_owned(),
+        };
+        self.gateway.metrics.record_request(labels, time);
     }
 }
 
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use auburnbridge_policy::{CrashReport, PoisonTable};
 use auburnbridge_routing::{CallerLimits, Dialect, HeaderNames, PublishedRoute, RouteSet, Splits};
 use auburnbridge_target::Pool;
+use auburnbridge_telemetry::ProcessMetrics;
 use auburnbridge_types::{BodyDigest, BoxFuture, ByteSize, Clock, Millis, Timestamp};
 use event_listener::Event;
 use log::info;
@@ -44,6 +45,8 @@
     pub pool: Pool,
     /// Memory for the bodies of all requests and answers.
     pub budget: MemoryBudget,
+    /// Counters and histograms.
+    pub metrics: Arc<ProcessMetrics>,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -56,6 +59,7 @@
     pub(crate) headers: HeaderNames,
     pub(crate) pool: Pool,
     pub(crate) services: ServiceTable,
+    pub(crate) metrics: Arc<ProcessMetrics>,
     budget: MemoryBudget,
     routes: ArcSwapOption<RouteSet>,
     splits: Mutex<(Splits, StdRng)>,
@@ -85,6 +89,7 @@
             headers: ports.dialect.headers(),
             pool: ports.pool,
             services,
+            metrics: ports.metrics,
             budget: ports.budget,
             routes: ArcSwapOption::empty(),
             splits: Mutex::new((Splits::default(), StdRng::seed_from_u64(ports.seed))),
@@ -111,10 +116,10 @@
             return false;
         }
         info!(
-            "configuration version={} routes={} in_force=true",
-            routes.version(),
-            routes.len()
+            version = routes.version().0, previous = held.map_or(0, |held| held.0), routes = routes.len();
+            "configuration in force"
         );
+        self.metrics.set_configuration_version(routes.version().0);
         // The gates come first, so that no request meets a route without its service.
         self.services.apply_routes(&routes);
         self.routes.store(Some(Arc::new(routes)));
@@ -130,8 +135,8 @@
     /// Records a crash and queues it for the other gateways.
     pub(crate) fn report_crash(&self, report: CrashReport) {
         info!(
-            "crash target={} incarnation={} request={}",
-            report.target, report.incarnation, report.request
+            target_id:% = report.target, incarnation = report.incarnation.0, request:% = report.request;
+            "target crashed while it ran a request"
         );
         self.record_crash(report.clone());
         self.untold_crashes.lock().push(report);
@@ -205,11 +210,9 @@
     retry_after: Option<Millis>,
 ) -> Response {
     info!(
-        "request refused attempt={} method={} path={} reason={failure} not_run={}",
-        message.headers.text(headers.attempt).unwrap_or("-"),
-        message.method,
-        message.path,
-        failure.is_not_run()
+        attempt = message.headers.text(headers.attempt).unwrap_or("-"), method = message.method,
+        path = message.path, reason:% = failure, not_run = failure.is_not_run();
+        "request refused"
     );
     failure.to_response(retry_after)
 }
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -17,6 +17,7 @@
 use auburnbridge_policy::balance::{BalancerOptions, SendBudgetOptions};
 use auburnbridge_routing::Dialect;
 use auburnbridge_target::Pool;
+use auburnbridge_telemetry::MetricsService;
 use auburnbridge_types::{BootClock, BoxFuture, ByteSize, Clock, DataCentre, Millis, VmId};
 use error_stack::{Report, ResultExt};
 use log::info;
@@ -79,6 +80,8 @@
     pub floor_share: f64,
     /// Bounds of the sends beyond the first one of each request.
     pub sends: SendBudgetOptions,
+    /// Where the metrics are served, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
 }
 
 /// Reason why a gateway can't start.
@@ -143,9 +146,19 @@
             callers,
         )
         .await?;
+        if let Some(address) = options.metrics_address {
+            listen(
+                address,
+                Arc::new(MetricsService(Arc::clone(&gateway.metrics))),
+                Arc::new(Lifecycle::default()),
+                ListenerOptions::builder().clock(Arc::clone(&clock)).build(),
+            )
+            .await?;
+        }
         info!(
-            "gateway vm={} data_centre={} callers={} started",
-            options.vm, options.data_centre, options.caller_address
+            vm = options.vm.as_str(), data_centre = options.data_centre.as_str(),
+            callers:% = options.caller_address;
+            "gateway started"
         );
         task::spawn(feed.run());
         task::spawn(Arc::clone(&neighbours).receive(Arc::clone(&gateway)));
@@ -161,14 +174,14 @@
 
     /// Stops gracefully; gives the number of requests that were still in flight at the limit.
     pub async fn stop(self) -> usize {
-        info!("shutdown phase=draining in_flight={}", self.lifecycle.in_flight());
+        info!(phase = "draining", in_flight = self.lifecycle.in_flight(); "shutdown");
         self.lifecycle.begin_draining();
         self.clock.sleep(self.balancer_lag).await;
-        info!("shutdown phase=closing in_flight={}", self.lifecycle.in_flight());
+        info!(phase = "closing", in_flight = self.lifecycle.in_flight(); "shutdown");
         self.lifecycle.begin_closing();
         let limit = self.shutdown_limit;
         let remaining = self.lifecycle.wait_idle(self.clock.as_ref(), limit).await;
-        info!("shutdown phase=done in_flight={remaining}");
+        info!(phase = "done", in_flight = remaining; "shutdown");
         remaining
     }
 }
@@ -195,6 +208,7 @@
         dialect: Arc::clone(&options.dialect),
         pool,
         budget: MemoryBudget::new(options.body_memory),
+        metrics: Arc::default(),
         seed: rand::random(),
     };
     Gateway::new(ServiceTable::new(Arc::clone(clock), gates), ports)
--- a/crates/auburnbridge_keeper/src/catalogue.rs
+++ b/crates/auburnbridge_keeper/src/catalogue.rs
@@ -266,13 +266,11 @@
         });
         if is_taken && !is_renewal {
             info!(
-                "target {verdict} service={} target={} incarnation={} address={} slots={} state={}",
-                announcement.service,
-                announcement.target,
-                announcement.incarnation,
-                announcement.address,
-                announcement.slots,
-                announcement.state
+                service = announcement.service.as_str(), target_id = announcement.target.as_str(),
+                incarnation = announcement.incarnation.0, sequence = announcement.sequence.0,
+                address:% = announcement.address, slots = announcement.slots.0,
+                state:% = announcement.state, verdict:% = verdict;
+                "target announced"
             );
             self.changes += 1;
             if self.recent.len() >= KEPT_CHANGES {
@@ -349,7 +347,7 @@
             }
             state.document = Some((version, Arc::clone(document)));
         }
-        info!("configuration version={version} applied=true");
+        info!(version = version; "configuration applied");
         self.changed.notify(usize::MAX);
     }
 
--- a/crates/auburnbridge_keeper/src/control.rs
+++ b/crates/auburnbridge_keeper/src/control.rs
@@ -10,6 +10,7 @@
 use auburnbridge_membership::{Announcement, State, Verdict};
 use auburnbridge_messages::{pack_document, unpack_document};
 use auburnbridge_routing::{CallError, ControlCall, Dialect, PublishedDocument};
+use auburnbridge_telemetry::ProcessMetrics;
 use auburnbridge_types::{BoxFuture, Incarnation, Millis, TargetId};
 use log::{info, warn};
 
@@ -24,20 +25,30 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) catalogue: Arc<Catalogue>,
     pub(crate) group: Arc<GroupClient>,
+    pub(crate) metrics: Arc<ProcessMetrics>,
 }
 
 impl ControlService {
     async fn answer(&self, req: Request) -> Response {
-        match self.dialect.read_call(&req) {
+        let call = self.dialect.read_call(&req);
+        let name = name_of(&call);
+        let response = self.handle(&req, call).await;
+        let outcome = response.status.to_string();
+        self.metrics.record_control_call(name, &outcome);
+        response
+    }
+
+    async fn handle(&self, req: &Request, call: Result<ControlCall, CallError>) -> Response {
+        match call {
             Ok(ControlCall::Publish(Ok(document))) => self.publish(document).await,
             Ok(ControlCall::Publish(Err(error))) => {
-                info!("configuration refused reason={error}");
+                info!(reason:% = error; "configuration refused");
                 text(400, &error.to_string())
             }
             Ok(ControlCall::ReadPublished) => self.read().await,
             Ok(ControlCall::Announce(Ok(announcement))) => self.announce(announcement).await,
             Ok(ControlCall::Announce(Err(error))) => {
-                info!("announcement refused path={} reason={error}", req.path);
+                info!(path = req.path, reason:% = error; "announcement refused");
                 text(400, &error.to_string())
             }
             Ok(ControlCall::Leave {
@@ -57,11 +68,11 @@
         };
         match self.group.publish(order, GROUP_LIMIT).await {
             Ok(()) => {
-                info!("configuration version={version} acknowledged=true");
+                info!(version = version.0; "configuration acknowledged");
                 text(200, "")
             }
             Err(error) => {
-                warn!("configuration version={version} acknowledged=false reason={error}");
+                warn!(version = version.0, reason:% = error; "configuration not acknowledged");
                 text(503, "no quorum answered in time; send it again")
             }
         }
@@ -72,14 +83,14 @@
             Ok(Some(document)) => document,
             Ok(None) => return text(503, "no configuration has been published"),
             Err(error) => {
-                warn!("configuration read=false reason={error}");
+                warn!(reason:% = error; "configuration not read");
                 return text(503, "no quorum answered in time");
             }
         };
         match unpack_document(&document.document) {
             Ok(bytes) => json(bytes),
             Err(error) => {
-                warn!("configuration version={} can't be unpacked: {error}", document.version);
+                warn!(version = document.version, error:% = error; "configuration can't be unpacked");
                 text(500, "the stored configuration can't be unpacked")
             }
         }
@@ -93,8 +104,9 @@
             Verdict::Accepted | Verdict::Left | Verdict::Outdated => json(b"{}".to_vec()),
             verdict @ (Verdict::Conflict | Verdict::Full) => {
                 warn!(
-                    "announcement refused target={} incarnation={} verdict={verdict}",
-                    announcement.target, announcement.incarnation
+                    target_id = announcement.target.as_str(),
+                    incarnation = announcement.incarnation.0, verdict:% = verdict;
+                    "announcement refused"
                 );
                 text(409, "another process has this id, or there is no room")
             }
@@ -117,12 +129,16 @@
         let (target, incarnation) = (announcement.target.clone(), announcement.incarnation);
         match self.group.depart(announcement, GROUP_LIMIT).await {
             Ok(()) => {
-                info!("departure target={target} incarnation={incarnation} acknowledged=true");
+                info!(
+                    target_id = target.as_str(), incarnation = incarnation.0;
+                    "departure acknowledged"
+                );
                 json(b"{}".to_vec())
             }
             Err(error) => {
                 warn!(
-                    "departure target={target} incarnation={incarnation} acknowledged=false reason={error}"
+                    target_id = target.as_str(), incarnation = incarnation.0, reason:% = error;
+                    "departure not acknowledged"
                 );
                 text(503, "no quorum answered in time; send it again")
             }
@@ -141,6 +157,17 @@
     }
 }
 
+/// Name of a call in the metrics.
+fn name_of(call: &Result<ControlCall, CallError>) -> &'static str {
+    match call {
+        Ok(ControlCall::Publish(_)) => "publish",
+        Ok(ControlCall::ReadPublished) => "read",
+        Ok(ControlCall::Announce(_)) => "announce",
+        Ok(ControlCall::Leave { .. }) => "leave",
+        Err(_) => "unknown",
+    }
+}
+
 fn text(status: u16, body: &str) -> Response {
     let mut response = Response::new(status);
     response.headers.append("Content-Type", "text/plain");
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -21,6 +21,7 @@
 };
 use auburnbridge_routing::Dialect;
 use auburnbridge_store::Store;
+use auburnbridge_telemetry::{MetricsService, ProcessMetrics};
 use auburnbridge_types::{BootClock, ByteSize, Clock, Millis, VmId};
 use error_stack::{Report, ResultExt};
 use log::{debug, info, warn};
@@ -77,6 +78,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Longest body of a call.
     pub body_limit: ByteSize,
+    /// Where the metrics of the calls are served, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
 }
 
 /// What a keeper needs to run.
@@ -293,7 +296,13 @@
             serve_operators(address, store, options.operator_keys, Arc::clone(&clock)).await?;
         }
         if let Some(control) = options.control {
+            let metrics: Arc<ProcessMetrics> = Arc::default();
+            if let Some(address) = control.metrics_address {
+                let service = Arc::new(MetricsService(Arc::clone(&metrics)));
+                serve_http(address, service, Limits::default(), Arc::clone(&clock)).await?;
+            }
             let service = ControlService {
+                metrics,
                 dialect: control.dialect,
                 catalogue: Arc::clone(&catalogue),
                 group: Arc::new(GroupClient {
--- a/crates/auburnbridge_settings/src/control.rs
+++ b/crates/auburnbridge_settings/src/control.rs
@@ -42,6 +42,11 @@
         election_timeout: Millis [default "350ms"] ["100ms" to "10s"],
         /// Interval between the heartbeats of a leader.
         heartbeat_interval: Millis [default "100ms"] ["10ms" to "3s"],
+        /// TCP address of the metrics, at the path `/metrics`; without it, they are not served.
+        metrics_address: Option<SocketAddr> [optional],
+        /// Log lines below the level of warnings that are written in a second; more are dropped and
+        /// counted.
+        log_lines_per_second: u64 [default "2000"] ["10" to "1000000"],
     }
 }
 
--- a/crates/auburnbridge_settings/src/gateway.rs
+++ b/crates/auburnbridge_settings/src/gateway.rs
@@ -42,6 +42,11 @@
         resend_allowance: u32 [default "20"] ["0" to "1000000"],
         /// Length of a window.
         resend_window: Millis [default "10s"] ["1s" to "10min"],
+        /// TCP address of the metrics, at the path `/metrics`; without it, they are not served.
+        metrics_address: Option<SocketAddr> [optional],
+        /// Log lines below the level of warnings that are written in a second; more are dropped and
+        /// counted.
+        log_lines_per_second: u64 [default "2000"] ["10" to "1000000"],
     }
 }
 
--- /dev/null
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -0,0 +1,160 @@
+//! Counters and latency histograms of a process.
+
+use std::fmt::Write;
+
+use auburnbridge_types::Millis;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper ends of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.4, 5.0,
+];
+
+/// Labels of a caller's request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The service.
+    pub service: String,
+    /// Whether it may run more than once.
+    pub class: String,
+    /// How it ended.
+    pub result: String,
+}
+
+/// Labels of one exchange with a target.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ExchangeLabels {
+    /// The service.
+    pub service: String,
+    /// What it said about the target.
+    pub finding: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    call: String,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
+/// The metrics of one process.
+pub struct ProcessMetrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    request_seconds: Family<ServiceLabels, Histogram>,
+    exchanges: Family<ExchangeLabels, Counter>,
+    exchange_seconds: Family<ServiceLabels, Histogram>,
+    configuration_version: Gauge,
+    control_calls: Family<CallLabels, Counter>,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS)
+}
+
+impl Default for ProcessMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("auburnbridge");
+        let requests = Family::default();
+        let request_seconds = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        let exchanges = Family::default();
+        let exchange_seconds = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        let configuration_version = Gauge::default();
+        let control_calls = Family::default();
+        registry.register("requests", "Requests of callers", requests.clone());
+        registry.register(
+            "request_seconds",
+            "Time from a request's arrival to its answer",
+            request_seconds.clone(),
+        );
+        registry.register("exchanges", "Sends to targets", exchanges.clone());
+        registry.register(
+            "exchange_seconds",
+            "Time of one exchange with a target",
+            exchange_seconds.clone(),
+        );
+        registry.register(
+            "configuration_version",
+            "Version of the configuration in force",
+            configuration_version.clone(),
+        );
+        registry.register(
+            "control_calls",
+            "Calls of the control interface",
+            control_calls.clone(),
+        );
+        Self {
+            registry,
+            requests,
+            request_seconds,
+            exchanges,
+            exchange_seconds,
+            configuration_version,
+            control_calls,
+        }
+    }
+}
+
+impl ProcessMetrics {
+    /// Counts a request of a caller that has ended.
+    pub fn record_request(&self, labels: RequestLabels, time: Millis) {
+        let service = ServiceLabels {
+            service: labels.service.clone(),
+        };
+        self.requests.get_or_create(&labels).inc();
+        self.request_seconds
+            .get_or_create(&service)
+            .observe(seconds(time));
+    }
+
+    /// Counts an exchange with a target.
+    pub fn record_exchange(&self, labels: ExchangeLabels, time: Millis) {
+        let service = ServiceLabels {
+            service: labels.service.clone(),
+        };
+        self.exchanges.get_or_create(&labels).inc();
+        self.exchange_seconds
+            .get_or_create(&service)
+            .observe(seconds(time));
+    }
+
+    /// Counts a call of the control interface by its kind and outcome.
+    pub fn record_control_call(&self, call: &str, outcome: &str) {
+        let labels = CallLabels {
+            call: call.to_owned(),
+            outcome: outcome.to_owned(),
+        };
+        self.control_calls.get_or_create(&labels).inc();
+    }
+
+    /// States the version of the configuration in force.
+    pub fn set_configuration_version(&self, version: u64) {
+        self.configuration_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// The metrics in the text format of Prometheus.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            text.clear();
+            // Writing to a string doesn't fail.
+            let _ = write!(text, "# the metrics can't be encoded: {error}");
+        }
+        text
+    }
+}
+
+fn seconds(time: Millis) -> f64 {
+    f64::from(u32::try_from(time.0).unwrap_or(u32::MAX)) / 1000.0
+}
