--- /dev/null
+++ b/crates/auburnbridge_target/tests/strays.rs
@@ -0,0 +1,71 @@
+//! Guards against a late answer to an earlier request that is taken for the answer to this one.
+
+mod support;
+
+use std::sync::Arc;
+
+use async_std::io::WriteExt;
+use async_std::task::{self, block_on};
+use auburnbridge_http::{Limits, Request};
+use auburnbridge_target::{ExchangeResult, Pool};
+use support::{Fixture, START, TIME_LIMIT};
+
+fn answer(id: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn request(id: &str) -> Request {
+    let mut req = Request::new("GET", "/bins/7");
+    req.headers.append("Host", "target");
+    req.headers.append("Attempt", id);
+    req
+}
+
+/// Runs one exchange against a target that writes `answers` after it has read the request; gives the
+/// body, and whether the connection was kept.
+fn exchange(answers: &[String]) -> (Option<Vec<u8>>, usize) {
+    block_on(async {
+        let fixture = Fixture::new(2).await;
+        let pool = Pool::builder(Arc::new(fixture.clock.clone()))
+            .echo_header("Attempt")
+            .build();
+        let address = fixture.address;
+        let bytes: Vec<u8> = answers.concat().into_bytes();
+        let target = task::spawn(async move {
+            let mut connection = fixture.accept().await;
+            connection.read_request(&Limits::default()).await.unwrap();
+            connection.get_mut().write_all(&bytes).await.unwrap();
+            connection
+        });
+        let deadline = START.after(TIME_LIMIT);
+        let exchange = pool
+            .exchange(address, &request("a2"), &Limits::default(), deadline)
+            .await;
+        let _connection = target.await;
+        let body = match exchange.result {
+            ExchangeResult::Answered(response) => Some(response.body.to_vec()),
+            ExchangeResult::NotSent(_) | ExchangeResult::Unknown { .. } => None,
+        };
+        (body, pool.idle_connections(address))
+    })
+}
+
+#[test]
+fn answer_to_another_request_is_skipped() {
+    let answers = [answer("a1", "late"), answer("a2", "right")];
+    assert_eq!(exchange(&answers), (Some(b"right".to_vec()), 0));
+}
+
+#[test]
+fn connection_with_the_right_answer_alone_is_kept() {
+    assert_eq!(exchange(&[answer("a2", "right")]), (Some(b"right".to_vec()), 1));
+}
+
+#[test]
+fn endless_answers_to_others_are_given_up() {
+    let answers: Vec<String> = (0..8).map(|_| answer("a1", "late")).collect();
+    assert_eq!(exchange(&answers), (None, 0));
+}
