--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -218,7 +218,7 @@
 }
 
 /// Digest that identifies a request across its resends, whose attempt ids differ.
-fn digest_of(message: &Request) -> BodyDigest {
+pub fn digest_of(message: &Request) -> BodyDigest {
     let mut hasher = Sha256::new();
     let host = message.headers.get("Host").unwrap_or_default();
     for part in [
@@ -235,7 +235,7 @@
 }
 
 /// Serves callers of a shared gateway.
-pub(crate) struct CallerService(pub(crate) Arc<Gateway>);
+pub struct CallerService(pub Arc<Gateway>);
 
 impl Service for CallerService {
     fn respond(
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use feed::Feed;
 pub use gate::{Assignment, ServiceGate};
-pub use gateway::{Gateway, GatewayPorts};
+pub use gateway::{CallerService, Gateway, GatewayPorts, digest_of};
 pub use neighbours::{GatewayReport, Neighbours};
 pub use run::{GatewayError, GatewayOptions, RunningGateway};
 pub use service_table::ServiceTable;
--- /dev/null
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -0,0 +1,239 @@
+//! Raw targets on loopback that answer by a script, and a gateway in front of them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::io::WriteExt;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use auburnbridge_caller::{LimitSource, Lifecycle, Listener, ListenerOptions};
+use auburnbridge_gateway::{CallerService, Gateway, GatewayPorts, ServiceTable};
+use auburnbridge_http::{Connection, Limits, MemoryBudget, Request, RequestInfo, Response};
+use auburnbridge_membership::{Announcement, State};
+use auburnbridge_policy::balance::{BalancerOptions, DispatcherOptions, SendBudgetOptions};
+use auburnbridge_routing::{
+    CallError, CallerLimits, ConfigVersion, ControlCall, Destination, Dialect, DocumentError,
+    HeaderNames, Priority, PublishedRoute, PublishedService, RouteSet, Weight,
+};
+use auburnbridge_policy::RequestClass;
+use auburnbridge_target::Pool;
+use auburnbridge_types::{
+    ByteSize, Clock, Incarnation, Millis, RuntimeClock, Sequence, Slots,
+};
+use parking_lot::Mutex;
+
+/// What a target does with a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Act {
+    /// Answers with these bytes, in which `{id}` stands for the id of the attempt.
+    Answer(&'static str),
+    /// Answers in the same way and closes the connection.
+    AnswerAndClose(&'static str),
+    /// Closes the connection.
+    Break,
+    /// Gives no answer.
+    Hang,
+}
+
+pub const OK: &str =
+    "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
+pub const SHED: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+pub const OTHER_TARGET: &str =
+    "HTTP/1.1 421 Misdirected Request\r\nInstance: x\r\nContent-Length: 0\r\n\r\n";
+pub const OWN_ERROR: &str =
+    "HTTP/1.1 500 Internal Server Error\r\nAttempt: {id}\r\nSeal: e\r\nContent-Length: 1\r\n\r\ne";
+
+/// A target and the requests that it got.
+pub struct Target {
+    pub name: &'static str,
+    pub address: SocketAddr,
+    pub requests: Arc<Mutex<Vec<Request>>>,
+}
+
+/// Starts a target that does `act` with each request.
+pub async fn start_target(name: &'static str, act: Act) -> Target {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests: Arc<Mutex<Vec<Request>>> = Arc::default();
+    let seen = Arc::clone(&requests);
+    task::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            task::spawn(serve(stream, act, Arc::clone(&seen)));
+        }
+    });
+    Target {
+        name,
+        address,
+        requests,
+    }
+}
+
+async fn serve(stream: TcpStream, act: Act, seen: Arc<Mutex<Vec<Request>>>) {
+    let mut connection = Connection::new(stream);
+    while let Ok(req) = connection.read_request(&Limits::default()).await {
+        let id = req.headers.text("Attempt").unwrap_or("-").to_owned();
+        seen.lock().push(req);
+        let text = match act {
+            Act::Answer(text) | Act::AnswerAndClose(text) => text,
+            Act::Break => return,
+            Act::Hang => {
+                task::sleep(Duration::from_secs(30)).await;
+                return;
+            }
+        };
+        let answer = text.replace("{id}", &id);
+        if connection.get_mut().write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+        if matches!(act, Act::AnswerAndClose(_)) {
+            return;
+        }
+    }
+}
+
+/// Names of this test's own headers.
+struct Names;
+
+impl Dialect for Names {
+    fn headers(&self) -> HeaderNames {
+        HeaderNames {
+            attempt: "Attempt",
+            deadline: "Wait-Ms",
+            expected_target: "Expected",
+            seal: "Seal",
+            not_run: "Not-Run",
+        }
+    }
+
+    fn readiness_path(&self) -> &'static str {
+        "/ready"
+    }
+
+    fn read_call(&self, _req: &Request) -> Result<ControlCall, CallError> {
+        Err(CallError::UnknownPath)
+    }
+
+    fn read_document(&self, _document: &[u8]) -> Result<RouteSet, DocumentError> {
+        Err(DocumentError::Unreadable("not used here".to_owned()))
+    }
+}
+
+fn announcement(target: &Target) -> Announcement {
+    Announcement {
+        service: "stock".parse().unwrap(),
+        target: target.name.parse().unwrap(),
+        address: target.address,
+        data_centre: "north".parse().unwrap(),
+        incarnation: Incarnation(1),
+        sequence: Sequence(1),
+        slots: Slots(2),
+        state: State::Ready,
+    }
+}
+
+fn route(name: &str, prefix: &str, class: RequestClass) -> PublishedRoute {
+    PublishedRoute {
+        name: name.to_owned(),
+        prefix: prefix.to_owned(),
+        class,
+        priority: Priority(0),
+        objective: Millis(800),
+        timeout: Millis(1_200),
+        attempts: 2,
+        destinations: vec![Destination {
+            service: "stock".parse().unwrap(),
+            weight: Weight(1),
+        }],
+    }
+}
+
+fn routes() -> RouteSet {
+    let limits = CallerLimits {
+        head: ByteSize(16_384),
+        body: ByteSize(1 << 20),
+        head_timeout: Millis(1_000),
+        idle_timeout: Millis(5_000),
+    };
+    let mut routes = RouteSet::builder(ConfigVersion(1), limits);
+    let service = PublishedService {
+        name: "stock".parse().unwrap(),
+        health_path: "/health".to_owned(),
+        connection_limit: 100,
+    };
+    routes.service(service).unwrap();
+    let lookups = route("lookups", "/lookup/", RequestClass::Idempotent);
+    let orders = route("orders", "/order/", RequestClass::Once);
+    routes.route("h", lookups).unwrap();
+    routes.route("h", orders).unwrap();
+    routes.build()
+}
+
+/// A gateway in front of `targets`.
+pub fn start_gateway(targets: &[&Target]) -> Arc<Gateway> {
+    let clock: Arc<dyn Clock> = Arc::new(RuntimeClock);
+    let options = DispatcherOptions {
+        balancer: BalancerOptions {
+            data_centre: "north".parse().unwrap(),
+            floor_share: 0.7,
+            seed: 1,
+        },
+        sends: SendBudgetOptions {
+            ratio: 0.2,
+            allowance: 60.0,
+            window: Millis(10_000),
+        },
+        seed: 1,
+    };
+    let pool = Pool::builder(Arc::clone(&clock))
+        .connect_timeout(Millis(200))
+        .echo_header("Attempt")
+        .build();
+    let ports = GatewayPorts {
+        clock: Arc::clone(&clock),
+        dialect: Arc::new(Names),
+        pool,
+        budget: MemoryBudget::new(ByteSize(1 << 20)),
+        metrics: Arc::default(),
+        seed: 1,
+    };
+    let gateway = Arc::new(Gateway::new(ServiceTable::new(clock, options), ports));
+    assert!(gateway.put_in_force(routes()));
+    let announcements: Vec<Announcement> =
+        targets.iter().map(|target| announcement(target)).collect();
+    gateway.services().apply_targets(&announcements);
+    gateway
+}
+
+/// Serves callers of the gateway; gives its address.
+pub async fn listen(gateway: &Arc<Gateway>) -> SocketAddr {
+    let limits = Arc::clone(gateway) as Arc<dyn LimitSource>;
+    let options = ListenerOptions::builder().pipelined(4, limits).build();
+    let listener = Listener::bind(
+        "127.0.0.1:0".parse().unwrap(),
+        Arc::new(CallerService(Arc::clone(gateway))),
+        Arc::new(Lifecycle::default()),
+        options,
+    )
+    .await
+    .unwrap();
+    let address = listener.local_address().unwrap();
+    task::spawn(listener.run());
+    address
+}
+
+/// Sends a request to `path` that waits for `wait_ms`, and gives the answer.
+pub async fn send(address: SocketAddr, path: &str, wait_ms: u64) -> Response {
+    let mut connection = Connection::new(TcpStream::connect(address).await.unwrap());
+    let method = if path.starts_with("/order/") { "POST" } else { "GET" };
+    let mut req = Request::new(method, path);
+    req.headers.append("Host", "h");
+    req.headers.append("Attempt", "a-7");
+    req.headers.append("Wait-Ms", wait_ms.to_string());
+    connection.write_request(&req).await.unwrap();
+    connection
+        .read_response(RequestInfo::from(&req), &Limits::default())
+        .await
+        .unwrap()
+}
