--- a/crates/auburnbridge/tests/processes/fleet.rs
+++ b/crates/auburnbridge/tests/processes/fleet.rs
@@ -14,8 +14,8 @@
 use auburnbridge_standin::{SendError, Target, TargetOptions, send};
 
 /// Longest time for a state to be reached; a test that exceeds it fails.
-const PATIENCE: Duration = Duration::from_secs(30);
-const POLL: Duration = Duration::from_millis(20);
+pub const PATIENCE: Duration = Duration::from_secs(30);
+pub const POLL: Duration = Duration::from_millis(20);
 const OPERATOR_KEY: &str = "fleet-test-operator-key";
 /// SHA-256 of the key above.
 const OPERATOR_KEY_SHA256: &str =
@@ -32,7 +32,7 @@
 /// Ports below the ephemeral range, so that no outgoing connection takes one.
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
-fn free_port() -> u16 {
+pub fn free_port() -> u16 {
     loop {
         let offset = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
         let start = u16::try_from(std::process::id() % 8_000).expect("below 8,000");
@@ -58,7 +58,19 @@
 }
 
 impl Process {
-    fn start(&mut self) {
+    /// Describes a process that doesn't run yet.
+    pub fn new(name: &str, role: &'static str, settings: PathBuf, log: PathBuf) -> Self {
+        Self {
+            name: name.to_owned(),
+            role,
+            settings,
+            log,
+            child: None,
+        }
+    }
+
+    /// Starts the process, whose output goes to its log.
+    pub fn start(&mut self) {
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -67,7 +79,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_auburnbridge"))
             .args([self.role, "--settings"])
             .arg(&self.settings)
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
             .unwrap();
--- a/crates/auburnbridge/tests/processes/main.rs
+++ b/crates/auburnbridge/tests/processes/main.rs
@@ -3,4 +3,6 @@
 mod control;
 mod fleet;
 mod health;
+mod platform;
+mod platform_fleet;
 mod request_path;
--- /dev/null
+++ b/crates/auburnbridge/tests/processes/platform_fleet.rs
@@ -0,0 +1,267 @@
+//! Gateways and control keepers as real processes, each on an address of its own in 127.0.0.0/8, and
+//! targets inside the test.
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::io::WriteExt;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use auburnbridge_http::{Connection, Limits, Request, RequestInfo, Response};
+use parking_lot::Mutex;
+
+use crate::fleet::{PATIENCE, POLL, Process, free_port};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Addresses of the fleet's VMs; the last part numbers them.
+fn vm(number: u8) -> IpAddr {
+    Ipv4Addr::new(127, 0, 77, number).into()
+}
+
+/// A fleet with its files.
+pub struct PlatformFleet {
+    pub controls: Vec<Process>,
+    pub gateways: Vec<Process>,
+    folder: tempfile::TempDir,
+    control_port: u16,
+    caller_port: u16,
+    readiness_port: u16,
+    keeper_port: u16,
+    first_vm: u8,
+}
+
+impl PlatformFleet {
+    /// Starts processes that have never run; tests that run at the same time take other VMs.
+    pub fn start(first_vm: u8, controls: u8, gateways: u8) -> Self {
+        let mut fleet = Self {
+            controls: Vec::new(),
+            gateways: Vec::new(),
+            folder: tempfile::tempdir().unwrap(),
+            control_port: free_port(),
+            caller_port: free_port(),
+            readiness_port: free_port(),
+            keeper_port: free_port(),
+            first_vm,
+        };
+        for number in 0..controls {
+            fleet.write_control_settings(number, true);
+            let process = fleet.process("control", number);
+            fleet.controls.push(process);
+        }
+        for number in 0..gateways {
+            fleet.write_gateway_settings(number);
+            let process = fleet.process("gateway", number);
+            fleet.gateways.push(process);
+        }
+        for process in fleet.controls.iter_mut().chain(&mut fleet.gateways) {
+            process.start();
+        }
+        fleet
+    }
+
+    fn process(&self, role: &'static str, number: u8) -> Process {
+        let name = format!("{role}-{number}");
+        let path = self.folder.path();
+        let settings = path.join(format!("{name}.json"));
+        Process::new(&name, role, settings, path.join(format!("{name}.log")))
+    }
+
+    fn control_vm(&self, number: u8) -> IpAddr {
+        vm(self.first_vm + number)
+    }
+
+    fn gateway_vm(&self, number: u8) -> IpAddr {
+        vm(self.first_vm + 20 + number)
+    }
+
+    fn seeds(&self) -> String {
+        let seeds: Vec<String> = (0..3)
+            .map(|number| format!("\"{}:{}\"", self.control_vm(number), self.control_port))
+            .collect();
+        seeds.join(", ")
+    }
+
+    pub fn write_control_settings(&self, number: u8, founds_group: bool) {
+        let text = format!(
+            r#"{{"vm_address": "{ip}", "data_centre": "north", "peer_port": {},
+"control_address": "{ip}:{}", "data_folder": "data-{number}", "seeds": [{}],
+"founds_group": {founds_group}, "tolerated_losses": 1}}"#,
+            self.keeper_port,
+            self.control_port,
+            self.seeds(),
+            ip = self.control_vm(number),
+        );
+        fs::write(self.folder.path().join(format!("control-{number}.json")), text).unwrap();
+        fs::create_dir_all(self.data_folder(number)).unwrap();
+    }
+
+    pub fn data_folder(&self, number: u8) -> std::path::PathBuf {
+        self.folder.path().join(format!("data-{number}"))
+    }
+
+    fn write_gateway_settings(&self, number: u8) {
+        let text = format!(
+            r#"{{"vm_address": "{ip}", "data_centre": "north", "caller_address": "{ip}:{}",
+"readiness_address": "{ip}:{}", "peer_port": {}, "keeper_port": {}, "seeds": [{}],
+"balancer_lag": "300ms", "metrics_address": "{ip}:{}"}}"#,
+            self.caller_port,
+            self.readiness_port,
+            self.keeper_port,
+            self.keeper_port,
+            self.seeds(),
+            self.keeper_port,
+            ip = self.gateway_vm(number),
+        );
+        let path = self.folder.path().join(format!("gateway-{number}.json"));
+        fs::write(path, text).unwrap();
+    }
+
+    /// What a process has logged.
+    pub fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.folder.path().join(format!("{name}.log"))).unwrap()
+    }
+
+    fn control(&self, number: u8) -> SocketAddr {
+        (self.control_vm(number), self.control_port).into()
+    }
+
+    fn caller(&self, number: u8) -> SocketAddr {
+        (self.gateway_vm(number), self.caller_port).into()
+    }
+
+    /// Publishes a configuration with any keeper until one acknowledges it.
+    pub fn publish(&self, document: &str) {
+        self.call_any("PUT", "/config", document, 200);
+    }
+
+    /// Calls the keepers in turn until one answers with `status`; gives its body.
+    pub fn call_any(&self, method: &str, path: &str, body: &str, status: u16) -> Vec<u8> {
+        let begun = Instant::now();
+        let count = u8::try_from(self.controls.len()).unwrap();
+        let mut last = None;
+        for number in (0..count).cycle() {
+            match call(self.control(number), method, path, body) {
+                Some(response) if response.status == status => return response.body.to_vec(),
+                other => last = other.map(|response| response.status),
+            }
+            let waited = begun.elapsed();
+            assert!(waited < PATIENCE, "{method} {path}: no {status}, last {last:?}");
+            std::thread::sleep(POLL);
+        }
+        unreachable!("the cycle has no end")
+    }
+
+    /// One call of one keeper.
+    pub fn call(&self, number: u8, method: &str, path: &str, body: &str) -> Option<Response> {
+        call(self.control(number), method, path, body)
+    }
+
+    /// Whether a gateway reports itself ready.
+    pub fn is_ready(&self, number: u8) -> bool {
+        let address = (self.gateway_vm(number), self.readiness_port).into();
+        call(address, "GET", "/readiness", "").is_some_and(|response| response.status == 200)
+    }
+
+    /// The metrics of a gateway.
+    pub fn metrics(&self, number: u8) -> String {
+        let address = (self.gateway_vm(number), self.keeper_port).into();
+        let response = call(address, "GET", "/metrics", "").unwrap();
+        String::from_utf8(response.body.to_vec()).unwrap()
+    }
+
+    /// Sends a caller's request through a gateway.
+    pub fn send(&self, number: u8, method: &str, path: &str) -> Option<u16> {
+        let mut req = Request::new(method, path);
+        req.headers.append("Host", "shop.example");
+        req.headers.append("Attempt-Id", "a-1");
+        req.headers.append("Deadline-Ms", "2000");
+        exchange(self.caller(number), &req).map(|response| response.status)
+    }
+}
+
+fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<Response> {
+    let mut req = Request::new(method, path);
+    req.headers.append("Host", "control");
+    req.body = body.as_bytes().to_vec().into();
+    exchange(address, &req)
+}
+
+fn exchange(address: SocketAddr, req: &Request) -> Option<Response> {
+    let answer = async {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let mut connection = Connection::new(stream);
+        connection.write_request(req).await.ok()?;
+        let limits = Limits::default();
+        connection
+            .read_response(RequestInfo::from(req), &limits)
+            .await
+            .ok()
+    };
+    task::block_on(timeout(CALL_TIMEOUT, answer)).ok().flatten()
+}
+
+/// Waits for a state.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(POLL);
+    }
+}
+
+/// A back end that seals its answers and counts them.
+pub struct SealingTarget {
+    pub address: SocketAddr,
+    pub runs: Arc<Mutex<u32>>,
+}
+
+impl SealingTarget {
+    pub fn start() -> Self {
+        let runs: Arc<Mutex<u32>> = Arc::default();
+        let counted = Arc::clone(&runs);
+        let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+        let address = listener.local_addr().unwrap();
+        task::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                task::spawn(serve(stream, Arc::clone(&counted)));
+            }
+        });
+        Self { address, runs }
+    }
+
+    /// The body with which the target announces itself.
+    pub fn announcement(&self, state: &str, sequence: u32) -> String {
+        format!(
+            r#"{{"address":"{}","born":1700000000000,"info":{{"service":"stock","version":"v1","zone":"north","slots":4}},"status":{{"state":"{state}","seq_no":{sequence},"warmup_remaining":"0ms"}}}}"#,
+            self.address
+        )
+    }
+}
+
+async fn serve(stream: TcpStream, runs: Arc<Mutex<u32>>) {
+    let mut connection = Connection::new(stream);
+    while let Ok(req) = connection.read_request(&Limits::default()).await {
+        *runs.lock() += 1;
+        if req.path.contains("slow") {
+            task::sleep(Duration::from_millis(700)).await;
+        }
+        let id = req.headers.text("Attempt-Id").unwrap_or_default();
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+        );
+        if connection.get_mut().write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// A configuration of one service, whose orders go to `prefix`.
+pub fn document(version: u32, prefix: &str) -> String {
+    format!(
+        r#"{{"version":"{version:08x}","limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"}},"listeners":[{{"host":"shop.example","rules":[{{"name":"r-1","kind":"unsafe","target_latency":"800ms","priority":1,"match":{{"path_prefix":"{prefix}"}},"action":{{"service":"stock","timeout":"2000ms","max_attempts":2}}}}]}}],"clusters":[{{"name":"stock","health_path":"/health","max_conns":330,"protocol":"h1","tls":false}}]}}"#
+    )
+}
