Send silent idempotent requests to a second target beside the first

Change: the first exchange goes on while a second target is tried, and the first useful answer is taken; the exchange is a module of its own. A test with a late single target failed before (504).

--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -1,36 +1,27 @@
 //! One request on its way to targets.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use async_std::task;
 use auburnbridge_caller::Disconnect;
-use auburnbridge_http::{FramingError, Request, Response, Verdict};
+use auburnbridge_http::Response;
+use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{BalancedKey, Finding, Need, Refusal};
-use auburnbridge_policy::{CrashReport, RequestClass};
-use auburnbridge_target::{Exchange, ExchangeResult, NotSent, Unknown, refuses_connections};
-use auburnbridge_telemetry::{ExchangeLabels, RequestLabels};
-use auburnbridge_types::{Millis, Timestamp};
+use auburnbridge_telemetry::RequestLabels;
+use auburnbridge_types::Millis;
 use futures_lite::FutureExt;
 use log::info;
 
 use crate::answer::Failure;
+use crate::exchange::{Exchanger, Outcome, Sent};
 use crate::gate::{Assignment, ServiceGate};
 use crate::gateway::{Gateway, Incoming};
 
-/// Multiple of the average answer time after which an idempotent request is tried elsewhere. Two in
-/// a hundred requests take longer on a healthy target.
-const TRY_FACTOR: u64 = 3;
-/// Shortest time that a target gets for an answer.
-const LEAST_TRY: Millis = Millis(300);
 /// Connections that failed before the request was sent; more are not tried.
 const MOST_UNSENT: u32 = 8;
 
 /// The state of one request.
 pub(crate) struct Forward<'a> {
-    gateway: &'a Arc<Gateway>,
-    incoming: &'a Incoming,
-    gate: &'a Arc<ServiceGate>,
+    exchanger: Exchanger<'a>,
     disconnect: &'a Disconnect,
     tried: Vec<BalancedKey>,
     /// Sends that reached a target.
@@ -40,18 +31,6 @@
     failure: Failure,
 }
 
-/// What a send to one target came to.
-enum Outcome {
-    /// The target's answer is the caller's.
-    Answered(Response),
-    /// The target certainly didn't run the request.
-    NotRun,
-    /// The target may have run it and gave no usable answer.
-    MayHaveRun(Failure),
-    /// The target answered with an error of its own.
-    ServerError(Response),
-}
-
 impl<'a> Forward<'a> {
     pub(crate) fn new(
         gateway: &'a Arc<Gateway>,
@@ -60,9 +39,11 @@
         disconnect: &'a Disconnect,
     ) -> Self {
         Self {
-            gateway,
-            incoming,
-            gate,
+            exchanger: Exchanger {
+                gateway,
+                incoming,
+                gate,
+            },
             disconnect,
             tried: Vec::new(),
             sends: 0,
@@ -74,24 +55,25 @@
 
     /// Serves the request unless its caller goes away, which also ends it at the target.
     pub(crate) async fn run(mut self) -> Response {
-        self.gate.record_request(self.incoming.route.priority.0);
-        let disconnect = self.disconnect;
+        let (exchanger, disconnect) = (self.exchanger, self.disconnect);
+        let rank = exchanger.incoming.route.priority.0;
+        exchanger.gate.record_request(rank);
         let gone = async {
             disconnect.wait().await;
             None
         };
-        let attempt = self.attempt_id().to_owned();
         let served = gone.or(async { Some(self.serve().await) }).await;
         served.unwrap_or_else(|| {
-            info!(attempt = attempt; "request cancelled: the caller disconnected");
+            info!(attempt = exchanger.attempt_id(); "request cancelled: the caller disconnected");
             Failure::Broken.to_response(None)
         })
     }
 
     async fn serve(&mut self) -> Response {
+        let gate = self.exchanger.gate;
         let mut last_error = None;
         loop {
-            let assignment = match self.gate.acquire(self.need()).await {
+            let assignment = match gate.acquire(self.need()).await {
                 Ok(assignment) => assignment,
                 Err(refusal) => return self.give_up(last_error, Some(refusal)),
             };
@@ -114,180 +96,92 @@
         }
     }
 
-    fn need(&self) -> Need<'_> {
-        Need {
-            class: self.incoming.route.class,
-            rank: self.incoming.route.priority.0,
-            deadline: self.incoming.deadline,
-            objective: self.incoming.objective,
-            tried: &self.tried,
-        }
-    }
-
-    /// Whether the request may go to another target.
-    fn may_go_on(&self) -> bool {
-        let is_repeatable = self.incoming.route.class == RequestClass::Idempotent;
-        if self.may_have_run && !is_repeatable {
-            return false;
-        }
-        if self.gateway.clock.now() >= self.incoming.deadline {
-            return false;
-        }
-        if self.gateway.is_poisoned(&self.incoming.digest) {
-            return false;
-        }
-        if self.unsent > MOST_UNSENT {
-            return false;
-        }
-        self.sends == 0
-            || (self.sends < self.incoming.route.attempts && self.gate.try_send_again())
-    }
-
+    /// Sends the request to a target. An idempotent request that gets no answer in usual time goes to
+    /// a second target as well, and the first useful answer is taken.
     async fn send(&mut self, assignment: Assignment) -> Outcome {
-        let start = self.gateway.clock.now();
-        let message = self.outgoing(&assignment, start);
-        let limits = self.gateway.answer_limits();
-        let until = self.try_until(start);
-        let (pool, address) = (&self.gateway.pool, assignment.address());
-        let exchange = match self.incoming.route.class {
-            RequestClass::Idempotent => pool.exchange(address, &message, &limits, until).await,
-            RequestClass::Once => pool.exchange_fresh(address, &message, &limits, until).await,
+        let exchanger = self.exchanger;
+        let key = assignment.key();
+        let mut first = Box::pin(exchanger.send(assignment));
+        if exchanger.incoming.route.class == RequestClass::Once {
+            return self.count(first.await);
+        }
+        let silent = exchanger.gateway.clock.sleep(exchanger.silent_after());
+        let answered = async { Some((&mut first).await) };
+        let waited = async {
+            silent.await;
+            None
         };
-        let time = self.gateway.clock.now().since(start);
-        let reused = exchange.reused;
-        let (outcome, finding) = self.judge(exchange, time, &assignment).await;
-        match &outcome {
-            Outcome::NotRun if finding != Some(Finding::Shed) => self.unsent += 1,
-            Outcome::NotRun
-            | Outcome::Answered(_)
-            | Outcome::MayHaveRun(_)
-            | Outcome::ServerError(_) => self.sends += 1,
-        }
-        self.log_exchange(&assignment, &outcome, finding, time, reused);
-        let is_news = finding.is_some_and(Finding::is_told);
-        assignment.finish(finding);
-        if is_news {
-            self.gateway.news.notify(usize::MAX);
+        if let Some(sent) = answered.or(waited).await {
+            return self.count(sent);
         }
-        outcome
+        exchanger.gate.observe(key, Finding::Silent);
+        exchanger.gateway.news.notify(usize::MAX);
+        let Some(second) = self.second_target() else {
+            return self.count(first.await);
+        };
+        self.tried.push(second.key());
+        // The first one counts whether it is waited for or not.
+        self.sends += 1;
+        let mut second = Box::pin(exchanger.send(second));
+        let either = async { (true, (&mut first).await) }
+            .or(async { (false, (&mut second).await) })
+            .await;
+        let sent = match either {
+            (_, sent) if matches!(sent.outcome, Outcome::Answered(_)) => sent,
+            (true, _) => second.await,
+            (false, _) => first.await,
+        };
+        self.count(sent)
     }
 
-    /// Until when one target may take. An idempotent request leaves time for another one.
-    fn try_until(&self, now: Timestamp) -> Timestamp {
-        let deadline = self.incoming.deadline;
-        let is_repeatable = self.incoming.route.class == RequestClass::Idempotent;
-        if !is_repeatable || self.sends + 1 >= self.incoming.route.attempts {
-            return deadline;
+    /// A second target for a request that has been sent already, if there is one with a free slot.
+    fn second_target(&mut self) -> Option<Assignment> {
+        let is_allowed = self.sends + 1 < self.exchanger.incoming.route.attempts;
+        let gate = self.exchanger.gate;
+        if !is_allowed || !gate.try_send_again() {
+            return None;
         }
-        let latency = self.gate.latency();
-        let limit = Millis(latency.0 * TRY_FACTOR).max(LEAST_TRY);
-        let until = now.after(limit);
-        if until.after(latency) > deadline {
-            return deadline;
-        }
-        until
+        gate.try_acquire(&self.need())
     }
 
-    /// The request as it goes to a target.
-    fn outgoing(&self, assignment: &Assignment, now: Timestamp) -> Request {
-        let mut message = self.incoming.message.clone();
-        message.verdict = Verdict::Reuse;
-        let left = self.incoming.deadline.since(now);
-        let headers = self.gateway.headers;
-        message.headers.set(headers.deadline, left.0.to_string());
-        message
-            .headers
-            .set(headers.expected_target, assignment.target().as_str());
-        message
+    fn count(&mut self, sent: Sent) -> Outcome {
+        if sent.has_arrived {
+            self.sends += 1;
+        } else {
+            self.unsent += 1;
+        }
+        sent.outcome
     }
 
-    /// What an exchange came to, and what it says about the target.
-    async fn judge(
-        &self,
-        exchange: Exchange,
-        time: Millis,
-        assignment: &Assignment,
-    ) -> (Outcome, Option<Finding>) {
-        match exchange.result {
-            ExchangeResult::Answered(response) => self.judge_answer(response, time),
-            ExchangeResult::NotSent(reason) => (Outcome::NotRun, finding_of_unsent(reason)),
-            ExchangeResult::Unknown {
-                reason: Unknown::Deadline,
-                ..
-            } => {
-                let limit = Millis(self.gate.latency().0 * TRY_FACTOR).max(LEAST_TRY);
-                // A short time left must not make a healthy target look sick.
-                let finding = (time >= limit).then_some(Finding::Silent);
-                (Outcome::MayHaveRun(Failure::TimedOut), finding)
-            }
-            ExchangeResult::Unknown {
-                reason,
-                answer_started,
-            } => {
-                if !answer_started && is_disconnect(reason) {
-                    let check = check_crash(
-                        Arc::clone(self.gateway),
-                        assignment.address(),
-                        self.crash_of(assignment),
-                    );
-                    if self.incoming.route.class == RequestClass::Idempotent {
-                        // It must be known before the request goes to another target.
-                        check.await;
-                    } else {
-                        task::spawn(check);
-                    }
-                }
-                let finding = (!reason.is_local()).then_some(Finding::Broken);
-                (Outcome::MayHaveRun(Failure::Broken), finding)
-            }
+    fn need(&self) -> Need<'_> {
+        let incoming = self.exchanger.incoming;
+        Need {
+            class: incoming.route.class,
+            rank: incoming.route.priority.0,
+            deadline: incoming.deadline,
+            objective: incoming.objective,
+            tried: &self.tried,
         }
     }
 
-    fn judge_answer(&self, response: Response, time: Millis) -> (Outcome, Option<Finding>) {
-        let names = self.gateway.headers;
-        if response.status == MISDIRECTED {
-            return (Outcome::NotRun, Some(Finding::Replaced));
-        }
-        if response.headers.get(names.not_run).is_some() {
-            return (Outcome::NotRun, Some(Finding::Shed));
-        }
-        if response.status < 400 {
-            let is_genuine = response.headers.get(names.seal).is_some()
-                && response.headers.get(names.attempt) == self.incoming_attempt()
-                && response.headers.get("Content-Encoding").is_none();
-            if !is_genuine {
-                return (
-                    Outcome::MayHaveRun(Failure::Broken),
-                    Some(Finding::Broken),
-                );
-            }
-            return (
-                Outcome::Answered(response),
-                Some(self.gate.judge_answer(time)),
-            );
-        }
-        if PROMISES.contains(&response.status) {
-            // To the caller these mean "not run", which the target doesn't say.
-            return (
-                Outcome::MayHaveRun(Failure::Broken),
-                Some(Finding::ServerError),
-            );
+    /// Whether the request may go to another target.
+    fn may_go_on(&self) -> bool {
+        let Exchanger {
+            gateway,
+            incoming,
+            gate,
+        } = self.exchanger;
+        let is_repeatable = incoming.route.class == RequestClass::Idempotent;
+        if self.may_have_run && !is_repeatable {
+            return false;
         }
-        if response.status >= 500 {
-            return (Outcome::ServerError(response), Some(Finding::ServerError));
+        if gateway.clock.now() >= incoming.deadline || gateway.is_poisoned(&incoming.digest) {
+            return false;
         }
-        (
-            Outcome::Answered(response),
-            Some(self.gate.judge_answer(time)),
-        )
-    }
-
-    fn crash_of(&self, assignment: &Assignment) -> CrashReport {
-        CrashReport {
-            request: self.incoming.digest,
-            target: assignment.target().clone(),
-            incarnation: assignment.pick().incarnation,
+        if self.unsent > MOST_UNSENT {
+            return false;
         }
+        self.sends == 0 || (self.sends < incoming.route.attempts && gate.try_send_again())
     }
 
     fn deliver(&self, response: Response) -> Response {
@@ -297,6 +191,7 @@
 
     /// The answer to a request that goes to no further target.
     fn give_up(&self, last_error: Option<Response>, refusal: Option<Refusal>) -> Response {
+        let exchanger = self.exchanger;
         if self.may_have_run {
             if let Some(response) = last_error {
                 self.log_end(response.status, "target-error", None);
@@ -311,104 +206,39 @@
             self.log_end(response.status, failure.into(), None);
             return response;
         }
-        let failure = if self.gateway.is_poisoned(&self.incoming.digest) {
+        let failure = if exchanger.gateway.is_poisoned(&exchanger.incoming.digest) {
             Failure::Poisoned
         } else {
             Failure::NoRoom
         };
-        let refusal = refusal.unwrap_or_else(|| self.gate.refusal(self.incoming.route.priority.0));
+        let refusal = refusal.unwrap_or_else(|| exchanger.gate.refusal(exchanger.incoming.route.priority.0));
         let response = failure.to_response(Some(refusal.retry_after));
         self.log_end(response.status, failure.into(), Some(refusal.retry_after));
         response
     }
 
-    fn attempt_id(&self) -> &str {
-        let header = self.incoming.message.headers.text(self.gateway.headers.attempt);
-        header.unwrap_or("-")
-    }
-
-    fn incoming_attempt(&self) -> Option<&[u8]> {
-        self.incoming.message.headers.get(self.gateway.headers.attempt)
-    }
-
-    fn log_exchange(
-        &self,
-        assignment: &Assignment,
-        outcome: &Outcome,
-        finding: Option<Finding>,
-        time: Millis,
-        reused: bool,
-    ) {
-        let pick = assignment.pick();
-        let result = match outcome {
-            Outcome::Answered(_) => "answered",
-            Outcome::NotRun => "not-run",
-            Outcome::MayHaveRun(failure) => (*failure).into(),
-            Outcome::ServerError(_) => "server-error",
-        };
-        let finding: &'static str = finding.map_or("none", Into::into);
-        info!(
-            attempt = self.attempt_id(), service = self.gate.name().as_str(),
-            target_id = pick.target.as_str(), incarnation = pick.incarnation.0,
-            in_flight = pick.in_flight, suspicion = pick.suspicion, reused = reused,
-            time_ms = time.0, result = result, finding = finding;
-            "exchange"
-        );
-        let labels = ExchangeLabels {
-            service: self.gate.name().to_string(),
-            finding: finding.to_owned(),
-        };
-        self.gateway.metrics.record_exchange(labels, time);
-    }
-
     fn log_end(&self, status: u16, result: &str, retry_after: Option<Millis>) {
-        let now = self.gateway.clock.now();
-        let time = now.since(self.incoming.arrived);
+        let Exchanger {
+            gateway,
+            incoming,
+            gate,
+        } = self.exchanger;
+        let now = gateway.clock.now();
+        let time = now.since(incoming.arrived);
         info!(
-            attempt = self.attempt_id(), route = self.incoming.route.name,
-            service = self.gate.name().as_str(), class:% = self.incoming.route.class,
+            attempt = self.exchanger.attempt_id(), route = incoming.route.name,
+            service = gate.name().as_str(), class:% = incoming.route.class,
             status = status, result = result, not_run = retry_after.is_some(), sends = self.sends,
             unsent = self.unsent, time_ms = time.0,
-            left_ms = self.incoming.deadline.since(now).0,
+            left_ms = incoming.deadline.since(now).0,
             retry_after_ms = retry_after.unwrap_or_default().0;
             "request"
         );
         let labels = RequestLabels {
-            service: self.gate.name().to_string(),
-            class: self.incoming.route.class.to_string(),
+            service: gate.name().to_string(),
+            class: incoming.route.class.to_string(),
             result: result.to_owned(),
         };
-        self.gateway.metrics.record_request(labels, time);
+        gateway.metrics.record_request(labels, time);
     }
 }
-
-/// Reports a crash if the target refuses connections after it broke off.
-async fn check_crash(gateway: Arc<Gateway>, address: SocketAddr, crash: CrashReport) {
-    if refuses_connections(address).await {
-        gateway.report_crash(crash);
-    }
-}
-
-/// Status of a target that is not the expected one.
-const MISDIRECTED: u16 = 421;
-/// Statuses that promise callers that their request has not run.
-const PROMISES: [u16; 3] = [408, 429, 503];
-
-fn finding_of_unsent(reason: NotSent) -> Option<Finding> {
-    match reason {
-        NotSent::Refused => Some(Finding::Refused),
-        NotSent::ConnectTimeout | NotSent::Closed => Some(Finding::Unreachable),
-        NotSent::ConnectFailed(_) => (!reason.is_local()).then_some(Finding::Unreachable),
-        NotSent::AllInUse | NotSent::Deadline => None,
-    }
-}
-
-/// Whether the target closed the connection or went away.
-fn is_disconnect(reason: Unknown) -> bool {
-    matches!(
-        reason,
-        Unknown::Framing(
-            FramingError::ClosedBetweenMessages | FramingError::ClosedInHead | FramingError::Io(_)
-        )
-    )
-}
--- a/crates/auburnbridge_gateway/src/gate.rs
+++ b/crates/auburnbridge_gateway/src/gate.rs
@@ -156,6 +156,19 @@
         rx.try_recv().map_err(|_| self.refusal(need.rank))
     }
 
+    /// A target with a free slot, if there is one now.
+    pub(crate) fn try_acquire(self: &Arc<Self>, need: &Need<'_>) -> Option<Assignment> {
+        let now = self.clock.now();
+        let pick = self.dispatcher.lock().pick_free(now, need)?;
+        Some(self.assignment(pick))
+    }
+
+    /// Takes what a request that is still in flight says about its target as evidence.
+    pub(crate) fn observe(&self, key: BalancedKey, finding: Finding) {
+        let now = self.clock.now();
+        self.dispatcher.lock().observe(now, key, finding);
+    }
+
     fn assignment(self: &Arc<Self>, pick: Pick) -> Assignment {
         Assignment {
             gate: Arc::clone(self),
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! what it finds out about targets.
 
 mod answer;
+mod exchange;
 mod feed;
 mod forward;
 mod gate;
--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -97,6 +97,17 @@
     });
 }
 
+/// Guards against a lookup that is cut off for its target's silence while no other target can take it.
+#[test]
+fn lookup_without_another_target_waits_for_its_answer() {
+    block_on(async {
+        let late = start_target("t-late", Act::AnswerLate(OK)).await;
+        let address = listen(&start_gateway(&[&late])).await;
+        assert_eq!(send(address, "/lookup/1", 1_200).await.status, 200);
+        assert_eq!(late.requests.lock().len(), 1);
+    });
+}
+
 /// Guards against a target that is not named, and against a deadline that is longer than what is
 /// left.
 #[test]
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -32,6 +32,8 @@
     AnswerAndClose(&'static str),
     /// Closes the connection.
     Break,
+    /// Answers in the same way after a second.
+    AnswerLate(&'static str),
     /// Gives no answer.
     Hang,
 }
@@ -77,6 +79,10 @@
         seen.lock().push(req);
         let text = match act {
             Act::Answer(text) | Act::AnswerAndClose(text) => text,
+            Act::AnswerLate(text) => {
+                task::sleep(Duration::from_millis(1_000)).await;
+                text
+            }
             Act::Break => return,
             Act::Hang => {
                 task::sleep(Duration::from_secs(30)).await;
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -347,7 +347,14 @@
             return;
         };
         target.own = target.own.saturating_sub(1);
-        let Some(finding) = finding else {
+        if let Some(finding) = finding {
+            self.observe(now, key, finding);
+        }
+    }
+
+    /// Takes a finding of this gateway as evidence.
+    pub fn observe(&mut self, now: Timestamp, key: BalancedKey, finding: Finding) {
+        let Some(target) = self.targets.get_mut(key) else {
             return;
         };
         // A success is news for the others only if they may suspect the target too.
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -191,6 +191,17 @@
         None
     }
 
+    /// Picks a target with a free slot, if there is one now.
+    pub fn pick_free(&mut self, now: Timestamp, need: &Need<'_>) -> Option<Pick> {
+        self.balancer
+            .pick(now, need.class, need.tried, &mut self.rng)
+    }
+
+    /// Takes what a request that is still in flight says about its target as evidence.
+    pub fn observe(&mut self, now: Timestamp, key: BalancedKey, finding: Finding) {
+        self.balancer.observe(now, key, finding);
+    }
+
     /// Ends a request on a target with what it says about the target, if anything.
     pub fn finish(&mut self, now: Timestamp, key: BalancedKey, finding: Option<Finding>) {
         self.ended.record(now);
--- a/crates/auburnbridge_policy/tests/balance_load/main.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/main.rs
@@ -247,6 +247,40 @@
     }
 }
 
+/// Pattern: each target fails 85% of its work for 5 s of every 17 s, at times of its own, as targets
+/// do at any time. A third of the slots is taken.
+fn phases() -> Pattern {
+    fn fails(target: usize, at_ms: u64) -> f64 {
+        let offset = target as u64 * 7_919;
+        if (at_ms + offset) % 17_000 < 5_000 { 0.85 } else { 0.0 }
+    }
+    Pattern {
+        gateways: 11,
+        targets: 80,
+        data_centres: 1,
+        length_ms: 30_000,
+        fails,
+        report_ms: 100,
+        ..pattern(|_| 65.0, |_| 245.0)
+    }
+}
+
+/// Prints what failing phases cost, for the measures page.
+#[test]
+#[ignore = "prints figures; run it by hand with --nocapture"]
+fn print_phase_figures() {
+    for outcome in run_seeds(phases) {
+        for tally in &outcome.tallies {
+            println!(
+                "phases offered={} in_objective={} late={} refused={} failed={} ({:.2}%) mean_ms={:.0}",
+                tally.offered, tally.in_objective, tally.late, tally.refused, tally.failed,
+                100.0 * f64::from(tally.failed) / f64::from(tally.offered),
+                tally.mean_answer_ms()
+            );
+        }
+    }
+}
+
 /// Prints the figures of the overload patterns, for the measures page.
 #[test]
 #[ignore = "prints figures; run it by hand with --nocapture"]
