--- a/crates/auburnbridge/src/commands/check.rs
+++ b/crates/auburnbridge/src/commands/check.rs
@@ -4,8 +4,12 @@
 use std::path::{Path, PathBuf};
 
 use argh::FromArgs;
+use auburnbridge_routing::Dialect;
 use auburnbridge_rules::{Rules, difference};
-use auburnbridge_settings::{EntrySettings, KeeperSettings, Settings};
+use auburnbridge_settings::{
+    ControlSettings, EntrySettings, GatewaySettings, KeeperSettings, Settings,
+};
+use auburnbridge_utility::UtilityDialect;
 
 use crate::failure::Failure;
 
@@ -19,6 +23,15 @@
     /// settings file of a keeper
     #[argh(option)]
     keeper_settings: Option<PathBuf>,
+    /// settings file of a gateway
+    #[argh(option)]
+    gateway_settings: Option<PathBuf>,
+    /// settings file of a control keeper
+    #[argh(option)]
+    control_settings: Option<PathBuf>,
+    /// configuration document of the utility platform
+    #[argh(option)]
+    document: Option<PathBuf>,
     /// rules file
     #[argh(option)]
     rules: Option<PathBuf>,
@@ -36,12 +49,24 @@
         KeeperSettings::load(path)?;
         println!("{}: valid", path.display());
     }
+    if let Some(path) = &arguments.gateway_settings {
+        GatewaySettings::load(path)?;
+        println!("{}: valid", path.display());
+    }
+    if let Some(path) = &arguments.control_settings {
+        ControlSettings::load(path)?;
+        println!("{}: valid", path.display());
+    }
+    if let Some(path) = &arguments.document {
+        check_document(path)?;
+    }
     let Some(path) = &arguments.rules else {
-        return match (&arguments.entry_settings, &arguments.keeper_settings) {
-            (None, None) => Err(Failure::new(
-                "nothing to check; name --rules, --entry-settings or --keeper-settings",
-            )),
-            _ => Ok(()),
+        return if arguments.names_nothing() {
+            Err(Failure::new(
+                "nothing to check; name --rules, --document or the settings of a role",
+            ))
+        } else {
+            Ok(())
         };
     };
     let rules = load_rules(path)?;
@@ -59,9 +84,42 @@
     Ok(())
 }
 
+impl CheckArguments {
+    fn names_nothing(&self) -> bool {
+        let files = [
+            &self.entry_settings,
+            &self.keeper_settings,
+            &self.gateway_settings,
+            &self.control_settings,
+            &self.document,
+            &self.rules,
+        ];
+        files.iter().all(|file| file.is_none())
+    }
+}
+
+fn check_document(path: &Path) -> Result<(), Failure> {
+    let text = read(path)?;
+    let routes = UtilityDialect
+        .read_document(text.as_bytes())
+        .map_err(|error| Failure::new(format!("{}: {error}", path.display())))?;
+    println!(
+        "{}: valid, version {}, {} services, {} routes",
+        path.display(),
+        routes.version(),
+        routes.services().len(),
+        routes.len()
+    );
+    Ok(())
+}
+
+fn read(path: &Path) -> Result<String, Failure> {
+    fs::read_to_string(path)
+        .map_err(|error| Failure::new(format!("{}: can't be read: {error}", path.display())))
+}
+
 fn load_rules(path: &Path) -> Result<Rules, Failure> {
-    let text = fs::read_to_string(path)
-        .map_err(|error| Failure::new(format!("{}: can't be read: {error}", path.display())))?;
+    let text = read(path)?;
     Rules::parse(&text).map_err(|errors| {
         let lines: Vec<String> = errors
             .iter()
--- a/crates/auburnbridge/src/commands/keeper.rs
+++ b/crates/auburnbridge/src/commands/keeper.rs
@@ -1,18 +1,17 @@
 //! `auburnbridge keeper`
 
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::time::Duration;
 
 use argh::FromArgs;
 use async_std::task;
-use auburnbridge_keeper::{Admission, Keeper, KeeperOptions, PeerSecurity};
+use auburnbridge_keeper::{Keeper, KeeperOptions, PeerSecurity};
 use auburnbridge_log::Config;
 use auburnbridge_operator::{KeyDigest, OperatorKey, OperatorKeys};
+use auburnbridge_peer::PeerAddress;
 use auburnbridge_rules::TeamScope;
 use auburnbridge_settings::{KeeperSettings, ServiceScope, Settings};
 use futures_lite::FutureExt;
-use parking_lot::Mutex;
 
 use crate::commands::peer_addresses;
 use crate::failure::Failure;
@@ -32,20 +31,12 @@
 pub(crate) fn run(arguments: &KeeperArguments) -> Result<(), Failure> {
     let settings = KeeperSettings::load(&arguments.settings)?;
     let mut signals = StopSignals::new()?;
-    let options = KeeperOptions {
+    let own = PeerAddress {
         vm: settings.vm,
-        peer_address: settings.peer_address,
-        security: PeerSecurity::MutualTls(settings.keys),
-        data_folder: settings.data_folder,
-        keepers: Arc::new(Mutex::new(peer_addresses(&settings.members))),
-        may_found: true,
-        admission: Admission {
-            admits_new_vms: false,
-            least_voters: 1,
-        },
-        vms_are_addresses: false,
+        address: settings.peer_address,
+    };
+    let options = KeeperOptions {
         heartbeat_interval: settings.heartbeat_interval,
-        control: None,
         log: Config::builder()
             .election_timeout(settings.election_timeout)
             .heartbeat_interval(settings.heartbeat_interval)
@@ -55,6 +46,12 @@
         metrics_address: settings.metrics_address,
         operator_address: settings.operator_address,
         operator_keys: operator_keys(&settings.operator_keys)?,
+        ..KeeperOptions::listed(
+            own,
+            PeerSecurity::MutualTls(settings.keys),
+            settings.data_folder,
+            peer_addresses(&settings.members),
+        )
     };
     task::block_on(async {
         let keeper = Keeper::start(options)
--- a/crates/auburnbridge/tests/processes/fleet.rs
+++ b/crates/auburnbridge/tests/processes/fleet.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
--- a/crates/auburnbridge/tests/processes/platform_fleet.rs
+++ b/crates/auburnbridge/tests/processes/platform_fleet.rs
@@ -146,11 +146,11 @@
     pub fn call_any(&self, method: &str, path: &str, body: &str, status: u16) -> Vec<u8> {
         let begun = Instant::now();
         let count = u8::try_from(self.controls.len()).unwrap();
-        let mut last = None;
         for number in (0..count).cycle() {
-            match call(self.control(number), method, path, body) {
-                Some(response) if response.status == status => return response.body.to_vec(),
-                other => last = other.map(|response| response.status),
+            let response = call(self.control(number), method, path, body);
+            let last = response.as_ref().map(|response| response.status);
+            if let Some(response) = response.filter(|response| response.status == status) {
+                return response.body.to_vec();
             }
             let waited = begun.elapsed();
             assert!(
--- a/crates/auburnbridge_capacity/src/keeper.rs
+++ b/crates/auburnbridge_capacity/src/keeper.rs
@@ -10,14 +10,12 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use auburnbridge_keeper::{Keeper, KeeperOptions};
+use auburnbridge_keeper::{Keeper, KeeperOptions, PeerSecurity};
 use auburnbridge_ledger::{Command, Reply as LedgerReply};
-use auburnbridge_log::Config;
 use auburnbridge_messages::{MESSAGE_LIMIT, Reply, Request};
-use auburnbridge_operator::OperatorKeys;
 use auburnbridge_peer::keys::{KeyRing, Validity, create_authority, issue};
 use auburnbridge_peer::{Options, PeerAddress, PeerIdentity, PeerTransport, Role, Transport};
-use auburnbridge_types::{ByteSize, Clock, Millis, RuntimeClock};
+use auburnbridge_types::{Clock, Millis, RuntimeClock};
 use tempfile::TempDir;
 
 use crate::fixtures;
@@ -113,18 +111,12 @@
         .collect();
     let mut keepers = Vec::new();
     for own in &addresses {
-        let options = KeeperOptions {
-            segment_size: ByteSize(16 << 20),
-            metrics_address: None,
-            vm: own.vm.clone(),
-            peer_address: own.address,
-            keys: issue_keys(own.vm.as_str(), Role::Keeper),
-            data_folder: folder.join(format!("data-{}", own.vm)),
-            keepers: addresses.clone(),
-            log: Config::default(),
-            operator_address: None,
-            operator_keys: OperatorKeys::new(Vec::new()),
-        };
+        let options = KeeperOptions::listed(
+            own.clone(),
+            PeerSecurity::MutualTls(issue_keys(own.vm.as_str(), Role::Keeper)),
+            folder.join(format!("data-{}", own.vm)),
+            addresses.clone(),
+        );
         keepers.push(Keeper::start(options).await.expect("the keeper starts"));
     }
     let keys = issue_keys("client", Role::Entry);
--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -206,7 +206,7 @@
             service: self.gate.name().to_string(),
             finding: finding.to_owned(),
         };
-        self.gateway.metrics.record_exchange(labels, time);
+        self.gateway.metrics.record_exchange(&labels, time);
     }
 
     /// The id that the caller gave this send of its request.
--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -240,6 +240,6 @@
             class: incoming.route.class.to_string(),
             result: result.to_owned(),
         };
-        gateway.metrics.record_request(labels, time);
+        gateway.metrics.record_request(&labels, time);
     }
 }
--- a/crates/auburnbridge_gateway/src/neighbours.rs
+++ b/crates/auburnbridge_gateway/src/neighbours.rs
@@ -132,7 +132,7 @@
                 turn = turn.wrapping_add(1);
                 load_of(&gateway)
             });
-            let is_far_turn = is_crowded || turn % REPORTS_PER_FAR == 0;
+            let is_far_turn = is_crowded || turn.is_multiple_of(REPORTS_PER_FAR);
             self.send_reports(&gateway, load, is_far_turn, &mut told)
                 .await;
         }
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -269,7 +269,7 @@
                 gate.start_waiting();
             }
         }
-        if turn % POOL_TURNS == 0 {
+        if turn.is_multiple_of(POOL_TURNS) {
             gateway.pool.close_expired();
         }
         turn = turn.wrapping_add(1);
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -77,7 +77,7 @@
         let text = match act {
             Act::Answer(text) | Act::AnswerAndClose(text) => text,
             Act::AnswerLate(text) => {
-                task::sleep(Duration::from_millis(1_000)).await;
+                task::sleep(Duration::from_secs(1)).await;
                 text
             }
             Act::Break => return,
--- a/crates/auburnbridge_keeper/src/lib.rs
+++ b/crates/auburnbridge_keeper/src/lib.rs
@@ -7,8 +7,10 @@
 mod formation;
 mod group_client;
 mod operator_store;
+mod peers;
 mod run;
 mod server;
+mod spreading;
 mod state;
 mod view_cache;
 
@@ -20,7 +22,8 @@
 };
 pub use directory::{Directory, keeper_at};
 pub use group_client::{GroupClient, Unavailable};
-pub use run::{ControlOptions, Keeper, KeeperError, KeeperOptions, PeerSecurity};
+pub use peers::PeerSecurity;
+pub use run::{ControlOptions, Keeper, KeeperError, KeeperOptions};
 pub use server::KeeperServer;
 pub use state::{KeeperState, RestoreError, StateCommand, StateReply};
 pub use view_cache::{CachedView, ViewCache, read_view};
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -10,21 +10,18 @@
 use async_std::task;
 use auburnbridge_caller::{Lifecycle, Listener, ListenerOptions, Service, TideService};
 use auburnbridge_http::Limits;
-use auburnbridge_log::{Config, Message, Replica};
-use auburnbridge_messages::{self as messages, MESSAGE_LIMIT, Reply, Request};
+use auburnbridge_log::{Config, Message, Replica, ReplicaId};
+use auburnbridge_messages::Request;
 use auburnbridge_metrics::Metrics;
 use auburnbridge_operator::{MAX_RULES_BYTES, OperatorKeys};
 use auburnbridge_peer::keys::KeyRing;
-use auburnbridge_peer::plain::{PlainServer, PlainTransport};
-use auburnbridge_peer::{
-    Handler, Options, PeerAddress, PeerIdentity, PeerServer, PeerTransport, Role, Transport,
-};
+use auburnbridge_peer::{Handler, PeerAddress, Transport};
 use auburnbridge_routing::Dialect;
 use auburnbridge_store::Store;
 use auburnbridge_telemetry::{MetricsService, ProcessMetrics};
 use auburnbridge_types::{BootClock, ByteSize, Clock, Millis, VmId};
 use error_stack::{Report, ResultExt};
-use log::{debug, info, warn};
+use log::{info, warn};
 use parking_lot::Mutex;
 
 use crate::catalogue::Catalogue;
@@ -37,38 +34,22 @@
 use crate::formation::Formation;
 use crate::group_client::GroupClient;
 use crate::operator_store::OperatorStore;
+use crate::peers::{PeerSecurity, PeerSetup, RunningServer};
 use crate::server::KeeperServer;
+use crate::spreading::Spreading;
 use crate::view_cache::{ViewCache, read_view};
 
 /// Checks whether another keeper leads before a planned stop goes on; about one second.
 const HAND_OVER_CHECKS: usize = 50;
 const HAND_OVER_WAIT: Duration = Duration::from_millis(20);
 const KEY_RELOAD_INTERVAL: Millis = Millis(30_000);
-/// Interval at which the other keepers hear of announcements; a target that joins gets work after
-/// this and one round trip.
-const HEARD_INTERVAL: Millis = Millis(100);
-/// Turns of that interval between two looks at the members and at what is over.
-const HOUSEKEEPING_TURNS: u32 = 5;
-/// Longest wait for another keeper's list of targets at the start.
-const FETCH_TIMEOUT: Millis = Millis(500);
-/// Longest wait for a connection to another process. A VM that is off answers nothing.
-const CONNECT_TIMEOUT: Millis = Millis(400);
-/// Waits between attempts to connect, which begin with the first. After a loss of power everywhere
-/// the group forms as soon as the last wait allows.
-const FIRST_BACKOFF: Millis = Millis(20);
-const LAST_BACKOFF: Millis = Millis(200);
+/// Interval of heartbeats that the log has by default.
+const DEFAULT_HEARTBEAT: Millis = Millis(75);
+/// Size at which a segment of the log is closed by default.
+const DEFAULT_SEGMENT_SIZE: ByteSize = ByteSize(16 << 20);
 /// Ticks per heartbeat interval.
 const TICKS_PER_HEARTBEAT: u64 = 5;
 
-/// How messages between processes are protected.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PeerSecurity {
-    /// Mutual TLS with the certificate and key in this folder.
-    MutualTls(PathBuf),
-    /// Neither authenticated nor encrypted.
-    Unprotected,
-}
-
 /// The control interface of a platform.
 #[derive(Clone)]
 pub struct ControlOptions {
@@ -118,6 +99,37 @@
     pub operator_keys: OperatorKeys,
 }
 
+impl KeeperOptions {
+    /// Options of a keeper that stands with all others in its settings; the rest has its defaults.
+    pub fn listed(
+        own: PeerAddress,
+        security: PeerSecurity,
+        data_folder: PathBuf,
+        keepers: Vec<PeerAddress>,
+    ) -> Self {
+        Self {
+            vm: own.vm,
+            peer_address: own.address,
+            security,
+            data_folder,
+            keepers: Arc::new(Mutex::new(keepers)),
+            may_found: true,
+            admission: Admission {
+                admits_new_vms: false,
+                least_voters: 1,
+            },
+            vms_are_addresses: false,
+            heartbeat_interval: DEFAULT_HEARTBEAT,
+            control: None,
+            log: Config::default(),
+            segment_size: DEFAULT_SEGMENT_SIZE,
+            metrics_address: None,
+            operator_address: None,
+            operator_keys: OperatorKeys::new(Vec::new()),
+        }
+    }
+}
+
 /// Reason why a keeper can't start or had to stop.
 #[derive(Debug)]
 pub struct KeeperError;
@@ -138,136 +150,19 @@
     server: Arc<KeeperServer>,
 }
 
-/// The server for other processes.
-enum RunningServer {
-    MutualTls(PeerServer),
-    Plain(PlainServer),
-}
-
-impl RunningServer {
-    fn address(&self) -> SocketAddr {
-        match self {
-            Self::MutualTls(server) => server.address(),
-            Self::Plain(server) => server.address(),
-        }
-    }
-
-    async fn close(self) {
-        match self {
-            Self::MutualTls(server) => server.close().await,
-            Self::Plain(server) => server.close().await,
-        }
-    }
-}
-
-/// Keys of the process, where there are any, and what is made with them.
-struct PeerSetup {
-    keys: Option<Arc<KeyRing>>,
-    options: Options,
-    transport: Arc<dyn Transport>,
-}
-
-impl PeerSetup {
-    fn new(options: &KeeperOptions, clock: &Arc<dyn Clock>) -> Result<Self, Report<KeeperError>> {
-        let peer_options = Options::builder()
-            .message_limit(MESSAGE_LIMIT)
-            .clock(Arc::clone(clock))
-            .connect_timeout(CONNECT_TIMEOUT)
-            .first_backoff(FIRST_BACKOFF)
-            .last_backoff(LAST_BACKOFF)
-            .build();
-        Ok(match &options.security {
-            PeerSecurity::MutualTls(folder) => {
-                let keys = KeyRing::load(folder, clock.now()).change_context(KeeperError)?;
-                Self {
-                    transport: Arc::new(PeerTransport::new(
-                        Arc::clone(&keys),
-                        peer_options.clone(),
-                    )),
-                    keys: Some(keys),
-                    options: peer_options,
-                }
-            }
-            PeerSecurity::Unprotected => {
-                let identity = PeerIdentity {
-                    vm: options.vm.clone(),
-                    role: Role::Keeper,
-                };
-                Self {
-                    transport: Arc::new(PlainTransport::new(identity, peer_options.clone())),
-                    keys: None,
-                    options: peer_options,
-                }
-            }
-        })
-    }
-
-    async fn serve(
-        &self,
-        address: SocketAddr,
-        handler: Arc<dyn Handler>,
-    ) -> Result<RunningServer, Report<KeeperError>> {
-        let options = self.options.clone();
-        match &self.keys {
-            Some(keys) => PeerServer::bind(address, Arc::clone(keys), handler, options)
-                .map(RunningServer::MutualTls)
-                .change_context(KeeperError),
-            None => PlainServer::bind(address, handler, options)
-                .await
-                .map(RunningServer::Plain)
-                .change_context(KeeperError)
-                .attach_with(|| format!("can't listen on TCP {address}")),
-        }
-    }
-}
-
 impl Keeper {
     /// Opens the data folder and starts to listen and to look for the group.
     pub async fn start(options: KeeperOptions) -> Result<Self, Report<KeeperError>> {
         let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
         let peers = PeerSetup::new(&options, &clock)?;
-        let mut directory = Directory::listed(&options.keepers.lock());
-        if options.vms_are_addresses {
-            directory = directory.with_shared_port(options.peer_address.port());
-        }
-        let (mut store, recovered) =
-            Store::open(&options.data_folder).change_context(KeeperError)?;
-        store.set_segment_bytes(options.segment_size.0);
-        let replica_id = recovered.replica;
-        let replica = Replica::recover(
-            options.log.clone(),
-            options.vm.clone(),
-            recovered,
-            rand::random(),
-            clock.now(),
-        );
-        let transport = Arc::clone(&peers.transport);
-        let log_transport = PeerLogTransport {
-            transport: Arc::clone(&transport),
-            directory: directory.clone(),
-        };
         let catalogue = Arc::new(Catalogue::new(Arc::clone(&clock), rand::random()));
         if let Some(view) = read_view(&options.data_folder) {
-            info!(
-                "keeper begins with the cached view targets={}",
-                view.targets.len()
-            );
+            info!(targets = view.targets.len(); "keeper begins with the cached view");
             catalogue.begin_with(view);
         }
         let cache = ViewCache::start(&options.data_folder).change_context(KeeperError)?;
-        let core = Core::new(
-            replica,
-            store,
-            Box::new(log_transport),
-            Arc::clone(&clock),
-            Metrics::new(options.metrics_address).change_context(KeeperError)?,
-            CoreOptions {
-                admission: options.admission,
-                observer: Some(Arc::clone(&catalogue) as Arc<dyn CommitObserver>),
-                tick: Duration::from_millis(options.heartbeat_interval.0 / TICKS_PER_HEARTBEAT),
-            },
-        )
-        .change_context(KeeperError)?;
+        let directory = directory_of(&options);
+        let (replica, core) = open_core(&options, &peers, &directory, &clock, &catalogue)?;
         let (handle, events) = CoreHandle::new();
         let thread = thread::Builder::new()
             .name("keeper-core".to_owned())
@@ -278,82 +173,23 @@
             Arc::clone(&clock),
             Arc::clone(&catalogue),
         ));
-        let peer_server = peers
-            .serve(
-                options.peer_address,
-                Arc::clone(&server) as Arc<dyn Handler>,
-            )
-            .await?;
+        let handler = Arc::clone(&server) as Arc<dyn Handler>;
+        let peer_server = peers.serve(options.peer_address, handler).await?;
         info!(
-            "keeper vm={} replica={replica_id} listens on {}",
+            "keeper vm={} replica={replica} listens on {}",
             options.vm,
             peer_server.address()
         );
-        if let Some(address) = options.operator_address {
-            let store = OperatorStore::new(
-                Arc::clone(&server),
-                handle.clone(),
-                directory.clone(),
-                Arc::clone(&transport),
-            );
-            serve_operators(address, store, options.operator_keys, Arc::clone(&clock)).await?;
-        }
-        if let Some(control) = options.control {
-            let metrics: Arc<ProcessMetrics> = Arc::default();
-            if let Some(address) = control.metrics_address {
-                let service = Arc::new(MetricsService(Arc::clone(&metrics)));
-                serve_http(address, service, Limits::default(), Arc::clone(&clock)).await?;
-            }
-            let service = ControlService {
-                metrics,
-                dialect: control.dialect,
-                catalogue: Arc::clone(&catalogue),
-                group: Arc::new(GroupClient {
-                    own: options.vm.clone(),
-                    server: Arc::clone(&server),
-                    directory: directory.clone(),
-                    transport: Arc::clone(&transport),
-                    clock: Arc::clone(&clock),
-                }),
-            };
-            let limits = Limits::default().with_body_bytes(control.body_limit);
-            serve_http(
-                control.address,
-                Arc::new(service),
-                limits,
-                Arc::clone(&clock),
-            )
-            .await?;
-            info!("control interface on {}", control.address);
-        }
-        let spreading = Spreading {
-            own: options.vm.clone(),
-            catalogue,
-            cache,
+        let assembly = Assembly {
             core: handle.clone(),
-            directory: directory.clone(),
-            transport: Arc::clone(&transport),
-            clock: Arc::clone(&clock),
-        };
-        task::spawn(spreading.run());
-        let reload_clock = Arc::clone(&clock);
-        let formation = Formation {
-            vm: options.vm,
-            replica: replica_id,
-            keepers: options.keepers,
-            may_found: options.may_found,
+            server: Arc::clone(&server),
+            catalogue,
             directory,
-            transport,
+            transport: Arc::clone(&peers.transport),
             clock,
-            core: handle.clone(),
         };
-        task::spawn(formation.run());
-        if let Some(keys) = peers.keys {
-            task::spawn(async move {
-                keys.reload_every(reload_clock.as_ref(), KEY_RELOAD_INTERVAL)
-                    .await;
-            });
-        }
+        assembly.serve_interfaces(&options).await?;
+        assembly.spawn_tasks(options, replica, cache, peers.keys);
         Ok(Self {
             core: handle,
             thread,
@@ -402,6 +238,147 @@
     }
 }
 
+fn directory_of(options: &KeeperOptions) -> Directory {
+    let directory = Directory::listed(&options.keepers.lock());
+    if options.vms_are_addresses {
+        directory.with_shared_port(options.peer_address.port())
+    } else {
+        directory
+    }
+}
+
+/// Recovers the replica from the data folder.
+fn open_core(
+    options: &KeeperOptions,
+    peers: &PeerSetup,
+    directory: &Directory,
+    clock: &Arc<dyn Clock>,
+    catalogue: &Arc<Catalogue>,
+) -> Result<(ReplicaId, Core), Report<KeeperError>> {
+    let (mut store, recovered) = Store::open(&options.data_folder).change_context(KeeperError)?;
+    store.set_segment_bytes(options.segment_size.0);
+    let id = recovered.replica;
+    let replica = Replica::recover(
+        options.log.clone(),
+        options.vm.clone(),
+        recovered,
+        rand::random(),
+        clock.now(),
+    );
+    let transport = PeerLogTransport {
+        transport: Arc::clone(&peers.transport),
+        directory: directory.clone(),
+    };
+    let core = Core::new(
+        replica,
+        store,
+        Box::new(transport),
+        Arc::clone(clock),
+        Metrics::new(options.metrics_address).change_context(KeeperError)?,
+        CoreOptions {
+            admission: options.admission,
+            observer: Some(Arc::clone(catalogue) as Arc<dyn CommitObserver>),
+            tick: Duration::from_millis(options.heartbeat_interval.0 / TICKS_PER_HEARTBEAT),
+        },
+    )
+    .change_context(KeeperError)?;
+    Ok((id, core))
+}
+
+/// The parts of a keeper that its interfaces and tasks use.
+struct Assembly {
+    core: CoreHandle,
+    server: Arc<KeeperServer>,
+    catalogue: Arc<Catalogue>,
+    directory: Directory,
+    transport: Arc<dyn Transport>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Assembly {
+    async fn serve_interfaces(&self, options: &KeeperOptions) -> Result<(), Report<KeeperError>> {
+        if let Some(address) = options.operator_address {
+            let store = OperatorStore::new(
+                Arc::clone(&self.server),
+                self.core.clone(),
+                self.directory.clone(),
+                Arc::clone(&self.transport),
+            );
+            let keys = options.operator_keys.clone();
+            serve_operators(address, store, keys, Arc::clone(&self.clock)).await?;
+        }
+        if let Some(control) = &options.control {
+            self.serve_control(control, options.vm.clone()).await?;
+        }
+        Ok(())
+    }
+
+    async fn serve_control(
+        &self,
+        control: &ControlOptions,
+        own: VmId,
+    ) -> Result<(), Report<KeeperError>> {
+        let metrics: Arc<ProcessMetrics> = Arc::default();
+        if let Some(address) = control.metrics_address {
+            let service = Arc::new(MetricsService(Arc::clone(&metrics)));
+            serve_http(address, service, Limits::default(), Arc::clone(&self.clock)).await?;
+        }
+        let service = ControlService {
+            metrics,
+            dialect: Arc::clone(&control.dialect),
+            catalogue: Arc::clone(&self.catalogue),
+            group: Arc::new(GroupClient {
+                own,
+                server: Arc::clone(&self.server),
+                directory: self.directory.clone(),
+                transport: Arc::clone(&self.transport),
+                clock: Arc::clone(&self.clock),
+            }),
+        };
+        let limits = Limits::default().with_body_bytes(control.body_limit);
+        let clock = Arc::clone(&self.clock);
+        serve_http(control.address, Arc::new(service), limits, clock).await?;
+        info!("control interface on {}", control.address);
+        Ok(())
+    }
+
+    fn spawn_tasks(
+        self,
+        options: KeeperOptions,
+        replica: ReplicaId,
+        cache: ViewCache,
+        keys: Option<Arc<KeyRing>>,
+    ) {
+        let spreading = Spreading {
+            own: options.vm.clone(),
+            catalogue: self.catalogue,
+            cache,
+            core: self.core.clone(),
+            directory: self.directory.clone(),
+            transport: Arc::clone(&self.transport),
+            clock: Arc::clone(&self.clock),
+        };
+        task::spawn(spreading.run());
+        let clock = Arc::clone(&self.clock);
+        if let Some(keys) = keys {
+            task::spawn(async move {
+                keys.reload_every(clock.as_ref(), KEY_RELOAD_INTERVAL).await;
+            });
+        }
+        let formation = Formation {
+            vm: options.vm,
+            replica,
+            keepers: options.keepers,
+            may_found: options.may_found,
+            directory: self.directory,
+            transport: self.transport,
+            clock: self.clock,
+            core: self.core,
+        };
+        task::spawn(formation.run());
+    }
+}
+
 async fn serve_operators(
     address: SocketAddr,
     store: OperatorStore,
@@ -433,95 +410,6 @@
     Ok(())
 }
 
-/// Tells the other keepers what this one hears, and follows the list of members.
-struct Spreading {
-    own: VmId,
-    catalogue: Arc<Catalogue>,
-    cache: ViewCache,
-    core: CoreHandle,
-    directory: Directory,
-    transport: Arc<dyn Transport>,
-    clock: Arc<dyn Clock>,
-}
-
-impl Spreading {
-    async fn run(self) {
-        let mut others = Vec::new();
-        let mut has_targets = false;
-        let mut turn = 0;
-        loop {
-            if turn % HOUSEKEEPING_TURNS == 0 {
-                others = self.other_members().await;
-                self.catalogue.expire();
-                self.cache_view();
-                if !has_targets {
-                    has_targets = self.fetch_targets(&others).await;
-                }
-            }
-            turn += 1;
-            if let Some(heard) = self.catalogue.take_unsent() {
-                self.tell(&others, heard);
-            }
-            self.clock.sleep(HEARD_INTERVAL).await;
-        }
-    }
-
-    fn cache_view(&self) {
-        let Some(view) = self.catalogue.changed_view() else {
-            return;
-        };
-        if !self.cache.store(view) {
-            self.catalogue.view_not_stored();
-        }
-    }
-
-    async fn other_members(&self) -> Vec<PeerAddress> {
-        let Some(report) = self.core.ask(|reply| Event::Report { reply }).await else {
-            return Vec::new();
-        };
-        let vms: Vec<VmId> = report.members.into_iter().map(|member| member.vm).collect();
-        let others = vms
-            .iter()
-            .filter(|vm| **vm != self.own)
-            .filter_map(|vm| self.directory.find(vm))
-            .collect();
-        self.catalogue.set_keepers(vms);
-        others
-    }
-
-    /// Asks one keeper for its targets; a target that announced itself there may come here only
-    /// after its departure.
-    async fn fetch_targets(&self, others: &[PeerAddress]) -> bool {
-        for keeper in others {
-            let transport = self.transport.as_ref();
-            let request = Request::FetchTargets;
-            match messages::call(transport, keeper, &request, FETCH_TIMEOUT).await {
-                Ok(Reply::Targets(targets)) => {
-                    self.catalogue.merge(messages::Heard {
-                        targets,
-                        gateways: Vec::new(),
-                    });
-                    return true;
-                }
-                Ok(_) => {}
-                Err(error) => debug!("keeper {} gave no targets: {error}", keeper.vm),
-            }
-        }
-        false
-    }
-
-    fn tell(&self, others: &[PeerAddress], heard: messages::Heard) {
-        match Request::Heard(heard).encode() {
-            Ok(body) => {
-                for keeper in others {
-                    self.transport.send(keeper, body.clone());
-                }
-            }
-            Err(error) => warn!("announcements can't be sent: {error}"),
-        }
-    }
-}
-
 struct PeerLogTransport {
     transport: Arc<dyn Transport>,
     directory: Directory,
--- a/crates/auburnbridge_peer/src/plain/client.rs
+++ b/crates/auburnbridge_peer/src/plain/client.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use async_channel::{Receiver, Sender, TryRecvError, TrySendError};
+use async_channel::{Receiver, Sender, TrySendError};
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use async_std::task;
@@ -240,7 +240,7 @@
                 wrote_since_ping = true;
             }
             let now = self.options.clock.now();
-            match self.next_ping(now, ping, wrote_since_ping) {
+            match Self::next_ping(now, ping, wrote_since_ping) {
                 Ok(true) => {
                     Frame::new(Kind::Ping, 0, Vec::new()).encode(&mut buf);
                     wrote_since_ping = false;
@@ -279,12 +279,7 @@
     }
 
     /// Whether a ping is due, or why the connection counts as dead.
-    fn next_ping(
-        &self,
-        now: Timestamp,
-        ping: &Mutex<PingState>,
-        is_in_use: bool,
-    ) -> Result<bool, String> {
+    fn next_ping(now: Timestamp, ping: &Mutex<PingState>, is_in_use: bool) -> Result<bool, String> {
         let mut ping = ping.lock();
         let age = now.since(ping.sent);
         if !ping.answered {
@@ -348,12 +343,7 @@
 
     /// Drops what has waited for a connection that could not be made; it is stale by now.
     fn drop_queued(&self, queue: &Receiver<Frame>, error: &PeerError) {
-        loop {
-            match queue.try_recv() {
-                Ok(_) => {}
-                Err(TryRecvError::Empty | TryRecvError::Closed) => break,
-            }
-        }
+        while queue.try_recv().is_ok() {}
         self.fail_pending(error);
     }
 }
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -318,8 +318,7 @@
             (false, true) if is_risky => Rank::Risky,
             (false, true) => Rank::SuspectFree,
             (true, false) if target.in_flight() < target.capacity(now) + MOST_QUEUED => Rank::Busy,
-            (true, false) => Rank::Last,
-            (false, false) => Rank::Last,
+            (true | false, false) => Rank::Last,
         }
     }
 
--- a/crates/auburnbridge_policy/src/balance/evidence.rs
+++ b/crates/auburnbridge_policy/src/balance/evidence.rs
@@ -1,6 +1,6 @@
 //! Evidence against a target, as the log of the odds that it fails its work.
 
-use auburnbridge_types::{Millis, Timestamp};
+use auburnbridge_types::Timestamp;
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
@@ -55,7 +55,7 @@
 /// Evidence is not added up beyond this, so that a few answers in a row clear a target.
 const MOST_NATS: f64 = 7.0;
 /// Evidence halves in this time without news: partial failures last 5 to 25 seconds.
-const HALF_LIFE: Millis = Millis(8_000);
+const HALF_LIFE_MS: f64 = 8_000.0;
 /// Evidence that one error or slow answer doesn't reach, and one broken answer does, also with an
 /// answer after it: a quarter of the requests of a failing target are answered.
 pub(super) const STRONG_NATS: f64 = 2.5;
@@ -72,7 +72,7 @@
     pub(super) fn nats(&self, now: Timestamp) -> f64 {
         let age = now.since(self.at).0;
         let age = f64::from(u32::try_from(age).unwrap_or(u32::MAX));
-        self.nats * 0.5_f64.powf(age / HALF_LIFE.0 as f64)
+        self.nats * 0.5_f64.powf(age / HALF_LIFE_MS)
     }
 
     pub(super) fn add(&mut self, now: Timestamp, nats: f64) {
--- a/crates/auburnbridge_policy/tests/balance_load/main.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/main.rs
@@ -4,6 +4,13 @@
 //! at-most-once work takes at most 1.5 times as long under overload as in quiet times, and less
 //! urgent work is not served more often than more urgent work of its service.
 
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "counts and times of a model are small"
+)]
+
 mod model;
 
 use auburnbridge_policy::RequestClass;
@@ -205,7 +212,7 @@
 #[test]
 fn slow_targets_get_less_work() {
     fn slowness(target: usize, at_ms: u64) -> f64 {
-        if target % 5 == 0 && at_ms >= 4_000 {
+        if target.is_multiple_of(5) && at_ms >= 4_000 {
             5.0
         } else {
             1.0
@@ -217,7 +224,10 @@
     }) {
         let after = outcome.sends.iter().filter(|send| send.at_ms > 6_000);
         let (slow, all) = after.fold((0.0, 0.0), |(slow, all), send| {
-            (slow + f64::from(u8::from(send.target % 5 == 0)), all + 1.0)
+            (
+                slow + f64::from(u8::from(send.target.is_multiple_of(5))),
+                all + 1.0,
+            )
         });
         // Six of 26 targets would get 23% by chance.
         assert!(
@@ -233,7 +243,7 @@
 #[test]
 fn cut_path_of_one_gateway_stays_its_own() {
     fn is_cut(gateway: usize, target: usize) -> bool {
-        gateway == 0 && target % 2 == 0
+        gateway == 0 && target.is_multiple_of(2)
     }
     for outcome in run_seeds(|| Pattern { is_cut, ..quiet() }) {
         for tally in &outcome.tallies {
@@ -241,7 +251,10 @@
         }
         let elsewhere = outcome.sends.iter().filter(|send| send.gateway != 0);
         let (even_targets, all) = elsewhere.fold((0.0, 0.0), |(even, all), send| {
-            (even + f64::from(u8::from(send.target % 2 == 0)), all + 1.0)
+            (
+                even + f64::from(u8::from(send.target.is_multiple_of(2))),
+                all + 1.0,
+            )
         });
         assert!(even_targets / all > 0.4, "{:.2}", even_targets / all);
     }
--- a/crates/auburnbridge_routing/tests/routes.rs
+++ b/crates/auburnbridge_routing/tests/routes.rs
@@ -113,7 +113,7 @@
     fn each_destination_gets_its_share(
         weights in prop::collection::vec(0_u32..1_000, 1..6),
         offset in any::<u32>(),
-        count in 1_usize..500,
+        count in 1_u32..500,
     ) {
         prop_assume!(weights.iter().sum::<u32>() > 0);
         let destinations: Vec<Destination> = weights
@@ -130,9 +130,10 @@
         }
         let total: u32 = weights.iter().sum();
         for (weight, given) in weights.iter().zip(&counts) {
-            let share = f64::from(*weight) / f64::from(total) * count as f64;
+            let share = f64::from(*weight) / f64::from(total) * f64::from(count);
             // One request each at the begin and the end of the run, for each of the others.
-            prop_assert!((given - share).abs() <= weights.len() as f64, "{given} of {share}");
+            let parts = f64::from(u32::try_from(weights.len()).unwrap());
+            prop_assert!((given - share).abs() <= parts, "{given} of {share}");
         }
     }
 }
--- a/crates/auburnbridge_settings/src/reference.rs
+++ b/crates/auburnbridge_settings/src/reference.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use crate::declare::{Declaration, Presence, Settings};
-use crate::{EntrySettings, KeeperSettings};
+use crate::{ControlSettings, EntrySettings, GatewaySettings, KeeperSettings};
 
 const HEAD: &str = "\
 # Settings
@@ -21,6 +21,8 @@
     let mut page = HEAD.to_owned();
     write_role::<EntrySettings>(&mut page, include_str!("../examples/entry.json"));
     write_role::<KeeperSettings>(&mut page, include_str!("../examples/keeper.json"));
+    write_role::<GatewaySettings>(&mut page, include_str!("../examples/gateway.json"));
+    write_role::<ControlSettings>(&mut page, include_str!("../examples/control.json"));
     page
 }
 
--- a/crates/auburnbridge_telemetry/src/metrics.rs
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -107,22 +107,22 @@
 
 impl ProcessMetrics {
     /// Counts a request of a caller that has ended.
-    pub fn record_request(&self, labels: RequestLabels, time: Millis) {
+    pub fn record_request(&self, labels: &RequestLabels, time: Millis) {
         let service = ServiceLabels {
             service: labels.service.clone(),
         };
-        self.requests.get_or_create(&labels).inc();
+        self.requests.get_or_create(labels).inc();
         self.request_seconds
             .get_or_create(&service)
             .observe(seconds(time));
     }
 
     /// Counts an exchange with a target.
-    pub fn record_exchange(&self, labels: ExchangeLabels, time: Millis) {
+    pub fn record_exchange(&self, labels: &ExchangeLabels, time: Millis) {
         let service = ServiceLabels {
             service: labels.service.clone(),
         };
-        self.exchanges.get_or_create(&labels).inc();
+        self.exchanges.get_or_create(labels).inc();
         self.exchange_seconds
             .get_or_create(&service)
             .observe(seconds(time));
