End the processes of the platform tests

Change: the fleet ends its processes when it is dropped and shows their logs on a failure. A test that waited for one of two gateways waits for both.

--- a/crates/auburnbridge/tests/processes/fleet.rs
+++ b/crates/auburnbridge/tests/processes/fleet.rs
@@ -157,12 +157,17 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        for process in self.keepers.iter_mut().chain(&mut self.entries) {
-            if std::thread::panicking() {
-                eprintln!("== {}\n{}", process.name, process.log());
-            }
-            process.kill();
+        end_processes(self.keepers.iter_mut().chain(&mut self.entries));
+    }
+}
+
+/// Ends the processes of a fleet, and shows their logs when the test has failed.
+pub fn end_processes<'a>(processes: impl Iterator<Item = &'a mut Process>) {
+    for process in processes {
+        if std::thread::panicking() {
+            eprintln!("== {}\n{}", process.name, process.log());
         }
+        process.kill();
     }
 }
 
--- a/crates/auburnbridge/tests/processes/platform.rs
+++ b/crates/auburnbridge/tests/processes/platform.rs
@@ -91,7 +91,9 @@
 fn all_keepers_killed_and_back() {
     let (mut fleet, _target) = serving_fleet(90, 3);
     fleet.publish(&document(5, "/c/"));
-    eventually("version 5 is not in force", || served(&fleet, 0, "/c/x"));
+    for gateway in 0..2 {
+        eventually("version 5 is not in force", || served(&fleet, gateway, "/c/x"));
+    }
     for control in &mut fleet.controls {
         control.kill();
     }
--- a/crates/auburnbridge/tests/processes/platform_fleet.rs
+++ b/crates/auburnbridge/tests/processes/platform_fleet.rs
@@ -13,7 +13,7 @@
 use auburnbridge_http::{Connection, Limits, Request, RequestInfo, Response};
 use parking_lot::Mutex;
 
-use crate::fleet::{PATIENCE, POLL, Process, free_port};
+use crate::fleet::{PATIENCE, POLL, Process, end_processes, free_port};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -34,6 +34,12 @@
     first_vm: u8,
 }
 
+impl Drop for PlatformFleet {
+    fn drop(&mut self) {
+        end_processes(self.controls.iter_mut().chain(&mut self.gateways));
+    }
+}
+
 impl PlatformFleet {
     /// Starts processes that have never run; tests that run at the same time take other VMs.
     pub fn start(first_vm: u8, controls: u8, gateways: u8) -> Self {
