--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -119,8 +119,13 @@
         if held.is_some_and(|held| held >= routes.version()) {
             return false;
         }
+        let services: Vec<&str> = routes
+            .services()
+            .map(|service| service.name.as_str())
+            .collect();
         info!(
-            version = routes.version().0, previous = held.map_or(0, |held| held.0), routes = routes.len();
+            version = routes.version().0, previous = held.map_or(0, |held| held.0),
+            routes = routes.len(), services:? = services;
             "configuration in force"
         );
         self.metrics.set_configuration_version(routes.version().0);
