--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -7,12 +7,12 @@
 use auburnbridge_caller::{Disconnect, LimitSource, Service};
 use auburnbridge_http::{Limits, MemoryBudget, Request, Response};
 use auburnbridge_policy::{CrashReport, PoisonTable};
-use auburnbridge_routing::{
-    CallerLimits, ConfigVersion, Dialect, HeaderNames, PublishedRoute, RouteSet, Splits,
-};
+use auburnbridge_routing::{CallerLimits, Dialect, HeaderNames, PublishedRoute, RouteSet, Splits};
 use auburnbridge_target::Pool;
 use auburnbridge_telemetry::ProcessMetrics;
-use auburnbridge_types::{BodyDigest, BoxFuture, ByteSize, Clock, Millis, Timestamp};
+use auburnbridge_types::{
+    BodyDigest, BoxFuture, ByteSize, Clock, ConfigVersion, Millis, Timestamp,
+};
 use event_listener::Event;
 use log::info;
 use parking_lot::Mutex;
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -14,11 +14,14 @@
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{BalancerOptions, DispatcherOptions, SendBudgetOptions};
 use auburnbridge_routing::{
-    CallError, CallerLimits, ConfigVersion, ControlCall, Destination, Dialect, DocumentError,
-    HeaderNames, Priority, PublishedRoute, PublishedService, RouteSet, Weight,
+    CallError, CallerLimits, ControlCall, Destination, Dialect, DocumentError, HeaderNames,
+    PublishedRoute, PublishedService, RouteSet,
 };
 use auburnbridge_target::Pool;
-use auburnbridge_types::{ByteSize, Clock, Incarnation, Millis, RuntimeClock, Sequence, Slots};
+use auburnbridge_types::{
+    ByteSize, Clock, ConfigVersion, Incarnation, Millis, Priority, RuntimeClock, Sequence, Slots,
+    Weight,
+};
 use parking_lot::Mutex;
 
 /// What a target does with a request.
--- a/crates/auburnbridge_routing/src/dialect.rs
+++ b/crates/auburnbridge_routing/src/dialect.rs
@@ -4,9 +4,9 @@
 
 use auburnbridge_http::Request;
 use auburnbridge_membership::Announcement;
-use auburnbridge_types::{Incarnation, TargetId};
+use auburnbridge_types::{ConfigVersion, Incarnation, TargetId};
 
-use crate::{ConfigVersion, RouteSet, RouteSetError};
+use crate::{RouteSet, RouteSetError};
 
 /// Names of the headers that a gateway reads and writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/auburnbridge_routing/src/lib.rs
+++ b/crates/auburnbridge_routing/src/lib.rs
@@ -13,8 +13,6 @@
     AnnouncementError, CallError, ControlCall, Dialect, DocumentError, HeaderNames,
     PublishedDocument,
 };
-pub use route::{
-    CallerLimits, ConfigVersion, Destination, Priority, PublishedRoute, PublishedService, Weight,
-};
+pub use route::{CallerLimits, Destination, PublishedRoute, PublishedService};
 pub use routes::{RouteSet, RouteSetBuilder, RouteSetError};
 pub use split::{SplitState, Splits};
--- a/crates/auburnbridge_routing/src/route.rs
+++ b/crates/auburnbridge_routing/src/route.rs
@@ -1,70 +1,7 @@
 //! Routes and services of a published configuration.
 
-use std::fmt;
-use std::str::FromStr;
-
 use auburnbridge_policy::RequestClass;
-use auburnbridge_types::{ByteSize, Millis, ParseError, ServiceName};
-
-/// Version of a published configuration; the highest one takes effect.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ConfigVersion(pub u64);
-
-impl fmt::Display for ConfigVersion {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl FromStr for ConfigVersion {
-    type Err = ParseError;
-
-    fn from_str(text: &str) -> Result<Self, ParseError> {
-        text.parse()
-            .map(Self)
-            .map_err(|_| ParseError::new("a whole number", text))
-    }
-}
-
-/// Rank of a route; 0 goes first.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Priority(pub u32);
-
-impl fmt::Display for Priority {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl FromStr for Priority {
-    type Err = ParseError;
-
-    fn from_str(text: &str) -> Result<Self, ParseError> {
-        text.parse()
-            .map(Self)
-            .map_err(|_| ParseError::new("a whole number", text))
-    }
-}
-
-/// Share of a destination among those of its route, relative to the sum.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Weight(pub u32);
-
-impl fmt::Display for Weight {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl FromStr for Weight {
-    type Err = ParseError;
-
-    fn from_str(text: &str) -> Result<Self, ParseError> {
-        text.parse()
-            .map(Self)
-            .map_err(|_| ParseError::new("a whole number", text))
-    }
-}
+use auburnbridge_types::{ByteSize, Millis, Priority, ServiceName, Weight};
 
 /// A service that a route sends requests to.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/auburnbridge_routing/src/routes.rs
+++ b/crates/auburnbridge_routing/src/routes.rs
@@ -4,10 +4,10 @@
 use std::fmt;
 use std::sync::Arc;
 
-use auburnbridge_types::{Millis, ServiceName};
+use auburnbridge_types::{ConfigVersion, Millis, ServiceName};
 use indexmap::IndexMap;
 
-use crate::{CallerLimits, ConfigVersion, PublishedRoute, PublishedService};
+use crate::{CallerLimits, PublishedRoute, PublishedService};
 
 /// Longest timeout that a route may have.
 const LONGEST_TIMEOUT: Millis = Millis(10 * 60 * 1000);
--- a/crates/auburnbridge_routing/tests/routes.rs
+++ b/crates/auburnbridge_routing/tests/routes.rs
@@ -2,10 +2,10 @@
 
 use auburnbridge_policy::RequestClass;
 use auburnbridge_routing::{
-    CallerLimits, ConfigVersion, Destination, Priority, PublishedRoute, PublishedService, RouteSet,
-    RouteSetBuilder, RouteSetError, SplitState, Splits, Weight,
+    CallerLimits, Destination, PublishedRoute, PublishedService, RouteSet, RouteSetBuilder,
+    RouteSetError, SplitState, Splits,
 };
-use auburnbridge_types::{ByteSize, Millis};
+use auburnbridge_types::{ByteSize, ConfigVersion, Millis, Priority, Weight};
 use proptest::prelude::*;
 
 const LIMITS: CallerLimits = CallerLimits {
--- a/crates/auburnbridge_types/src/lib.rs
+++ b/crates/auburnbridge_types/src/lib.rs
@@ -17,7 +17,8 @@
 pub use idempotency::{BodyDigest, IdempotencyKey, parse_digest};
 pub use names::{AccountId, DataCentre, ServiceName, TargetId, VmId};
 pub use quantities::{
-    ByteSize, Incarnation, Millis, RatePerSecond, Revision, Sequence, Slots, Timestamp,
+    ByteSize, ConfigVersion, Incarnation, Millis, Priority, RatePerSecond, Revision, Sequence,
+    Slots, Timestamp, Weight,
 };
 
 /// Reason why a text is not a value of one of this crate's types.
--- a/crates/auburnbridge_types/src/quantities.rs
+++ b/crates/auburnbridge_types/src/quantities.rs
@@ -69,6 +69,19 @@
     RatePerSecond(u32), "/s", "a rate per second, such as `50/s`"
 );
 
+quantity!(
+    /// Version of a published configuration; the highest one takes effect.
+    ConfigVersion(u64), "", "a whole number"
+);
+quantity!(
+    /// Rank of a route; 0 goes first.
+    Priority(u32), "", "a whole number"
+);
+quantity!(
+    /// Share of a destination among those of its route, relative to the sum.
+    Weight(u32), "", "a whole number"
+);
+
 impl Timestamp {
     /// The point in time that lies `duration` later.
     #[must_use]
