Tell new members of the group what was announced before

A keeper that had fetched the list before the announcement and became a member after it heard of the target only with its next announcement. Ruled out: leaked processes (none ran), the gateway's feed (it followed the keeper all the time). Change: a keeper sends its whole list to members that are new to it.

--- a/crates/auburnbridge_keeper/src/spreading.rs
+++ b/crates/auburnbridge_keeper/src/spreading.rs
@@ -37,7 +37,9 @@
         let mut turn: u32 = 0;
         loop {
             if turn.is_multiple_of(HOUSEKEEPING_TURNS) {
-                others = self.other_members().await;
+                let members = self.other_members().await;
+                self.welcome(&others, &members);
+                others = members;
                 self.catalogue.expire();
                 self.cache_view();
                 if !has_targets {
@@ -52,6 +54,24 @@
         }
     }
 
+    /// Tells keepers that have become members what was announced before, since from now on they hear
+    /// only what is new.
+    fn welcome(&self, before: &[PeerAddress], now: &[PeerAddress]) {
+        let joined: Vec<PeerAddress> = now
+            .iter()
+            .filter(|keeper| !before.contains(keeper))
+            .cloned()
+            .collect();
+        if joined.is_empty() {
+            return;
+        }
+        let heard = messages::Heard {
+            targets: self.catalogue.targets(),
+            gateways: Vec::new(),
+        };
+        self.tell(&joined, heard);
+    }
+
     fn cache_view(&self) {
         let Some(view) = self.catalogue.changed_view() else {
             return;
