--- a/crates/auburnbridge_routing/src/routes.rs
+++ b/crates/auburnbridge_routing/src/routes.rs
@@ -116,7 +116,8 @@
         if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
             return Err(RouteSetError::Prefix(name()));
         }
-        if route.timeout > LONGEST_TIMEOUT {
+        // Without any time every request of the route would be refused.
+        if route.timeout == Millis(0) || route.timeout > LONGEST_TIMEOUT {
             return Err(RouteSetError::Timeout(name()));
         }
         let unknown = route
@@ -159,7 +160,7 @@
     ServiceRepeated(ServiceName),
     /// A prefix doesn't begin and end with a slash.
     Prefix(String),
-    /// A route's timeout is over ten minutes.
+    /// A route's timeout is zero or over ten minutes.
     Timeout(String),
     /// A route names a service that is not in the configuration.
     UnknownService {
@@ -181,7 +182,10 @@
                 "route `{route}`: the prefix must begin and end with a slash"
             ),
             Self::Timeout(route) => {
-                write!(f, "route `{route}`: the timeout is over {LONGEST_TIMEOUT}")
+                write!(
+                    f,
+                    "route `{route}`: the timeout is zero or over {LONGEST_TIMEOUT}"
+                )
             }
             Self::UnknownService { route, service } => {
                 write!(f, "route `{route}`: service `{service}` is not listed")
