Name VMs by their IP addresses in one place

Change: VmId::from(IpAddr) and VmId::ip, PeerAddress::at; the four places call them. Behaviour stays. Test: the name of an address gives the address back, for IPv4 and IPv6.

--- a/crates/auburnbridge/src/commands/control.rs
+++ b/crates/auburnbridge/src/commands/control.rs
@@ -7,9 +7,7 @@
 
 use argh::FromArgs;
 use async_std::task;
-use auburnbridge_keeper::{
-    Admission, ControlOptions, Keeper, KeeperOptions, PeerSecurity, keeper_at,
-};
+use auburnbridge_keeper::{Admission, ControlOptions, Keeper, KeeperOptions, PeerSecurity};
 use auburnbridge_log::Config;
 use auburnbridge_operator::OperatorKeys;
 use auburnbridge_peer::PeerAddress;
@@ -41,7 +39,7 @@
     let peer_port = port(settings.peer_port)?;
     let keepers = Arc::new(Mutex::new(keepers_at(&settings.seeds, peer_port)));
     let options = KeeperOptions {
-        vm: keeper_at(settings.vm_address, peer_port).vm,
+        vm: settings.vm_address.into(),
         peer_address: SocketAddr::new(settings.vm_address, peer_port),
         security: PeerSecurity::Unprotected,
         data_folder: settings.data_folder,
@@ -108,6 +106,6 @@
 fn keepers_at(seeds: &[SocketAddr], peer_port: u16) -> Vec<PeerAddress> {
     seeds
         .iter()
-        .map(|seed| keeper_at(seed.ip(), peer_port))
+        .map(|seed| PeerAddress::at(seed.ip(), peer_port))
         .collect()
 }
--- a/crates/auburnbridge/src/commands/gateway.rs
+++ b/crates/auburnbridge/src/commands/gateway.rs
@@ -7,7 +7,6 @@
 use argh::FromArgs;
 use async_std::task;
 use auburnbridge_gateway::{GatewayOptions, RunningGateway};
-use auburnbridge_keeper::keeper_at;
 use auburnbridge_policy::balance::SendBudgetOptions;
 use auburnbridge_settings::{GatewaySettings, Settings};
 use auburnbridge_utility::UtilityDialect;
@@ -33,7 +32,7 @@
     let mut signals = ProcessSignals::new()?;
     let seeds = Arc::new(Mutex::new(addresses(&settings.seeds)));
     let options = GatewayOptions {
-        vm: keeper_at(settings.vm_address, 0).vm,
+        vm: settings.vm_address.into(),
         data_centre: settings.data_centre,
         caller_address: settings.caller_address,
         readiness_address: settings.readiness_address,
--- a/crates/auburnbridge_gateway/src/feed.rs
+++ b/crates/auburnbridge_gateway/src/feed.rs
@@ -81,15 +81,10 @@
     fn candidates(&self) -> Vec<PeerAddress> {
         let seeds = self.seeds.lock().clone();
         let known = self.known.lock();
-        let named = known.iter().filter_map(|vm| vm.as_str().parse().ok());
+        let named = known.iter().filter_map(VmId::ip);
         let all: BTreeSet<IpAddr> = named.chain(seeds).collect();
         all.into_iter()
-            .filter_map(|ip| {
-                Some(PeerAddress {
-                    vm: ip.to_string().parse().ok()?,
-                    address: SocketAddr::new(ip, self.keeper_port),
-                })
-            })
+            .map(|ip| PeerAddress::at(ip, self.keeper_port))
             .collect()
     }
 
--- a/crates/auburnbridge_keeper/src/directory.rs
+++ b/crates/auburnbridge_keeper/src/directory.rs
@@ -4,7 +4,6 @@
 //! named by its IP address and all keepers use one port, so that a name tells the address.
 
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
 
 use auburnbridge_peer::PeerAddress;
 use auburnbridge_types::VmId;
@@ -40,21 +39,6 @@
         if let Some(listed) = self.listed.get(vm) {
             return Some(listed.clone());
         }
-        let ip: IpAddr = vm.as_str().parse().ok()?;
-        Some(PeerAddress {
-            vm: vm.clone(),
-            address: SocketAddr::new(ip, self.shared_port?),
-        })
-    }
-}
-
-/// The keeper at `ip` in a fleet whose VMs are named by their IP addresses.
-pub fn keeper_at(ip: IpAddr, port: u16) -> PeerAddress {
-    PeerAddress {
-        vm: ip
-            .to_string()
-            .parse()
-            .expect("an IP address consists of characters that a name may have"),
-        address: SocketAddr::new(ip, port),
+        Some(PeerAddress::at(vm.ip()?, self.shared_port?))
     }
 }
--- a/crates/auburnbridge_keeper/src/lib.rs
+++ b/crates/auburnbridge_keeper/src/lib.rs
@@ -20,7 +20,7 @@
     Admission, CommitCounts, CommitObserver, Core, CoreError, CoreHandle, CoreOptions, Event,
     LogTransport, PublishedVersion, QUEUE, Report,
 };
-pub use directory::{Directory, keeper_at};
+pub use directory::Directory;
 pub use group_client::{GroupClient, Unavailable};
 pub use peers::PeerSecurity;
 pub use run::{ControlOptions, Keeper, KeeperError, KeeperOptions};
--- a/crates/auburnbridge_peer/src/identity.rs
+++ b/crates/auburnbridge_peer/src/identity.rs
@@ -3,7 +3,7 @@
 //! A certificate of the fleet has two URI names: `auburnbridge:vm:NAME` and `auburnbridge:role:ROLE`.
 //! URIs are used because a VM name may hold characters that a DNS name can't.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use auburnbridge_types::VmId;
 use rustls::pki_types::CertificateDer;
@@ -54,6 +54,16 @@
     }
 }
 
+impl PeerAddress {
+    /// The process at `ip` in a fleet whose VMs are named by their IP addresses.
+    pub fn at(ip: IpAddr, port: u16) -> Self {
+        Self {
+            vm: ip.into(),
+            address: SocketAddr::new(ip, port),
+        }
+    }
+}
+
 impl PeerIdentity {
     /// The URI names that a certificate for this identity has.
     pub(crate) fn uri_names(&self) -> [String; 2] {
--- a/crates/auburnbridge_types/src/names.rs
+++ b/crates/auburnbridge_types/src/names.rs
@@ -4,6 +4,7 @@
 //! message and keeps log lines free of quoting. Clones share one allocation.
 
 use std::fmt;
+use std::net::IpAddr;
 use std::str::FromStr;
 use std::sync::Arc;
 
@@ -81,6 +82,21 @@
     /// One of our own VMs, as its settings name it.
     VmId
 );
+impl VmId {
+    /// The address of a VM that is named by its IP address.
+    pub fn ip(&self) -> Option<IpAddr> {
+        self.as_str().parse().ok()
+    }
+}
+
+impl From<IpAddr> for VmId {
+    /// Names a VM by its IP address.
+    fn from(ip: IpAddr) -> Self {
+        // The text of an address has only characters that a name may have.
+        Self(ip.to_string().into())
+    }
+}
+
 name!(
     /// A data centre.
     DataCentre
--- a/crates/auburnbridge_types/tests/types.rs
+++ b/crates/auburnbridge_types/tests/types.rs
@@ -37,6 +37,18 @@
     }
 }
 
+/// Guards against an address that is no name, or that is not found again in it.
+#[test]
+fn vm_named_by_its_address_gives_it_back() {
+    for text in ["10.0.0.1", "fd00::1"] {
+        let ip: std::net::IpAddr = text.parse().unwrap();
+        let vm = VmId::from(ip);
+        assert_eq!(text.parse::<VmId>().unwrap(), vm);
+        assert_eq!(vm.ip(), Some(ip));
+    }
+    assert_eq!("entry-1".parse::<VmId>().unwrap().ip(), None);
+}
+
 /// Guards against names that would break log lines or grow messages without bound.
 #[test]
 fn names_are_bounded() {
