Hold the published document in one type from the log to the gateways

Cause: the same document stood as a tuple of a number and bytes in the state machine, the log's events and the catalogue, and as a Publish in messages and the cached view. Three places converted between them, and each reply to a gateway copied the document. Change: Publish has the version as a ConfigVersion and shares its document; the tuples, the alias PublishedVersion and the conversions are gone. Behaviour and the encoded form stay. Tests: the encoding is still that of a number and bytes, so that data folders are read as before; only higher versions take effect.

--- a/crates/auburnbridge_config/src/published.rs
+++ b/crates/auburnbridge_config/src/published.rs
@@ -2,16 +2,17 @@
 
 use std::sync::Arc;
 
+use auburnbridge_types::ConfigVersion;
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-/// A document to put in force.
+/// A document with its version. Clones share the document.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Publish {
     /// Version of the document.
-    pub version: u64,
+    pub version: ConfigVersion,
     /// The document; its format is opaque here.
-    pub document: Vec<u8>,
+    pub document: Arc<[u8]>,
 }
 
 /// Reply to a [`Publish`]; both mean that the order is dealt with.
@@ -27,7 +28,7 @@
 /// The published document, if there is one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Published {
-    current: Option<(u64, Arc<[u8]>)>,
+    current: Option<Publish>,
 }
 
 impl Published {
@@ -36,17 +37,17 @@
         if self.version().is_some_and(|held| order.version <= held) {
             return PublishReply::Superseded;
         }
-        self.current = Some((order.version, order.document.into()));
+        self.current = Some(order);
         PublishReply::Accepted
     }
 
     /// Version in force.
-    pub fn version(&self) -> Option<u64> {
-        self.current.as_ref().map(|(version, _)| *version)
+    pub fn version(&self) -> Option<ConfigVersion> {
+        self.current.as_ref().map(|current| current.version)
     }
 
-    /// Version and document in force.
-    pub fn current(&self) -> Option<(u64, Arc<[u8]>)> {
-        self.current.clone()
+    /// The document in force.
+    pub fn current(&self) -> Option<&Publish> {
+        self.current.as_ref()
     }
 }
--- a/crates/auburnbridge_gateway/src/feed.rs
+++ b/crates/auburnbridge_gateway/src/feed.rs
@@ -93,7 +93,7 @@
         let mut position = None;
         loop {
             let request = Request::Watch(Watch {
-                version: self.gateway.routes().map(|routes| routes.version().0),
+                version: self.gateway.routes().map(|routes| routes.version()),
                 position,
                 wait: WATCH,
                 address: self.address,
@@ -149,7 +149,7 @@
                     self.gateway.put_in_force(routes);
                 }
                 Err(error) => warn!(
-                    version = published.version, error = error;
+                    version = published.version.0, error = error;
                     "configuration can't be put in force"
                 ),
             }
--- a/crates/auburnbridge_keeper/src/catalogue.rs
+++ b/crates/auburnbridge_keeper/src/catalogue.rs
@@ -11,7 +11,7 @@
 use auburnbridge_config::Publish;
 use auburnbridge_membership::{Announcement, Members, State, Verdict};
 use auburnbridge_messages::{GatewayLocation, Heard, ListPosition, Watch, Watched};
-use auburnbridge_types::{Clock, Incarnation, Millis, TargetId, Timestamp, VmId};
+use auburnbridge_types::{Clock, ConfigVersion, Incarnation, Millis, TargetId, Timestamp, VmId};
 use event_listener::Event;
 use futures_lite::FutureExt;
 use log::info;
@@ -38,7 +38,7 @@
     changes: u64,
     /// The last changes, oldest first.
     recent: VecDeque<Announcement>,
-    document: Option<(u64, Arc<[u8]>)>,
+    document: Option<Publish>,
     confirmed: Option<Timestamp>,
     keepers: Vec<VmId>,
     gateways: HashMap<VmId, (GatewayLocation, Timestamp)>,
@@ -47,7 +47,7 @@
     /// Gateways that watched this keeper since the other keepers were told.
     watching: HashMap<VmId, GatewayLocation>,
     /// Number of changes and version of the view that was last cached.
-    cached: Option<(u64, Option<u64>)>,
+    cached: Option<(u64, Option<ConfigVersion>)>,
 }
 
 /// What is known of a target that says it leaves.
@@ -175,27 +175,19 @@
         for announcement in view.targets {
             state.take(now, announcement);
         }
-        state.document = view
-            .document
-            .map(|published| (published.version, published.document.into()));
+        state.document = view.document;
     }
 
     /// The committed view, if it has changed since the last call.
     pub fn changed_view(&self) -> Option<CachedView> {
         let mut state = self.state.lock();
-        let stamp = (
-            state.changes,
-            state.document.as_ref().map(|(version, _)| *version),
-        );
+        let stamp = (state.changes, state.version());
         if state.cached == Some(stamp) {
             return None;
         }
         state.cached = Some(stamp);
         Some(CachedView {
-            document: state.document.as_ref().map(|(version, document)| Publish {
-                version: *version,
-                document: document.to_vec(),
-            }),
+            document: state.document.clone(),
             targets: state.members.iter().cloned().collect(),
         })
     }
@@ -282,11 +274,14 @@
     }
 
     fn has_news(&self, watch: &Watch) -> bool {
-        let held = self.document.as_ref().map(|(version, _)| *version);
         let has_list = watch
             .position
             .is_some_and(|position| position == self.position());
-        held > watch.version || !has_list
+        self.version() > watch.version || !has_list
+    }
+
+    fn version(&self) -> Option<ConfigVersion> {
+        self.document.as_ref().map(|document| document.version)
     }
 
     fn position(&self) -> ListPosition {
@@ -300,11 +295,8 @@
         let document = self
             .document
             .as_ref()
-            .filter(|(version, _)| Some(*version) > watch.version)
-            .map(|(version, document)| Publish {
-                version: *version,
-                document: document.to_vec(),
-            });
+            .filter(|document| Some(document.version) > watch.version)
+            .cloned();
         Watched {
             document,
             position: self.position(),
@@ -337,17 +329,16 @@
 }
 
 impl CommitObserver for Catalogue {
-    fn published(&self, version: u64, document: &Arc<[u8]>) {
+    fn published(&self, published: &Publish) {
         {
             let mut state = self.state.lock();
             // The log is applied from its start; what was cached may be newer than its first records.
-            let held = state.document.as_ref().map(|(version, _)| *version);
-            if held.is_some_and(|held| held > version) {
+            if state.version() > Some(published.version) {
                 return;
             }
-            state.document = Some((version, Arc::clone(document)));
+            state.document = Some(published.clone());
         }
-        info!(version = version; "configuration applied");
+        info!(version = published.version.0; "configuration applied");
         self.changed.notify(usize::MAX);
     }
 
--- a/crates/auburnbridge_keeper/src/control.rs
+++ b/crates/auburnbridge_keeper/src/control.rs
@@ -63,8 +63,8 @@
     async fn publish(&self, document: PublishedDocument) -> Response {
         let version = document.version;
         let order = Publish {
-            version: version.0,
-            document: pack_document(&document.bytes),
+            version,
+            document: pack_document(&document.bytes).into(),
         };
         match self.group.publish(order, GROUP_LIMIT).await {
             Ok(()) => {
@@ -90,7 +90,7 @@
         match unpack_document(&document.document) {
             Ok(bytes) => json(bytes),
             Err(error) => {
-                warn!(version = document.version, error:% = error; "configuration can't be unpacked");
+                warn!(version = document.version.0, error:% = error; "configuration can't be unpacked");
                 text(500, "the stored configuration can't be unpacked")
             }
         }
--- a/crates/auburnbridge_keeper/src/core.rs
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use auburnbridge_config::{Delta, HistoryEntry, PublishReply};
+use auburnbridge_config::{Delta, HistoryEntry, Publish, PublishReply};
 use auburnbridge_log::{
     Input, LogIndex, Member, MemberChange, MemberRole, Members, Message, Output, Persist,
     RejectReason, Replica, ReplicaId, Status, Token,
@@ -48,7 +48,7 @@
     /// A request for the published document, newer than any acknowledgement before the request.
     ReadPublished {
         /// Receives the version and the document, if one is in force.
-        reply: Sender<Result<Option<PublishedVersion>, RejectReason>>,
+        reply: Sender<Result<Option<Publish>, RejectReason>>,
     },
     /// A request for the rules after a revision.
     Rules {
@@ -89,13 +89,10 @@
     Stop,
 }
 
-/// A published version with its document.
-pub type PublishedVersion = (u64, Arc<[u8]>);
-
 /// Hears what is committed, on the thread of the log; it must not block.
 pub trait CommitObserver: Send + Sync {
     /// A document is in force.
-    fn published(&self, version: u64, document: &Arc<[u8]>);
+    fn published(&self, published: &Publish);
 
     /// A target has left.
     fn departed(&self, announcement: &Announcement);
@@ -134,7 +131,7 @@
 enum Waiter {
     Proposal(Sender<Result<StateReply, RejectReason>>),
     Change(Sender<Result<(), RejectReason>>),
-    Read(Sender<Result<Option<PublishedVersion>, RejectReason>>),
+    Read(Sender<Result<Option<Publish>, RejectReason>>),
 }
 
 /// Reason why the thread ends before it is told to.
@@ -419,7 +416,7 @@
             // one, so they are answered from the applied state.
             Output::ReadReady { token, .. } => {
                 if let Some(Waiter::Read(reply)) = self.take_waiter(Some(token)) {
-                    let _ = reply.try_send(Ok(self.state.published.current()));
+                    let _ = reply.try_send(Ok(self.state.published.current().cloned()));
                 }
             }
             Output::InstallSnapshot { meta, data } => {
@@ -472,10 +469,10 @@
             if let Some(announcement) = departed {
                 observer.departed(&announcement);
             }
-            if let (StateReply::Published(PublishReply::Accepted), Some((version, document))) =
+            if let (StateReply::Published(PublishReply::Accepted), Some(published)) =
                 (&reply, self.state.published.current())
             {
-                observer.published(version, &document);
+                observer.published(published);
             }
         }
         if let Some(Waiter::Proposal(waiter)) = self.take_waiter(token) {
@@ -488,8 +485,8 @@
         let Some(observer) = &self.observer else {
             return;
         };
-        if let Some((version, document)) = self.state.published.current() {
-            observer.published(version, &document);
+        if let Some(published) = self.state.published.current() {
+            observer.published(published);
         }
         for announcement in &self.state.departures {
             observer.departed(announcement);
--- a/crates/auburnbridge_keeper/src/lib.rs
+++ b/crates/auburnbridge_keeper/src/lib.rs
@@ -18,7 +18,7 @@
 pub use control::ControlService;
 pub use core::{
     Admission, CommitCounts, CommitObserver, Core, CoreError, CoreHandle, CoreOptions, Event,
-    LogTransport, PublishedVersion, QUEUE, Report,
+    LogTransport, QUEUE, Report,
 };
 pub use directory::Directory;
 pub use group_client::{GroupClient, Unavailable};
--- a/crates/auburnbridge_keeper/src/server.rs
+++ b/crates/auburnbridge_keeper/src/server.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use auburnbridge_config::Publish;
 use auburnbridge_log::RejectReason;
 use auburnbridge_messages::{KeeperHello, Reply, Request};
 use auburnbridge_operator::VmStatus;
@@ -126,10 +125,7 @@
     /// Reads the published document, if this keeper leads.
     pub async fn read_published(&self) -> Reply {
         match self.core.ask(|reply| Event::ReadPublished { reply }).await {
-            Some(Ok(current)) => Reply::Document(current.map(|(version, document)| Publish {
-                version,
-                document: document.to_vec(),
-            })),
+            Some(Ok(current)) => Reply::Document(current),
             Some(Err(reason)) => rejection(reason),
             None => Reply::Busy,
         }
--- a/crates/auburnbridge_keeper/tests/catalogue.rs
+++ b/crates/auburnbridge_keeper/tests/catalogue.rs
@@ -11,7 +11,8 @@
 use auburnbridge_membership::{Announcement, State, Verdict};
 use auburnbridge_messages::{GatewayLocation, Heard, Watch, Watched};
 use auburnbridge_types::{
-    Clock, Incarnation, Millis, PausedClock, Sequence, Slots, TargetId, Timestamp, VmId,
+    Clock, ConfigVersion, Incarnation, Millis, PausedClock, Sequence, Slots, TargetId, Timestamp,
+    VmId,
 };
 
 const START: Timestamp = Timestamp(1_000_000);
@@ -44,6 +45,13 @@
     target.parse().unwrap()
 }
 
+fn document(version: u64, bytes: &[u8]) -> Publish {
+    Publish {
+        version: ConfigVersion(version),
+        document: bytes.into(),
+    }
+}
+
 /// What a gateway gets that has `earlier`.
 fn watch(catalogue: &Catalogue, earlier: Option<&Watched>) -> Watched {
     let watch = Watch {
@@ -163,16 +171,13 @@
     let clock = PausedClock::new(START);
     let catalogue = catalogue(&clock);
     catalogue.begin_with(CachedView {
-        document: Some(Publish {
-            version: 9,
-            document: vec![9],
-        }),
+        document: Some(document(9, &[9])),
         targets: vec![announcement("t-1", 5, 1)],
     });
-    catalogue.published(8, &Arc::from([8_u8].as_slice()));
-    assert_eq!(watch(&catalogue, None).document.unwrap().version, 9);
-    catalogue.published(10, &Arc::from([10_u8].as_slice()));
-    assert_eq!(watch(&catalogue, None).document.unwrap().version, 10);
+    catalogue.published(&document(8, &[8]));
+    assert_eq!(watch(&catalogue, None).document.unwrap().version.0, 9);
+    catalogue.published(&document(10, &[10]));
+    assert_eq!(watch(&catalogue, None).document.unwrap().version.0, 10);
 }
 
 /// Guards against a keeper that is cut off and passes for one that is up to date.
@@ -215,7 +220,7 @@
     let clock = PausedClock::new(START);
     let catalogue = catalogue(&clock);
     catalogue.announce(announcement("t-1", 5, 1));
-    catalogue.published(3, &Arc::from([1_u8, 2, 3].as_slice()));
+    catalogue.published(&document(3, &[1, 2, 3]));
     let view = catalogue.changed_view().unwrap();
     assert_eq!(catalogue.changed_view(), None);
     let cache = ViewCache::start(folder.path()).unwrap();
--- a/crates/auburnbridge_messages/src/lib.rs
+++ b/crates/auburnbridge_messages/src/lib.rs
@@ -13,7 +13,9 @@
 use auburnbridge_peer::codec::{self, CodecError};
 use auburnbridge_peer::{Delivery, PeerAddress, PeerError, Transport};
 use auburnbridge_policy::{CrashReport, EvidenceReport};
-use auburnbridge_types::{ByteSize, DataCentre, Millis, Revision, ServiceName, VmId};
+use auburnbridge_types::{
+    ByteSize, ConfigVersion, DataCentre, Millis, Revision, ServiceName, VmId,
+};
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
@@ -86,7 +88,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Watch {
     /// Version of the published document that the gateway has.
-    pub version: Option<u64>,
+    pub version: Option<ConfigVersion>,
     /// Position of the gateway's list of targets.
     pub position: Option<ListPosition>,
     /// Longest wait for a change.
