Read requests and end connections in one way, pipelined or not

Cause: the pipelined connections of the gateway had copies of the listener's reading of a request within a time, of its answer to one that can't be read, and of the wait for the caller at the end. Change: both kinds of connection call read_request, unread_response and drain. Behaviour stays.

--- a/crates/auburnbridge_caller/src/listener.rs
+++ b/crates/auburnbridge_caller/src/listener.rs
@@ -1,9 +1,10 @@
 //! Accepts connections and serves the requests on each, one after the other.
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use async_std::io::ReadExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use auburnbridge_http::{
@@ -246,18 +247,14 @@
         connection: &mut Connection<TcpStream>,
         caller: SocketAddr,
     ) -> Verdict {
-        let req = match self.read_request(connection, caller).await {
+        let (limits, timeout) = (&self.options.limits, self.options.request_timeout);
+        let req = match self.read_request(connection, caller, limits, timeout).await {
             Ok(req) => req,
             Err(kind) => {
                 if let Some(kind) = kind {
-                    // A request that was not read may be a resend of one that ran: its key is
-                    // unknown, and another entry may have other limits.
-                    let response = Problem::new(kind, "the request could not be read")
-                        .for_possible_resend()
-                        .to_response();
                     let info = RequestInfo::default();
                     let _ = connection
-                        .write_response(&response, info, Verdict::Retire)
+                        .write_response(&unread_response(kind), info, Verdict::Retire)
                         .await;
                 }
                 return Verdict::Retire;
@@ -295,14 +292,17 @@
         }
     }
 
-    async fn read_request(
+    /// Reads a request within `timeout`; an error without a kind gets no answer.
+    pub(crate) async fn read_request(
         &self,
         connection: &mut Connection<TcpStream>,
         caller: SocketAddr,
+        limits: &Limits,
+        timeout: Millis,
     ) -> Result<Request, Option<ErrorKind>> {
         let read = async {
             connection
-                .read_request(&self.options.limits)
+                .read_request(limits)
                 .await
                 .map_err(|error: FramingError| {
                     info!("request refused caller={caller} framing={error}");
@@ -310,7 +310,7 @@
                 })
         };
         let late = async {
-            self.options.clock.sleep(self.options.request_timeout).await;
+            self.options.clock.sleep(timeout).await;
             Err(Some(ErrorKind::RequestTimeout))
         };
         read.or(late).await
@@ -343,20 +343,26 @@
     }
 }
 
-/// Closes the sending side and reads what is on its way, so that the kernel doesn't reset the
-/// connection before the caller has read the response.
+/// The response to a request that could not be read. It may be a resend of one that ran: its key is
+/// unknown, and another process may have other limits.
+pub(crate) fn unread_response(kind: ErrorKind) -> Response {
+    Problem::new(kind, "the request could not be read")
+        .for_possible_resend()
+        .to_response()
+}
+
+/// Closes the sending side and waits until the caller has read the response.
 async fn close_gracefully(connection: &mut Connection<TcpStream>, clock: &dyn Clock) {
-    if connection
-        .get_ref()
-        .shutdown(std::net::Shutdown::Write)
-        .is_err()
-    {
-        return;
+    let stream = connection.get_mut();
+    if stream.shutdown(Shutdown::Write).is_ok() {
+        drain(stream, clock).await;
     }
-    let drain = async {
-        let mut buf = [0; 1024];
-        let stream = connection.get_mut();
-        while let Ok(1..) = async_std::io::ReadExt::read(stream, &mut buf).await {}
-    };
-    drain.or(clock.sleep(LINGER)).await;
+}
+
+/// Reads what is on its way, so that the kernel doesn't reset the connection before the caller has
+/// read the last response.
+pub(crate) async fn drain(stream: &mut TcpStream, clock: &dyn Clock) {
+    let mut buf = [0; 1024];
+    let reading = async { while let Ok(1..) = stream.read(&mut buf).await {} };
+    reading.or(clock.sleep(LINGER)).await;
 }
--- a/crates/auburnbridge_caller/src/pipeline.rs
+++ b/crates/auburnbridge_caller/src/pipeline.rs
@@ -11,22 +11,25 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use async_channel::{Receiver, Sender};
-use async_std::io::{ReadExt, WriteExt};
+use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use async_std::task;
 use auburnbridge_http::{
-    Connection, FramingError, Limits, Request, RequestInfo, Response, Verdict, encode_response,
+    Connection, Limits, Request, RequestInfo, Response, Verdict, encode_response,
 };
 use auburnbridge_types::{ErrorKind, Millis};
 use futures_lite::FutureExt;
 use futures_lite::future::zip;
-use log::{debug, info};
+use log::debug;
 
 use crate::disconnect::DisconnectSignal;
-use crate::listener::{LINGER, Shared};
+use crate::listener::{LINGER, Shared, drain, unread_response};
 use crate::tracker::TaskGuard;
 use crate::{Disconnect, Phase, Problem};
 
+/// Interval at which the reading half looks whether all answers are written.
+const RECHECK: Millis = Millis(50);
+
 /// Limits that may change while connections are open.
 pub trait LimitSource: Send + Sync {
     /// Limits of one request.
@@ -64,7 +67,7 @@
 impl Shared {
     pub(crate) async fn serve_pipelined(
         &self,
-        stream: TcpStream,
+        mut stream: TcpStream,
         caller: SocketAddr,
         limits: &dyn LimitSource,
     ) {
@@ -73,7 +76,7 @@
         let reading = self.read_requests(stream.clone(), caller, limits, due_tx, &halves);
         let writing = self.write_answers(stream.clone(), caller, due_rx, &halves);
         zip(reading, writing).await;
-        drain(stream, self).await;
+        drain(&mut stream, self.options.clock.as_ref()).await;
     }
 
     async fn read_requests(
@@ -91,8 +94,9 @@
                 Next::Request => {}
                 Next::Over => break,
             }
-            let read = self.read_within(&mut connection, caller, limits).await;
-            let taken = match read {
+            let (request_limits, timeout) = (limits.limits(), limits.request_timeout());
+            let read = self.read_request(&mut connection, caller, &request_limits, timeout);
+            let taken = match read.await {
                 Ok(req) => self.take(req, caller, &disconnect, halves),
                 Err(Some(kind)) => Some(refuse_unread(kind, halves)),
                 Err(None) => break,
@@ -143,29 +147,6 @@
         }
     }
 
-    async fn read_within(
-        &self,
-        connection: &mut Connection<TcpStream>,
-        caller: SocketAddr,
-        limits: &dyn LimitSource,
-    ) -> Result<Request, Option<ErrorKind>> {
-        let request_limits = limits.limits();
-        let read = async {
-            connection
-                .read_request(&request_limits)
-                .await
-                .map_err(|error: FramingError| {
-                    info!("request refused caller={caller} framing={error}");
-                    error.request_kind()
-                })
-        };
-        let late = async {
-            self.options.clock.sleep(limits.request_timeout()).await;
-            Err(Some(ErrorKind::RequestTimeout))
-        };
-        read.or(late).await
-    }
-
     /// Hands a request to the service, unless it crossed the close of its connection.
     fn take(
         &self,
@@ -281,14 +262,10 @@
     }
 }
 
-/// Interval at which the reading half looks whether all answers are written.
-const RECHECK: Millis = Millis(50);
-
 fn refuse_unread(kind: ErrorKind, halves: &Halves) -> Due {
     halves.due.fetch_add(1, Ordering::SeqCst);
     let (tx, answer) = async_channel::bounded(1);
-    let problem = Problem::new(kind, "the request could not be read");
-    send_answer(&tx, problem.for_possible_resend().to_response());
+    send_answer(&tx, unread_response(kind));
     Due {
         info: RequestInfo::default(),
         asked: Verdict::Retire,
@@ -302,11 +279,3 @@
         debug!("an answer was dropped: its connection has ended");
     }
 }
-
-/// Reads what is on its way, so that the kernel doesn't reset the connection before the caller has
-/// read the last response.
-async fn drain(mut stream: TcpStream, shared: &Shared) {
-    let mut buf = [0; 1024];
-    let reading = async { while let Ok(1..) = stream.read(&mut buf).await {} };
-    reading.or(shared.options.clock.sleep(LINGER)).await;
-}
