Run keepers of both kinds, and reload settings, by one piece of code

Cause: the control command had a copy of the keeper command's run until a stop or a failure, and the gateway and control commands each had the loop over signals and the reading of changed settings. Change: run_keeper, reload_until_stop and reload. The log lines and the behaviour stay.

--- a/crates/auburnbridge/src/commands/control.rs
+++ b/crates/auburnbridge/src/commands/control.rs
@@ -1,27 +1,24 @@
 //! `auburnbridge control`
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 
 use argh::FromArgs;
 use async_std::task;
-use auburnbridge_keeper::{Admission, ControlOptions, Keeper, KeeperOptions, PeerSecurity};
+use auburnbridge_keeper::{Admission, ControlOptions, KeeperOptions, PeerSecurity};
 use auburnbridge_log::Config;
 use auburnbridge_operator::OperatorKeys;
 use auburnbridge_peer::PeerAddress;
 use auburnbridge_settings::{ControlSettings, Settings};
 use auburnbridge_utility::UtilityDialect;
-use futures_lite::FutureExt;
-use log::{info, warn};
+use log::info;
 use parking_lot::Mutex;
 
-use crate::commands::{init_json_log, port};
+use crate::commands::keeper::run_keeper;
+use crate::commands::{init_json_log, port, reload};
 use crate::failure::Failure;
-use crate::signals::{ProcessSignal, ProcessSignals};
-
-const FAILURE_CHECK: Duration = Duration::from_millis(250);
+use crate::signals::ProcessSignals;
 
 /// Holds the replicated state and serves a platform's control interface.
 #[derive(FromArgs)]
@@ -67,39 +64,16 @@
         operator_address: None,
         operator_keys: OperatorKeys::new(Vec::new()),
     };
-    task::block_on(async {
-        let keeper = Keeper::start(options)
-            .await
-            .map_err(|report| Failure::from_report(&report))?;
-        let failed = async {
-            while !keeper.has_failed() {
-                task::sleep(FAILURE_CHECK).await;
-            }
-        };
-        let stopped = async {
-            while let ProcessSignal::Reload = signals.next().await {
-                reload(&arguments.settings, peer_port, &keepers);
-            }
-        };
-        stopped.or(failed).await;
-        let counts = keeper
-            .stop()
-            .await
-            .map_err(|report| Failure::from_report(&report))?;
-        info!(syncs = counts.syncs, records = counts.records; "keeper stopped");
-        Ok(())
-    })
-}
-
-/// Takes the seeds of the changed settings; everything else holds from the next start on.
-fn reload(path: &Path, peer_port: u16, keepers: &Mutex<Vec<PeerAddress>>) {
-    match ControlSettings::load(path) {
-        Ok(settings) => {
+    // Everything but the seeds holds from the next start on.
+    let stopped = signals.reload_until_stop(|| {
+        if let Some(settings) = reload::<ControlSettings>(&arguments.settings) {
             info!(seeds:? = settings.seeds; "settings reloaded");
             *keepers.lock() = keepers_at(&settings.seeds, peer_port);
         }
-        Err(error) => warn!(error:% = error; "settings kept: the changed file is invalid"),
-    }
+    });
+    let counts = task::block_on(run_keeper(options, stopped))?;
+    info!(syncs = counts.syncs, records = counts.records; "keeper stopped");
+    Ok(())
 }
 
 /// The keepers behind control addresses.
--- a/crates/auburnbridge/src/commands/gateway.rs
+++ b/crates/auburnbridge/src/commands/gateway.rs
@@ -1,7 +1,7 @@
 //! `auburnbridge gateway`
 
 use std::net::{IpAddr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use argh::FromArgs;
@@ -10,12 +10,12 @@
 use auburnbridge_policy::balance::SendBudgetOptions;
 use auburnbridge_settings::{GatewaySettings, Settings};
 use auburnbridge_utility::UtilityDialect;
-use log::{info, warn};
+use log::info;
 use parking_lot::Mutex;
 
-use crate::commands::{init_json_log, port};
+use crate::commands::{init_json_log, port, reload};
 use crate::failure::Failure;
-use crate::signals::{ProcessSignal, ProcessSignals};
+use crate::signals::ProcessSignals;
 
 /// Forwards requests along published routes.
 #[derive(FromArgs)]
@@ -56,9 +56,14 @@
         let gateway = RunningGateway::start(options)
             .await
             .map_err(|report| Failure::from_report(&report))?;
-        while let ProcessSignal::Reload = signals.next().await {
-            reload(&arguments.settings, &seeds);
-        }
+        // Everything but the seeds holds from the next start on.
+        let stopped = signals.reload_until_stop(|| {
+            if let Some(settings) = reload::<GatewaySettings>(&arguments.settings) {
+                info!(seeds:? = settings.seeds; "settings reloaded");
+                *seeds.lock() = addresses(&settings.seeds);
+            }
+        });
+        stopped.await;
         match gateway.stop().await {
             0 => Ok(()),
             remaining => Err(Failure::new(format!(
@@ -68,17 +73,6 @@
     })
 }
 
-/// Takes the seeds of the changed settings; everything else holds from the next start on.
-fn reload(path: &Path, seeds: &Mutex<Vec<IpAddr>>) {
-    match GatewaySettings::load(path) {
-        Ok(settings) => {
-            info!(seeds:? = settings.seeds; "settings reloaded");
-            *seeds.lock() = addresses(&settings.seeds);
-        }
-        Err(error) => warn!(error:% = error; "settings kept: the changed file is invalid"),
-    }
-}
-
 fn addresses(seeds: &[SocketAddr]) -> Vec<IpAddr> {
     seeds.iter().map(SocketAddr::ip).collect()
 }
--- a/crates/auburnbridge/src/commands/keeper.rs
+++ b/crates/auburnbridge/src/commands/keeper.rs
@@ -5,7 +5,7 @@
 
 use argh::FromArgs;
 use async_std::task;
-use auburnbridge_keeper::{Keeper, KeeperOptions, PeerSecurity};
+use auburnbridge_keeper::{CommitCounts, Keeper, KeeperOptions, PeerSecurity};
 use auburnbridge_log::Config;
 use auburnbridge_operator::{KeyDigest, OperatorKey, OperatorKeys};
 use auburnbridge_peer::PeerAddress;
@@ -17,6 +17,7 @@
 use crate::failure::Failure;
 use crate::signals::StopSignals;
 
+/// Interval at which a failure of the keeper's thread is noticed.
 const FAILURE_CHECK: Duration = Duration::from_millis(250);
 
 /// Holds the replicated state.
@@ -53,27 +54,33 @@
             peer_addresses(&settings.members),
         )
     };
-    task::block_on(async {
-        let keeper = Keeper::start(options)
-            .await
-            .map_err(|report| Failure::from_report(&report))?;
-        let failed = async {
-            while !keeper.has_failed() {
-                task::sleep(FAILURE_CHECK).await;
-            }
-        };
-        signals.next().or(failed).await;
-        let counts = keeper
-            .stop()
-            .await
-            .map_err(|report| Failure::from_report(&report))?;
-        log::info!(
-            "keeper stopped syncs={} records={}",
-            counts.syncs,
-            counts.records
-        );
-        Ok(())
-    })
+    let counts = task::block_on(run_keeper(options, signals.next()))?;
+    log::info!(
+        "keeper stopped syncs={} records={}",
+        counts.syncs,
+        counts.records
+    );
+    Ok(())
+}
+
+/// Runs a keeper until it is told to stop or fails.
+pub(super) async fn run_keeper(
+    options: KeeperOptions,
+    stopped: impl Future<Output = ()>,
+) -> Result<CommitCounts, Failure> {
+    let keeper = Keeper::start(options)
+        .await
+        .map_err(|report| Failure::from_report(&report))?;
+    let failed = async {
+        while !keeper.has_failed() {
+            task::sleep(FAILURE_CHECK).await;
+        }
+    };
+    stopped.or(failed).await;
+    keeper
+        .stop()
+        .await
+        .map_err(|report| Failure::from_report(&report))
 }
 
 fn operator_keys(keys: &[auburnbridge_settings::OperatorKey]) -> Result<OperatorKeys, Failure> {
--- a/crates/auburnbridge/src/commands/mod.rs
+++ b/crates/auburnbridge/src/commands/mod.rs
@@ -10,9 +10,12 @@
 pub(crate) mod rules;
 pub(crate) mod targets;
 
+use std::path::Path;
+
 use auburnbridge_peer::PeerAddress;
-use auburnbridge_settings::PeerLocation;
+use auburnbridge_settings::{PeerLocation, Settings};
 use auburnbridge_telemetry::LogOptions;
+use log::warn;
 
 use crate::failure::Failure;
 
@@ -26,6 +29,13 @@
         .map_err(|error| Failure::new(format!("can't start the log: {error}")))
 }
 
+/// Loads settings that may have changed; `None` if the file is invalid, so that the former ones stay.
+fn reload<S: Settings>(path: &Path) -> Option<S> {
+    S::load(path)
+        .inspect_err(|error| warn!(error:% = error; "settings kept: the changed file is invalid"))
+        .ok()
+}
+
 /// A port of the settings, whose range is checked when they are loaded.
 fn port(number: u32) -> Result<u16, Failure> {
     u16::try_from(number).map_err(|_| Failure::new(format!("{number} is no port")))
--- a/crates/auburnbridge/src/signals.rs
+++ b/crates/auburnbridge/src/signals.rs
@@ -22,15 +22,6 @@
     }
 }
 
-/// What a signal asks a process for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ProcessSignal {
-    /// Stop gracefully.
-    Stop,
-    /// Read the settings again.
-    Reload,
-}
-
 /// The signals of a process whose settings may change, in the order of their arrival.
 pub(crate) struct ProcessSignals(Signals);
 
@@ -41,11 +32,10 @@
             .map_err(|error| Failure::new(format!("can't handle signals: {error}")))
     }
 
-    /// Completes with the next signal.
-    pub(crate) async fn next(&mut self) -> ProcessSignal {
-        match self.0.next().await {
-            Some(SIGHUP) => ProcessSignal::Reload,
-            _ => ProcessSignal::Stop,
+    /// Completes with the next signal to stop; `reload` is called for each SIGHUP before it.
+    pub(crate) async fn reload_until_stop(&mut self, mut reload: impl FnMut()) {
+        while let Some(SIGHUP) = self.0.next().await {
+            reload();
         }
     }
 }
