Encode a gateway's report once, and forget the splits of removed routes

Cause: a report to the other gateways was copied and encoded for each of them, up to 45 times each 40 to 120 ms on a crowded site, although all get one of two datagrams. What had no room in a datagram was dropped without a log line, or with one that is not written by default. The positions of removed routes with several destinations were kept for ever, since nothing called the retain that forgets them. The refusals of a request that goes to no service repeated the same call four times, the caller's limits were looked up in three places, and answers of targets were bounded by the limit of a caller's request. Who is told what and when stays. Tests: two stand-in gateways hear findings at once and loads mostly within the data centre (passes before the change too); removed routes are forgotten.

--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -21,6 +21,10 @@
 const SILENT_FACTOR: u64 = 3;
 /// Shortest time after which a target counts as silent.
 const LEAST_SILENT: Millis = Millis(300);
+/// Status of a target that is not the expected one.
+const MISDIRECTED: u16 = 421;
+/// Statuses that promise callers that their request has not run.
+const PROMISES: [u16; 3] = [408, 429, 503];
 
 /// Sends one request to targets.
 #[derive(Clone, Copy)]
@@ -229,11 +233,6 @@
     }
 }
 
-/// Status of a target that is not the expected one.
-const MISDIRECTED: u16 = 421;
-/// Statuses that promise callers that their request has not run.
-const PROMISES: [u16; 3] = [408, 429, 503];
-
 fn finding_of_unsent(reason: NotSent) -> Option<Finding> {
     match reason {
         NotSent::Refused => Some(Finding::Refused),
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -29,6 +29,8 @@
 const CONFIGURATION_RETRY: Millis = Millis(500);
 /// Advice to come back with a request that crashes targets: when its crashes are forgotten.
 const POISON_RETRY: Millis = auburnbridge_policy::POISON_TIME;
+/// Longest body of a target's answer.
+const ANSWER_LIMIT: ByteSize = ByteSize(64 << 20);
 /// Limits before a configuration has arrived.
 const FIRST_LIMITS: CallerLimits = CallerLimits {
     head: ByteSize(16 * 1024),
@@ -131,6 +133,7 @@
         self.metrics.set_configuration_version(routes.version().0);
         // The gates come first, so that no request meets a route without its service.
         self.services.apply_routes(&routes);
+        self.splits.lock().0.retain(&routes);
         self.routes.store(Some(Arc::new(routes)));
         true
     }
@@ -165,41 +168,27 @@
     /// Limits of an answer; targets seal theirs, so an answer may end with its connection.
     pub(crate) fn answer_limits(&self) -> Limits {
         Limits::default()
-            .with_body_bytes(FIRST_LIMITS.body)
+            .with_body_bytes(ANSWER_LIMIT)
             .with_budget(self.budget.clone())
             .with_unframed_responses()
     }
 
     async fn handle(self: Arc<Self>, message: Request, disconnect: Disconnect) -> Response {
         let arrived = self.clock.now();
+        let refuse = |failure, retry_after| refuse(&message, self.headers, failure, retry_after);
         let Some(routes) = self.routes() else {
-            return refuse(
-                &message,
-                self.headers,
-                Failure::NoConfiguration,
-                Some(CONFIGURATION_RETRY),
-            );
+            return refuse(Failure::NoConfiguration, Some(CONFIGURATION_RETRY));
         };
         let host = message.headers.text("Host").unwrap_or_default();
         let Some(route) = routes.find(host, &message.path).cloned() else {
-            return refuse(&message, self.headers, Failure::NoRoute, None);
+            return refuse(Failure::NoRoute, None);
         };
         let digest = digest_of(&message);
         if self.is_poisoned(&digest) {
-            return refuse(
-                &message,
-                self.headers,
-                Failure::Poisoned,
-                Some(POISON_RETRY),
-            );
+            return refuse(Failure::Poisoned, Some(POISON_RETRY));
         }
         let Some(gate) = self.gate_of(&route) else {
-            return refuse(
-                &message,
-                self.headers,
-                Failure::NoConfiguration,
-                Some(CONFIGURATION_RETRY),
-            );
+            return refuse(Failure::NoConfiguration, Some(CONFIGURATION_RETRY));
         };
         let wait = message
             .headers
@@ -220,6 +209,10 @@
             .await
     }
 
+    fn caller_limits(&self) -> CallerLimits {
+        self.routes().map_or(FIRST_LIMITS, |routes| routes.limits())
+    }
+
     fn gate_of(&self, route: &PublishedRoute) -> Option<Arc<ServiceGate>> {
         let (splits, rng) = &mut *self.splits.lock();
         let destination = splits.next(route, || rng.random())?;
@@ -275,7 +268,7 @@
 
 impl LimitSource for Gateway {
     fn limits(&self) -> Limits {
-        let limits = self.routes().map_or(FIRST_LIMITS, |routes| routes.limits());
+        let limits = self.caller_limits();
         Limits::default()
             .with_head_bytes(limits.head)
             .with_body_bytes(limits.body)
@@ -283,14 +276,10 @@
     }
 
     fn request_timeout(&self) -> Millis {
-        self.routes()
-            .map_or(FIRST_LIMITS, |routes| routes.limits())
-            .head_timeout
+        self.caller_limits().head_timeout
     }
 
     fn idle_timeout(&self) -> Millis {
-        self.routes()
-            .map_or(FIRST_LIMITS, |routes| routes.limits())
-            .idle_timeout
+        self.caller_limits().idle_timeout
     }
 }
--- a/crates/auburnbridge_gateway/src/neighbours.rs
+++ b/crates/auburnbridge_gateway/src/neighbours.rs
@@ -11,7 +11,7 @@
 use auburnbridge_policy::balance::{LoadReport, ToldFinding};
 use auburnbridge_types::{ByteSize, DataCentre, Millis, VmId};
 use futures_lite::FutureExt;
-use log::debug;
+use log::{debug, warn};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +19,8 @@
 
 /// Longest datagram; a larger one would be fragmented.
 const DATAGRAM_LIMIT: ByteSize = ByteSize(1_400);
+/// Room for a received datagram, above the limit so that a longer one is seen to be longer.
+const RECEIVE_BYTES: usize = 2_800;
 /// Findings in one datagram.
 const MOST_FINDINGS: usize = 64;
 /// Targets with requests in flight in one datagram.
@@ -80,7 +82,7 @@
 
     /// Takes in the reports of the others until the process ends.
     pub async fn receive(self: Arc<Self>, gateway: Arc<Gateway>) {
-        let mut buf = vec![0; 2 * 1_400];
+        let mut buf = vec![0; RECEIVE_BYTES];
         loop {
             let length = match self.socket.recv_from(&mut buf).await {
                 Ok((length, _)) => length,
@@ -159,48 +161,59 @@
             .iter()
             .flat_map(|gate| gate.take_untold())
             .collect();
-        findings.truncate(MOST_FINDINGS);
-        let crashes = gateway.take_untold_crashes();
+        shorten(&mut findings, MOST_FINDINGS, "findings");
+        let mut report = GatewayReport {
+            from: self.vm.clone(),
+            findings,
+            crashes: gateway.take_untold_crashes(),
+            load: None,
+        };
+        let has_news = !report.findings.is_empty() || !report.crashes.is_empty();
+        let has_load = load.as_ref().is_some_and(|load| !load.in_flight.is_empty());
+        // All gateways get one of these two, so each is encoded once.
+        let news = has_news.then(|| encode(&report)).flatten();
+        let is_due = load.is_some();
+        report.load = load;
+        let news_and_load = is_due.then(|| encode(&report)).flatten();
         let others = self.others.lock().clone();
         for other in others {
             let is_near = other.data_centre == self.data_centre;
-            let load = load
-                .clone()
-                .filter(|_| is_near || is_far_turn)
-                // An empty report is news only after one that was not.
-                .filter(|load| !load.in_flight.is_empty() || told.contains(&other.vm));
-            if let Some(load) = &load {
-                if load.in_flight.is_empty() {
-                    told.remove(&other.vm);
-                } else {
-                    told.insert(other.vm.clone());
-                }
+            let is_in_turn = is_due && (is_near || is_far_turn);
+            // An empty report is news only after one that was not.
+            let gets_load = is_in_turn && (has_load || told.contains(&other.vm));
+            if gets_load && has_load {
+                told.insert(other.vm.clone());
+            } else if gets_load {
+                told.remove(&other.vm);
             }
-            if findings.is_empty() && crashes.is_empty() && load.is_none() {
-                continue;
+            let datagram = if gets_load { &news_and_load } else { &news };
+            if let Some(datagram) = datagram {
+                self.send(other.address, datagram).await;
             }
-            let report = GatewayReport {
-                from: self.vm.clone(),
-                findings: findings.clone(),
-                crashes: crashes.clone(),
-                load,
-            };
-            self.send(other.address, &report).await;
         }
     }
 
-    async fn send(&self, to: SocketAddr, report: &GatewayReport) {
-        match codec::encode(report, DATAGRAM_LIMIT) {
-            Ok(datagram) => {
-                if let Err(error) = self.socket.send_to(&datagram, to).await {
-                    debug!("can't send a datagram to {to}: {error}");
-                }
-            }
-            Err(error) => debug!("a report is too long for a datagram: {error}"),
+    async fn send(&self, to: SocketAddr, datagram: &[u8]) {
+        if let Err(error) = self.socket.send_to(datagram, to).await {
+            debug!("can't send a datagram to {to}: {error}");
         }
     }
 }
 
+fn encode(report: &GatewayReport) -> Option<Vec<u8>> {
+    codec::encode(report, DATAGRAM_LIMIT)
+        .inspect_err(|error| warn!(error:% = error; "a report is too long for a datagram"))
+        .ok()
+}
+
+/// Drops what has no room in a datagram; the log says so, since other gateways don't hear of it.
+fn shorten<T>(list: &mut Vec<T>, most: usize, what: &str) {
+    if list.len() > most {
+        warn!(what = what, dropped = list.len() - most; "report shortened");
+        list.truncate(most);
+    }
+}
+
 fn load_of(gateway: &Gateway) -> LoadReport {
     let mut in_flight: Vec<_> = gateway
         .services
@@ -208,7 +221,7 @@
         .iter()
         .flat_map(|gate| gate.load_report().in_flight)
         .collect();
-    in_flight.truncate(MOST_LOADS);
+    shorten(&mut in_flight, MOST_LOADS, "requests in flight");
     LoadReport { in_flight }
 }
 
--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -1,6 +1,7 @@
 //! Guards what a caller hears for each way in which a target can treat its request, and how often
 //! targets get it.
 
+mod neighbours;
 mod targets;
 
 use std::time::{Duration, Instant};
--- a/crates/auburnbridge_routing/src/routes.rs
+++ b/crates/auburnbridge_routing/src/routes.rs
@@ -83,6 +83,12 @@
         self.services.values()
     }
 
+    /// Names of all routes.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        let routes = self.hosts.values().flat_map(|routes| routes.0.values());
+        routes.map(|route| route.name.as_str())
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(|routes| routes.0.len()).sum()
--- a/crates/auburnbridge_routing/src/split.rs
+++ b/crates/auburnbridge_routing/src/split.rs
@@ -3,9 +3,9 @@
 //! Smooth weighted round robin: in any run of requests each destination gets its share to within
 //! one request, which a random draw reaches only in the long run.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
-use crate::{Destination, PublishedRoute};
+use crate::{Destination, PublishedRoute, RouteSet};
 
 /// Position in the sequence of one route.
 #[derive(Clone, Debug, Default)]
@@ -67,8 +67,9 @@
         state.next(&route.destinations)
     }
 
-    /// Forgets the routes that are not in `keep`.
-    pub fn retain(&mut self, mut keep: impl FnMut(&str) -> bool) {
-        self.states.retain(|name, _| keep(name));
+    /// Forgets the routes that are not in `routes`.
+    pub fn retain(&mut self, routes: &RouteSet) {
+        let names: HashSet<&str> = routes.names().collect();
+        self.states.retain(|name, _| names.contains(name.as_str()));
     }
 }
--- a/crates/auburnbridge_routing/tests/routes.rs
+++ b/crates/auburnbridge_routing/tests/routes.rs
@@ -107,6 +107,33 @@
     }
 }
 
+/// Guards against memory that grows with every route that was ever published.
+#[test]
+fn removed_routes_are_forgotten() {
+    let parts = || vec![to("stock", 1), to("dispatch", 1)];
+    let (kept, removed) = (
+        route("kept", "/a/", parts()),
+        route("removed", "/b/", parts()),
+    );
+    let mut splits = Splits::default();
+    splits.next(&kept, || 0).unwrap();
+    splits.next(&removed, || 0).unwrap();
+    let mut builder = builder();
+    builder.route("h", kept.clone()).unwrap();
+    splits.retain(&builder.build());
+    let mut has_started = |route| {
+        let mut has_started = false;
+        let mut offset = || {
+            has_started = true;
+            0
+        };
+        splits.next(route, &mut offset).unwrap();
+        has_started
+    };
+    assert!(!has_started(&kept));
+    assert!(has_started(&removed));
+}
+
 proptest! {
     /// Guards against shares that drift from the weights in any run of requests.
     #[test]
