Start the sequence of a split in a bounded time

Cause: a gateway starts a route's sequence at a random point by taking up to as many steps as the sum of the weights, under a lock that every request takes. Weights of a document are counted in hundredths, so 90 and 10 meant up to 10,000 steps, and weights of millions would stop a gateway for seconds. The sum of large weights also overflowed. Change: the steps are those of the shortest sequence, the sum divided by the greatest common divisor (10 for 90 and 10), and at most 10,000. The shares and their order stay. Test: weights up to the type's limit; it failed first, with an overflow.

--- a/crates/auburnbridge_routing/src/split.rs
+++ b/crates/auburnbridge_routing/src/split.rs
@@ -7,6 +7,10 @@
 
 use crate::{Destination, PublishedRoute, RouteSet};
 
+/// Steps up to the latest start. Longer sequences come from weights with many digits, and a start
+/// within the first ones keeps entries apart as well.
+const MOST_FIRST_STEPS: u64 = 10_000;
+
 /// Position in the sequence of one route.
 #[derive(Clone, Debug, Default)]
 pub struct SplitState {
@@ -17,8 +21,8 @@
     /// Starts at a random point, so that entries don't all begin with the same destination.
     pub fn starting_at(destinations: &[Destination], offset: u32) -> Self {
         let mut state = Self::default();
-        let total: u32 = destinations.iter().map(|to| to.weight.0).sum();
-        for _ in 0..offset % total.max(1) {
+        let length = sequence_length(destinations).clamp(1, MOST_FIRST_STEPS);
+        for _ in 0..u64::from(offset) % length {
             state.next(destinations);
         }
         state
@@ -39,6 +43,21 @@
     }
 }
 
+/// Requests after which the sequence begins again.
+fn sequence_length(destinations: &[Destination]) -> u64 {
+    let weights = || destinations.iter().map(|to| u64::from(to.weight.0));
+    let divisor = weights().fold(0, greatest_common_divisor);
+    weights().sum::<u64>() / divisor.max(1)
+}
+
+fn greatest_common_divisor(a: u64, b: u64) -> u64 {
+    if b == 0 {
+        a
+    } else {
+        greatest_common_divisor(b, a % b)
+    }
+}
+
 /// Positions of the routes that have several destinations.
 #[derive(Clone, Debug, Default)]
 pub struct Splits {
--- a/crates/auburnbridge_routing/tests/routes.rs
+++ b/crates/auburnbridge_routing/tests/routes.rs
@@ -107,6 +107,25 @@
     }
 }
 
+/// Guards against a start that takes one step for each unit of the weights, which may be large, and
+/// against a sum of weights that overflows.
+#[test]
+fn large_weights_start_soon() {
+    let most = u32::MAX;
+    for (weights, first) in [
+        ([most, most], 0),
+        ([most - 1, 1], 0),
+        ([most / 3, most / 3 * 2], 1),
+    ] {
+        let destinations = weights.map(|weight| to("stock", weight));
+        let mut state = SplitState::starting_at(&destinations, most - 1);
+        assert!(state.next(&destinations).is_some(), "{weights:?}");
+        let mut state = SplitState::starting_at(&destinations, 0);
+        let next = state.next(&destinations).unwrap();
+        assert_eq!(next.weight.0, weights[first], "{weights:?}");
+    }
+}
+
 /// Guards against memory that grows with every route that was ever published.
 #[test]
 fn removed_routes_are_forgotten() {
