Use the usual terms for queues, gossip and reported findings

WaitingRoom is WaitQueue, Spreading is Gossip, what gateways tell each other are reported findings, and welcome says that it tells new members. No behaviour changes.

--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -71,7 +71,7 @@
         self.log_exchange(&assignment, &outcome, finding, time, reused);
         let is_unsent = matches!(outcome, Outcome::NotRun) && finding != Some(Finding::Shed);
         assignment.finish(finding);
-        if finding.is_some_and(Finding::is_told) {
+        if finding.is_some_and(Finding::is_reported) {
             self.gateway.news.notify(usize::MAX);
         }
         Sent {
--- a/crates/auburnbridge_gateway/src/gate.rs
+++ b/crates/auburnbridge_gateway/src/gate.rs
@@ -9,7 +9,7 @@
 use async_channel::Sender;
 use auburnbridge_policy::balance::{
     BalancedKey, BalancedMember, Dispatcher, DispatcherOptions, Finding, LoadReport, Need, Pick,
-    Placement, Refusal, ToldFinding, WaitingKey,
+    Placement, Refusal, ReportedFinding, WaitingKey,
 };
 use auburnbridge_types::{Clock, Millis, ServiceName, TargetId, VmId};
 use futures_lite::FutureExt;
@@ -197,7 +197,7 @@
     }
 
     /// Takes over what another gateway found.
-    pub fn hear_findings(&self, findings: &[ToldFinding]) {
+    pub fn hear_findings(&self, findings: &[ReportedFinding]) {
         let now = self.clock.now();
         self.dispatcher.lock().hear_findings(now, findings);
     }
@@ -210,8 +210,8 @@
     }
 
     /// The findings that the other gateways have not been told yet.
-    pub fn take_untold(&self) -> Vec<ToldFinding> {
-        self.dispatcher.lock().take_untold()
+    pub fn take_unreported(&self) -> Vec<ReportedFinding> {
+        self.dispatcher.lock().take_unreported()
     }
 
     /// What this gateway has in flight.
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -57,7 +57,7 @@
 
 /// A gateway's state.
 ///
-/// Lock order: `splits`, `poison` and `untold_crashes` are never held with another lock.
+/// Lock order: `splits`, `poison` and `unreported_crashes` are never held with another lock.
 pub struct Gateway {
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) headers: HeaderNames,
@@ -68,7 +68,7 @@
     routes: ArcSwapOption<RouteSet>,
     splits: Mutex<(Splits, StdRng)>,
     poison: Mutex<PoisonTable>,
-    untold_crashes: Mutex<Vec<CrashReport>>,
+    unreported_crashes: Mutex<Vec<CrashReport>>,
     /// Notified when there is something to tell the other gateways at once.
     pub(crate) news: Event,
 }
@@ -100,7 +100,7 @@
             routes: ArcSwapOption::empty(),
             splits: Mutex::new((Splits::default(), StdRng::seed_from_u64(ports.seed))),
             poison: Mutex::default(),
-            untold_crashes: Mutex::default(),
+            unreported_crashes: Mutex::default(),
             news: Event::new(),
         }
     }
@@ -151,13 +151,13 @@
             "target crashed while it ran a request"
         );
         self.record_crash(report.clone());
-        self.untold_crashes.lock().push(report);
+        self.unreported_crashes.lock().push(report);
         self.news.notify(usize::MAX);
     }
 
     /// The crashes that the other gateways have not been told yet.
-    pub fn take_untold_crashes(&self) -> Vec<CrashReport> {
-        std::mem::take(&mut self.untold_crashes.lock())
+    pub fn take_unreported_crashes(&self) -> Vec<CrashReport> {
+        std::mem::take(&mut self.unreported_crashes.lock())
     }
 
     pub(crate) fn is_poisoned(&self, digest: &BodyDigest) -> bool {
--- a/crates/auburnbridge_gateway/src/neighbours.rs
+++ b/crates/auburnbridge_gateway/src/neighbours.rs
@@ -8,7 +8,7 @@
 use auburnbridge_messages::GatewayLocation;
 use auburnbridge_peer::codec;
 use auburnbridge_policy::CrashReport;
-use auburnbridge_policy::balance::{LoadReport, ToldFinding};
+use auburnbridge_policy::balance::{LoadReport, ReportedFinding};
 use auburnbridge_types::{ByteSize, DataCentre, Millis, VmId};
 use futures_lite::FutureExt;
 use log::{debug, warn};
@@ -42,7 +42,7 @@
     /// The sender's VM.
     pub from: VmId,
     /// What it found out about targets.
-    pub findings: Vec<ToldFinding>,
+    pub findings: Vec<ReportedFinding>,
     /// Requests that crashed a target.
     pub crashes: Vec<CrashReport>,
     /// What it has in flight, in some of the reports.
@@ -155,17 +155,17 @@
         is_far_turn: bool,
         told: &mut HashSet<VmId>,
     ) {
-        let mut findings: Vec<ToldFinding> = gateway
+        let mut findings: Vec<ReportedFinding> = gateway
             .services
             .gates()
             .iter()
-            .flat_map(|gate| gate.take_untold())
+            .flat_map(|gate| gate.take_unreported())
             .collect();
         shorten(&mut findings, MOST_FINDINGS, "findings");
         let mut report = GatewayReport {
             from: self.vm.clone(),
             findings,
-            crashes: gateway.take_untold_crashes(),
+            crashes: gateway.take_unreported_crashes(),
             load: None,
         };
         let has_news = !report.findings.is_empty() || !report.crashes.is_empty();
--- a/crates/auburnbridge_gateway/src/service_table.rs
+++ b/crates/auburnbridge_gateway/src/service_table.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 
 use auburnbridge_membership::{Announcement, Members, State};
-use auburnbridge_policy::balance::{BalancedMember, DispatcherOptions, LoadReport, ToldFinding};
+use auburnbridge_policy::balance::{
+    BalancedMember, DispatcherOptions, LoadReport, ReportedFinding,
+};
 use auburnbridge_routing::RouteSet;
 use auburnbridge_types::{Clock, Incarnation, ServiceName, VmId};
 use parking_lot::{Mutex, RwLock};
@@ -83,7 +85,7 @@
     }
 
     /// Takes over what another gateway tells.
-    pub fn hear(&self, from: &VmId, findings: &[ToldFinding], load: Option<&LoadReport>) {
+    pub fn hear(&self, from: &VmId, findings: &[ReportedFinding], load: Option<&LoadReport>) {
         for gate in self.gates() {
             if !findings.is_empty() {
                 gate.hear_findings(findings);
--- a/crates/auburnbridge_keeper/src/spreading.rs
+++ b/crates/auburnbridge_keeper/src/gossip.rs
@@ -19,8 +19,9 @@
 const HOUSEKEEPING_TURNS: u32 = 5;
 /// Longest wait for another keeper's list of targets at the start.
 const FETCH_TIMEOUT: Millis = Millis(500);
-/// Spreads what one keeper hears.
-pub(crate) struct Spreading {
+
+/// Gossip of one keeper with the others.
+pub(crate) struct Gossip {
     pub(crate) own: VmId,
     pub(crate) catalogue: Arc<Catalogue>,
     pub(crate) cache: ViewCache,
@@ -30,7 +31,7 @@
     pub(crate) clock: Arc<dyn Clock>,
 }
 
-impl Spreading {
+impl Gossip {
     pub(crate) async fn run(self) {
         let mut others = Vec::new();
         let mut has_targets = false;
@@ -38,7 +39,7 @@
         loop {
             if turn.is_multiple_of(HOUSEKEEPING_TURNS) {
                 let members = self.other_members().await;
-                self.welcome(&others, &members);
+                self.tell_new_members(&others, &members);
                 others = members;
                 self.catalogue.expire();
                 self.cache_view();
@@ -56,7 +57,7 @@
 
     /// Tells keepers that have become members what was announced before, since from now on they hear
     /// only what is new.
-    fn welcome(&self, before: &[PeerAddress], now: &[PeerAddress]) {
+    fn tell_new_members(&self, before: &[PeerAddress], now: &[PeerAddress]) {
         let joined: Vec<PeerAddress> = now
             .iter()
             .filter(|keeper| !before.contains(keeper))
--- a/crates/auburnbridge_keeper/src/lib.rs
+++ b/crates/auburnbridge_keeper/src/lib.rs
@@ -5,12 +5,12 @@
 mod core;
 mod directory;
 mod formation;
+mod gossip;
 mod group_client;
 mod operator_store;
 mod peers;
 mod run;
 mod server;
-mod spreading;
 mod state;
 mod view_cache;
 
--- a/crates/auburnbridge_keeper/src/peers.rs
+++ b/crates/auburnbridge_keeper/src/peers.rs
@@ -21,6 +21,7 @@
 /// the group forms as soon as the last wait allows.
 const FIRST_BACKOFF: Millis = Millis(20);
 const LAST_BACKOFF: Millis = Millis(200);
+
 /// How messages between processes are protected.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PeerSecurity {
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -32,11 +32,11 @@
 };
 use crate::directory::Directory;
 use crate::formation::Formation;
+use crate::gossip::Gossip;
 use crate::group_client::GroupClient;
 use crate::operator_store::OperatorStore;
 use crate::peers::{PeerSecurity, PeerSetup, RunningServer};
 use crate::server::KeeperServer;
-use crate::spreading::Spreading;
 use crate::view_cache::{ViewCache, read_view};
 
 /// Checks whether another keeper leads before a planned stop goes on; about one second.
@@ -349,7 +349,7 @@
         cache: ViewCache,
         keys: Option<Arc<KeyRing>>,
     ) {
-        let spreading = Spreading {
+        let gossip = Gossip {
             own: options.vm.clone(),
             catalogue: self.catalogue,
             cache,
@@ -358,7 +358,7 @@
             transport: Arc::clone(&self.transport),
             clock: Arc::clone(&self.clock),
         };
-        task::spawn(spreading.run());
+        task::spawn(gossip.run());
         let clock = Arc::clone(&self.clock);
         if let Some(keys) = keys {
             task::spawn(async move {
--- a/crates/auburnbridge_policy/examples/dispatch_cost.rs
+++ b/crates/auburnbridge_policy/examples/dispatch_cost.rs
@@ -16,7 +16,7 @@
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{
     BalancedMember, BalancerOptions, Dispatcher, DispatcherOptions, Finding, LoadReport, Need,
-    Placement, SendBudgetOptions, TargetHash, TargetLoad, ToldFinding,
+    Placement, ReportedFinding, SendBudgetOptions, TargetHash, TargetLoad,
 };
 use auburnbridge_types::{Incarnation, Millis, Slots, Timestamp, VmId};
 
@@ -72,9 +72,9 @@
     let members: Vec<BalancedMember> = (0..targets).map(member).collect();
     dispatcher.set_members(START, &members);
     dispatcher.set_gateways(gateways);
-    let findings: Vec<ToldFinding> = (0..targets)
+    let findings: Vec<ReportedFinding> = (0..targets)
         .step_by(10)
-        .map(|at| ToldFinding {
+        .map(|at| ReportedFinding {
             target: hash(at),
             finding: Finding::Broken,
         })
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -8,8 +8,8 @@
 use slotmap::SlotMap;
 
 use super::evidence::{Finding, Origin, STRONG_NATS};
+use super::report::{LoadReport, ReportedFinding, TargetHash, TargetLoad};
 use super::target::{BalancedKey, BalancedMember, BalancedTarget, COLD_TIME, SUSPECT_NATS};
-use super::told::{LoadReport, TargetHash, TargetLoad, ToldFinding};
 use crate::RequestClass;
 
 /// Time after which a gateway's report of its requests in flight no longer counts.
@@ -103,7 +103,7 @@
     reports: HashMap<VmId, (Timestamp, LoadReport)>,
     latency_ms: f64,
     /// Findings that the other gateways have not been told yet.
-    untold: Vec<ToldFinding>,
+    unreported: Vec<ReportedFinding>,
 }
 
 impl Balancer {
@@ -116,7 +116,7 @@
             by_hash: HashMap::new(),
             reports: HashMap::new(),
             latency_ms: ASSUMED_LATENCY_MS,
-            untold: Vec::new(),
+            unreported: Vec::new(),
         }
     }
 
@@ -368,12 +368,12 @@
             return;
         };
         // A success is news for the others only if they may suspect the target too.
-        let is_told = finding.is_told()
+        let is_reported = finding.is_reported()
             || (matches!(finding, Finding::Answered | Finding::Slow)
                 && target.evidence.nats(now) > 0.5);
         target.observe(now, finding, Origin::Own);
-        if is_told {
-            self.untold.push(ToldFinding {
+        if is_reported {
+            self.unreported.push(ReportedFinding {
                 target: target.hash,
                 finding,
             });
@@ -403,10 +403,10 @@
     }
 
     /// Takes over what another gateway found.
-    pub fn hear_findings(&mut self, now: Timestamp, findings: &[ToldFinding]) {
+    pub fn hear_findings(&mut self, now: Timestamp, findings: &[ReportedFinding]) {
         for told in findings {
             if let Some(key) = self.by_hash.get(&told.target) {
-                self.targets[*key].observe(now, told.finding, Origin::Told);
+                self.targets[*key].observe(now, told.finding, Origin::Reported);
             }
         }
     }
@@ -454,8 +454,8 @@
     }
 
     /// The findings since the last call, for the other gateways.
-    pub fn take_untold(&mut self) -> Vec<ToldFinding> {
-        std::mem::take(&mut self.untold)
+    pub fn take_unreported(&mut self) -> Vec<ReportedFinding> {
+        std::mem::take(&mut self.unreported)
     }
 
     /// What this gateway has in flight.
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -6,10 +6,10 @@
 
 use super::balancer::{Balancer, BalancerOptions, Pick, TargetSummary};
 use super::evidence::Finding;
+use super::report::{LoadReport, ReportedFinding};
 use super::send_budget::{SendBudget, SendBudgetOptions};
 use super::target::{BalancedKey, BalancedMember};
-use super::told::{LoadReport, ToldFinding};
-use super::waiting::{Capacity, EventRate, Offer, Refusal, WaitingKey, WaitingRoom};
+use super::waiting::{Capacity, EventRate, Offer, Refusal, WaitQueue, WaitingKey};
 use crate::RequestClass;
 
 /// Settings of a [`Dispatcher`].
@@ -67,7 +67,7 @@
 #[derive(Clone, Debug)]
 pub struct Dispatcher<T> {
     balancer: Balancer,
-    waiting: WaitingRoom<Waiter<T>>,
+    waiting: WaitQueue<Waiter<T>>,
     budget: SendBudget,
     rng: StdRng,
     gateways: usize,
@@ -80,7 +80,7 @@
     pub fn new(options: &DispatcherOptions) -> Self {
         Self {
             balancer: Balancer::new(options.balancer.clone()),
-            waiting: WaitingRoom::default(),
+            waiting: WaitQueue::default(),
             budget: SendBudget::new(options.sends),
             rng: StdRng::seed_from_u64(options.seed),
             gateways: 1,
@@ -239,7 +239,7 @@
     }
 
     /// Takes over what another gateway found.
-    pub fn hear_findings(&mut self, now: Timestamp, findings: &[ToldFinding]) {
+    pub fn hear_findings(&mut self, now: Timestamp, findings: &[ReportedFinding]) {
         self.balancer.hear_findings(now, findings);
     }
 
@@ -249,8 +249,8 @@
     }
 
     /// The findings that the other gateways have not been told yet.
-    pub fn take_untold(&mut self) -> Vec<ToldFinding> {
-        self.balancer.take_untold()
+    pub fn take_unreported(&mut self) -> Vec<ReportedFinding> {
+        self.balancer.take_unreported()
     }
 
     /// What this gateway has in flight.
--- a/crates/auburnbridge_policy/src/balance/evidence.rs
+++ b/crates/auburnbridge_policy/src/balance/evidence.rs
@@ -35,8 +35,8 @@
 pub enum Origin {
     /// Of this gateway.
     Own,
-    /// Told by another gateway.
-    Told,
+    /// Reported by another gateway.
+    Reported,
 }
 
 /// The weights are logarithms of odds, in nats. Healthy targets answer with an error of their own
@@ -115,7 +115,7 @@
     }
 
     /// Whether the other gateways are told in any case.
-    pub fn is_told(self) -> bool {
+    pub fn is_reported(self) -> bool {
         match self {
             Self::ServerError | Self::Broken | Self::Silent | Self::Refused | Self::Replaced => {
                 true
--- a/crates/auburnbridge_policy/src/balance/mod.rs
+++ b/crates/auburnbridge_policy/src/balance/mod.rs
@@ -12,15 +12,15 @@
 mod balancer;
 mod dispatcher;
 mod evidence;
+mod report;
 mod send_budget;
 mod target;
-mod told;
 mod waiting;
 
 pub use balancer::{Balancer, BalancerOptions, Pick, TargetSummary};
 pub use dispatcher::{Dispatcher, DispatcherOptions, Need, Placement};
 pub use evidence::{Finding, Origin};
+pub use report::{LoadReport, ReportedFinding, TargetHash, TargetLoad};
 pub use send_budget::{SendBudget, SendBudgetOptions};
 pub use target::{BalancedKey, BalancedMember};
-pub use told::{LoadReport, TargetHash, TargetLoad, ToldFinding};
-pub use waiting::{Capacity, Offer, Refusal, WaitingKey, WaitingRoom};
+pub use waiting::{Capacity, Offer, Refusal, WaitQueue, WaitingKey};
--- a/crates/auburnbridge_policy/src/balance/told.rs
+++ b/crates/auburnbridge_policy/src/balance/report.rs
@@ -46,7 +46,7 @@
 
 /// One finding for the other gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldFinding {
+pub struct ReportedFinding {
     /// The target's life.
     pub target: TargetHash,
     /// What was found.
--- a/crates/auburnbridge_policy/src/balance/target.rs
+++ b/crates/auburnbridge_policy/src/balance/target.rs
@@ -6,7 +6,7 @@
 use slotmap::new_key_type;
 
 use super::evidence::{Evidence, Finding, Origin};
-use super::told::TargetHash;
+use super::report::TargetHash;
 
 new_key_type! {
     /// Handle of a target within its [`super::Balancer`].
--- a/crates/auburnbridge_policy/src/balance/waiting.rs
+++ b/crates/auburnbridge_policy/src/balance/waiting.rs
@@ -81,7 +81,7 @@
 
 /// The waiting requests of one service.
 #[derive(Clone, Debug)]
-pub struct WaitingRoom<T> {
+pub struct WaitQueue<T> {
     waiting: BTreeMap<WaitingKey, T>,
     next_number: u64,
     arrivals: BTreeMap<u32, EventRate>,
@@ -116,7 +116,7 @@
     }
 }
 
-impl<T> Default for WaitingRoom<T> {
+impl<T> Default for WaitQueue<T> {
     fn default() -> Self {
         Self {
             waiting: BTreeMap::new(),
@@ -160,7 +160,7 @@
     }
 }
 
-impl<T> WaitingRoom<T> {
+impl<T> WaitQueue<T> {
     /// Counts a request of the rank, whether it waits or not.
     pub fn record_arrival(&mut self, now: Timestamp, rank: u32) {
         self.arrivals.entry(rank).or_default().record(now);
--- a/crates/auburnbridge_policy/tests/balance_load/model.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/model.rs
@@ -436,7 +436,7 @@
     }
 
     fn spread_findings(&mut self, from: usize) {
-        let findings = self.gateways[from].take_untold();
+        let findings = self.gateways[from].take_unreported();
         if findings.is_empty() {
             return;
         }
--- a/crates/auburnbridge_policy/tests/balancer.rs
+++ b/crates/auburnbridge_policy/tests/balancer.rs
@@ -2,8 +2,8 @@
 
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{
-    BalancedMember, Balancer, BalancerOptions, Finding, LoadReport, Pick, TargetHash, TargetLoad,
-    ToldFinding,
+    BalancedMember, Balancer, BalancerOptions, Finding, LoadReport, Pick, ReportedFinding,
+    TargetHash, TargetLoad,
 };
 use auburnbridge_types::{Incarnation, Slots, Timestamp};
 use rand::SeedableRng;
@@ -37,8 +37,8 @@
     balancer.pick(time(now), class, &[], &mut ChaCha8Rng::seed_from_u64(now))
 }
 
-fn told(name: &str, finding: Finding) -> ToldFinding {
-    ToldFinding {
+fn told(name: &str, finding: Finding) -> ReportedFinding {
+    ReportedFinding {
         target: TargetHash::of(&name.parse().unwrap(), Incarnation(1)),
         finding,
     }
@@ -144,7 +144,7 @@
 /// Guards against at-most-once work that goes where another gateway saw a break, and against tests
 /// that never come or come all at once.
 #[test]
-fn told_break_keeps_work_away_until_tests_clear_it() {
+fn reported_break_keeps_work_away_until_tests_clear_it() {
     let members = [member("t-1", "north"), member("t-2", "north")];
     let mut balancer = balancer(&members);
     balancer.hear_findings(time(100), &[told("t-1", Finding::Broken)]);
@@ -197,7 +197,7 @@
     let members: Vec<BalancedMember> = names.iter().map(|name| member(name, "north")).collect();
     for (finding, least) in [(Finding::ServerError, 7), (Finding::Broken, 4)] {
         let mut balancer = balancer(&members);
-        let findings: Vec<ToldFinding> =
+        let findings: Vec<ReportedFinding> =
             names[..6].iter().map(|name| told(name, finding)).collect();
         balancer.hear_findings(time(100), &findings);
         let mut used = std::collections::BTreeSet::new();
