Keep the platform's words in its folder, also those of tests

Cause: the tests of whole processes wrote the platform's headers, paths and bodies themselves. Change: they stand in platform/tests/wire, which these tests include. The bytes and assertions stay.

--- a/crates/auburnbridge/tests/processes/main.rs
+++ b/crates/auburnbridge/tests/processes/main.rs
@@ -6,3 +6,5 @@
 mod platform;
 mod platform_fleet;
 mod request_path;
+#[path = "../../../../platform/tests/wire/mod.rs"]
+mod wire;
--- a/crates/auburnbridge/tests/processes/platform.rs
+++ b/crates/auburnbridge/tests/processes/platform.rs
@@ -5,7 +5,8 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::platform_fleet::{PlatformFleet, SealingTarget, document, eventually};
+use crate::platform_fleet::{PlatformFleet, SealingTarget, eventually};
+use crate::wire::{CONFIG, FOREIGN_ANNOUNCEMENT, LEAVING, READY, document, target_path};
 
 fn served(fleet: &PlatformFleet, gateway: u8, path: &str) -> bool {
     fleet.send(gateway, "POST", path) == Some(200)
@@ -16,8 +17,8 @@
     let fleet = PlatformFleet::start(first_vm, controls, 2);
     let target = SealingTarget::start();
     fleet.publish(&document(1, "/a/"));
-    let body = target.announcement("ready", 1);
-    fleet.call_any("PUT", "/instances/i-1", &body, 200);
+    let body = target.announcement(READY, 1);
+    fleet.call_any("PUT", &target_path("i-1"), &body, 200);
     for gateway in 0..2 {
         eventually("the gateway serves nothing", || {
             served(&fleet, gateway, "/a/x")
@@ -33,21 +34,21 @@
 fn configuration_and_announcement_reach_callers() {
     let (fleet, _target) = serving_fleet(10, 3);
     assert_eq!(
-        fleet.call_any("GET", "/config", "", 200),
+        fleet.call_any("GET", CONFIG, "", 200),
         document(1, "/a/").into_bytes()
     );
     assert_eq!(fleet.send(0, "POST", "/b/x"), Some(404));
     let cut = &document(2, "/b/")[..200];
-    assert_eq!(fleet.call(0, "PUT", "/config", cut).unwrap().status, 400);
-    let foreign = r#"{"status":{"state":"ready"}}"#;
-    let refused = fleet.call(1, "PUT", "/instances/i-9", foreign).unwrap();
+    assert_eq!(fleet.call(0, "PUT", CONFIG, cut).unwrap().status, 400);
+    let path = target_path("i-9");
+    let refused = fleet.call(1, "PUT", &path, FOREIGN_ANNOUNCEMENT).unwrap();
     assert_eq!(refused.status, 400);
     fleet.publish(&document(2, "/b/"));
     // An older version is acknowledged and changes nothing.
     fleet.publish(&document(1, "/a/"));
     eventually("version 2 is not in force", || served(&fleet, 1, "/b/x"));
     assert_eq!(
-        fleet.call_any("GET", "/config", "", 200),
+        fleet.call_any("GET", CONFIG, "", 200),
         document(2, "/b/").into_bytes()
     );
     assert!(fleet.metrics(1).contains("auburnbridge_requests_total"));
@@ -66,20 +67,20 @@
 fn departed_target_gets_no_work() {
     let (fleet, first) = serving_fleet(50, 3);
     let second = SealingTarget::start();
-    let body = second.announcement("ready", 1);
-    fleet.call_any("PUT", "/instances/i-2", &body, 200);
+    let body = second.announcement(READY, 1);
+    fleet.call_any("PUT", &target_path("i-2"), &body, 200);
     eventually("the second target gets no work", || {
         served(&fleet, 0, "/a/x") && *second.runs.lock() > 0
     });
-    let body = first.announcement("draining", 2);
-    fleet.call_any("PUT", "/instances/i-1", &body, 200);
+    let body = first.announcement(LEAVING, 2);
+    fleet.call_any("PUT", &target_path("i-1"), &body, 200);
     thread::sleep(Duration::from_secs(1));
     let runs = *first.runs.lock();
     for _ in 0..20 {
         assert!(served(&fleet, 0, "/a/x") && served(&fleet, 1, "/a/x"));
     }
     assert_eq!(*first.runs.lock(), runs);
-    fleet.call_any("DELETE", "/instances/i-2", "", 200);
+    fleet.call_any("DELETE", &target_path("i-2"), "", 200);
     eventually("the second target still gets work", || {
         fleet.send(0, "POST", "/a/x") == Some(503)
     });
@@ -104,7 +105,7 @@
         control.start();
     }
     assert_eq!(
-        fleet.call_any("GET", "/config", "", 200),
+        fleet.call_any("GET", CONFIG, "", 200),
         document(5, "/c/").into_bytes()
     );
     fleet.publish(&document(6, "/d/"));
@@ -123,7 +124,7 @@
     fleet.controls[0].start();
     eventually("the emptied keeper doesn't read", || {
         fleet
-            .call(0, "GET", "/config", "")
+            .call(0, "GET", CONFIG, "")
             .is_some_and(|response| response.status == 200)
     });
     eventually("the emptied keeper is no voter", || {
@@ -133,7 +134,7 @@
     fleet.controls[1].kill();
     fleet.publish(&document(6, "/d/"));
     assert_eq!(
-        fleet.call_any("GET", "/config", "", 200),
+        fleet.call_any("GET", CONFIG, "", 200),
         document(6, "/d/").into_bytes()
     );
 }
@@ -148,7 +149,7 @@
                 .log(&format!("control-{number}"))
                 .contains("is a voter")
         });
-        let response = fleet.call(number, "GET", "/config", "").unwrap();
+        let response = fleet.call(number, "GET", CONFIG, "").unwrap();
         assert_eq!(response.status, 200);
     }
 }
--- a/crates/auburnbridge/tests/processes/platform_fleet.rs
+++ b/crates/auburnbridge/tests/processes/platform_fleet.rs
@@ -14,6 +14,7 @@
 use parking_lot::Mutex;
 
 use crate::fleet::{PATIENCE, POLL, Process, end_processes, free_port};
+use crate::wire;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -145,7 +146,7 @@
 
     /// Publishes a configuration with any keeper until one acknowledges it.
     pub fn publish(&self, document: &str) {
-        self.call_any("PUT", "/config", document, 200);
+        self.call_any("PUT", wire::CONFIG, document, 200);
     }
 
     /// Calls the keepers in turn until one answers with `status`; gives its body.
@@ -176,7 +177,7 @@
     /// Whether a gateway reports itself ready.
     pub fn is_ready(&self, number: u8) -> bool {
         let address = (self.gateway_vm(number), self.readiness_port).into();
-        call(address, "GET", "/readiness", "").is_some_and(|response| response.status == 200)
+        call(address, "GET", wire::READINESS, "").is_some_and(|response| response.status == 200)
     }
 
     /// The metrics of a gateway.
@@ -190,8 +191,8 @@
     pub fn send(&self, number: u8, method: &str, path: &str) -> Option<u16> {
         let mut req = Request::new(method, path);
         req.headers.append("Host", "shop.example");
-        req.headers.append("Attempt-Id", "a-1");
-        req.headers.append("Deadline-Ms", "2000");
+        req.headers.append(wire::ATTEMPT, "a-1");
+        req.headers.append(wire::DEADLINE, "2000");
         exchange(self.caller(number), &req).map(|response| response.status)
     }
 }
@@ -248,10 +249,7 @@
 
     /// The body with which the target announces itself.
     pub fn announcement(&self, state: &str, sequence: u32) -> String {
-        format!(
-            r#"{{"address":"{}","born":1700000000000,"info":{{"service":"stock","version":"v1","zone":"north","slots":4}},"status":{{"state":"{state}","seq_no":{sequence},"warmup_remaining":"0ms"}}}}"#,
-            self.address
-        )
+        wire::announcement(self.address, state, sequence)
     }
 }
 
@@ -262,10 +260,7 @@
         if req.path.contains("slow") {
             task::sleep(Duration::from_millis(700)).await;
         }
-        let id = req.headers.text("Attempt-Id").unwrap_or_default();
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Seal: s\r\nContent-Length: 2\r\n\r\nok"
-        );
+        let answer = wire::answer(req.headers.text(wire::ATTEMPT).unwrap_or_default());
         if connection
             .get_mut()
             .write_all(answer.as_bytes())
@@ -276,10 +271,3 @@
         }
     }
 }
-
-/// A configuration of one service, whose orders go to `prefix`.
-pub fn document(version: u32, prefix: &str) -> String {
-    format!(
-        r#"{{"version":"{version:08x}","limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"}},"listeners":[{{"host":"shop.example","rules":[{{"name":"r-1","kind":"unsafe","target_latency":"800ms","priority":1,"match":{{"path_prefix":"{prefix}"}},"action":{{"service":"stock","timeout":"2000ms","max_attempts":2}}}}]}}],"clusters":[{{"name":"stock","health_path":"/health","max_conns":330,"protocol":"h1","tls":false}}]}}"#
-    )
-}
