Let evidence fade in seconds, and leave tests of suspected targets to their homes

Cause: with tests left to one gateway and evidence that halves in 8 s, targets that work again wait for work where it is scarce. Ruled out or without gain in the model: tests by several gateways while a service is crowded; a preference for near targets over homes with an old proof (fewer losses, later answers); stronger evidence of an answer; a bound of two answers on suspicion. Change: evidence halves in 3.5 s and reaches that of one break at most; homes test every 150 to 300 ms after an answer and every 0.7 to 1.4 s otherwise, and nobody else does.

--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -19,10 +19,7 @@
 /// just answered one.
 const WEAK_TEST_INTERVAL: Millis = Millis(150);
 /// The same for a target that probably fails.
-const STRONG_TEST_INTERVAL: Millis = Millis(1_500);
-/// Multiple of these times for targets with another home, whose tests are that gateway's concern
-/// while it runs.
-const AWAY_TEST_FACTOR: u64 = 8;
+const STRONG_TEST_INTERVAL: Millis = Millis(700);
 /// Requests beyond its slots that a target gets. Its own queue knows no ranks, and what waits there
 /// makes everything behind it late.
 const MOST_QUEUED: u32 = 1;
@@ -44,10 +41,6 @@
 /// little, and all gateways do better to share all targets.
 const LEAST_HOMES: usize = 4;
 
-/// Age from which a proof is old: one target in twenty begins to fail within that time where each does
-/// so every ten seconds.
-const STALE_PROOF: Millis = Millis(500);
-
 /// Settings of a [`Balancer`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct BalancerOptions {
@@ -283,43 +276,32 @@
         }
     }
 
-    /// A suspected target that no request has tested for a while. Idempotent requests can be sent
-    /// again elsewhere, so they are the ones that find out.
+    /// A suspected target of this gateway that no request has tested for a while. Idempotent requests
+    /// can be sent again elsewhere, so they are the ones that find out. Evidence against a target whose
+    /// home doesn't test it fades within seconds.
     fn suspect_to_test(&self, now: Timestamp) -> Option<BalancedKey> {
         self.targets
             .iter()
-            .filter(|(_, target)| target.is_suspect(now) && !target.is_down(now))
+            .filter(|(_, target)| target.is_home && !target.is_down(now))
+            .filter(|(_, target)| target.is_suspect(now))
             .filter(|(_, target)| target.own == 0 && target.free(now) > 0)
-            .filter(|(_, target)| self.is_near(target))
             .filter(|(_, target)| now.since(target.last_news) >= self.test_interval(now, target))
             .min_by_key(|(_, target)| target.last_news)
             .map(|(key, _)| key)
     }
 
-    /// Whether the target goes before those of other gateways. One that was last seen to work long ago
-    /// has no advantage for work that a failure would lose.
-    fn is_preferred(&self, now: Timestamp, class: RequestClass, target: &BalancedTarget) -> bool {
-        let is_fresh = target.proof_age(now) < STALE_PROOF;
-        self.prefers_homes && target.is_home && (is_fresh || class == RequestClass::Idempotent)
-    }
-
     fn is_near(&self, target: &BalancedTarget) -> bool {
         target.member.data_centre == self.options.own.data_centre
     }
 
-    /// Gateways with the same view would all test at the same moment, so each waits for a time of its
-    /// own, up to twice the shortest one.
+    /// Two gateways that both take the target for theirs would test at the same moment, so each waits
+    /// for a time of its own, up to twice the shortest one.
     fn test_interval(&self, now: Timestamp, target: &BalancedTarget) -> Millis {
         let shortest = if target.answered_last || target.suspicion(now) < STRONG_NATS {
             WEAK_TEST_INTERVAL
         } else {
             STRONG_TEST_INTERVAL
         };
-        let shortest = if target.is_home {
-            shortest
-        } else {
-            Millis(shortest.0 * AWAY_TEST_FACTOR)
-        };
         let spread = (self.options.seed ^ u64::from(target.hash.0)) % shortest.0;
         Millis(shortest.0 + spread)
     }
@@ -393,7 +375,7 @@
         let is_free = target.free(now) > 0 && now >= target.shed_until;
         match (is_trusted, is_free) {
             (true, true) if !is_clear => Rank::FloorFree,
-            (true, true) if self.is_preferred(now, class, target) => Rank::HomeFree,
+            (true, true) if target.is_home && self.prefers_homes => Rank::HomeFree,
             (true, true) if self.is_near(target) => Rank::NearFree,
             (true, true) => Rank::Free,
             (false, true) if is_risky => Rank::Risky,
--- a/crates/auburnbridge_policy/src/balance/evidence.rs
+++ b/crates/auburnbridge_policy/src/balance/evidence.rs
@@ -52,10 +52,11 @@
 const ANSWER_NATS: f64 = -1.4;
 /// Failures to connect happen on a lossy path as well.
 const UNREACHABLE_NATS: f64 = 3.0;
-/// Evidence is not added up beyond this, so that a few answers in a row clear a target.
-const MOST_NATS: f64 = 7.0;
-/// Evidence halves in this time without news: partial failures last 5 to 25 seconds.
-const HALF_LIFE_MS: f64 = 8_000.0;
+/// Evidence is not added up beyond this, so that three answers in a row clear a target.
+const MOST_NATS: f64 = 4.5;
+/// Evidence halves in this time without news. Partial failures last 2 to 7 seconds, and two half-lives
+/// after a break a target is hardly more likely to fail than any target that nobody has heard of.
+const HALF_LIFE_MS: f64 = 3_500.0;
 /// Evidence that one error or slow answer doesn't reach, and one broken answer does, also with an
 /// answer after it: a quarter of the requests of a failing target are answered.
 pub(super) const STRONG_NATS: f64 = 2.5;
