Keep a quarter of the further sends for requests whose send has failed

A second send also took from the budget when no target was free for it. Change: tests and second sends start only while more than a quarter of the budget is left, and a second send is counted once it has a target. The two new tests in send_budget.rs failed before. The soak's operator also delivers older versions again, so that a configuration that goes back can be seen.

--- a/crates/auburnbridge/tests/processes/soak/operator.rs
+++ b/crates/auburnbridge/tests/processes/soak/operator.rs
@@ -16,7 +16,8 @@
 /// Pause before an order without a clear answer is sent again.
 const RESEND: Duration = Duration::from_millis(50);
 
-/// Starts the operator's thread.
+/// Starts the operator's thread. Now and then an older version is delivered again, which must be
+/// acknowledged and change nothing.
 pub fn start(soak: &Arc<Soak>, addresses: &FleetAddresses, seed: u64) -> JoinHandle<()> {
     let (soak, addresses) = (Arc::clone(soak), addresses.clone());
     let rng = ChaCha8Rng::seed_from_u64(seed * 17 + 3);
@@ -28,6 +29,11 @@
     while !soak.is_over() {
         version += rng.random_range(1..4);
         publish(soak, addresses, &mut rng, version);
+        if let Some(older) = soak.record.acknowledged_before(version)
+            && rng.random_range(0..3) == 0
+        {
+            publish(soak, addresses, &mut rng, older);
+        }
         for _ in 0..3 {
             read_back(soak, addresses, &mut rng);
             thread::sleep(PAUSE);
--- a/crates/auburnbridge/tests/processes/soak/record.rs
+++ b/crates/auburnbridge/tests/processes/soak/record.rs
@@ -66,7 +66,7 @@
     runs: Mutex<Vec<Run>>,
     faults: Mutex<Vec<(Instant, Step)>>,
     violations: Mutex<Vec<String>>,
-    /// Versions in the order of their acknowledgements.
+    /// Rising versions with the times of their first acknowledgements.
     acknowledged: Mutex<Vec<(u32, Instant)>>,
     departures: AtomicU32,
 }
@@ -85,7 +85,13 @@
     }
 
     pub fn note_acknowledged(&self, version: u32) {
-        self.acknowledged.lock().push((version, Instant::now()));
+        let mut acknowledged = self.acknowledged.lock();
+        if acknowledged
+            .last()
+            .is_none_or(|(newest, _)| *newest < version)
+        {
+            acknowledged.push((version, Instant::now()));
+        }
     }
 
     pub fn newest_acknowledged(&self) -> u32 {
--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -155,10 +155,11 @@
     fn second_target(&mut self) -> Option<Assignment> {
         let is_allowed = self.sends + 1 < self.exchanger.incoming.route.attempts;
         let gate = self.exchanger.gate;
-        if !is_allowed || !gate.try_send_again() {
+        if !is_allowed {
             return None;
         }
-        gate.try_acquire(&self.need())
+        let second = gate.try_acquire(&self.need())?;
+        gate.try_send_again().then_some(second)
     }
 
     fn count(&mut self, sent: Sent) -> Outcome {
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -13,6 +13,11 @@
 use super::waiting::{Capacity, EventRate, Offer, Refusal, WaitQueue, WaitingKey};
 use crate::RequestClass;
 
+/// Share of the budget of further sends that is kept for requests whose send has failed: tests of
+/// suspected targets, two of three of which need a second send, and second sends beside one that may
+/// still be answered leave it.
+const KEPT_SHARE: f64 = 0.25;
+
 /// Settings of a [`Dispatcher`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct DispatcherOptions {
@@ -108,6 +113,10 @@
         self.budget.try_send_again(now, self.balancer.gateways())
     }
 
+    fn has_sends_left(&mut self, now: Timestamp, kept: f64) -> bool {
+        self.budget.has_left(now, self.balancer.gateways(), kept)
+    }
+
     /// Places a request; `item` is made only if it waits.
     pub fn place(
         &mut self,
@@ -115,8 +124,9 @@
         need: &Need<'_>,
         item: impl FnOnce() -> T,
     ) -> Placement {
-        if need.class == RequestClass::Idempotent
-            && need.tried.is_empty()
+        let may_test = need.class == RequestClass::Idempotent && need.tried.is_empty();
+        if may_test
+            && self.has_sends_left(now, KEPT_SHARE)
             && let Some(pick) = self.balancer.pick_test(now)
         {
             return Placement::Start(pick);
@@ -205,7 +215,7 @@
 
     /// Picks a target with a free slot, if there is one now and no request waits for it.
     pub fn pick_free(&mut self, now: Timestamp, need: &Need<'_>) -> Option<Pick> {
-        if !self.waiting.is_empty() {
+        if !self.waiting.is_empty() || !self.has_sends_left(now, KEPT_SHARE) {
             return None;
         }
         self.balancer
--- a/crates/auburnbridge_policy/src/balance/send_budget.rs
+++ b/crates/auburnbridge_policy/src/balance/send_budget.rs
@@ -54,17 +54,22 @@
 
     /// Takes a further send from the budget if it has one; `gateways` share the allowance.
     pub fn try_send_again(&mut self, now: Timestamp, gateways: usize) -> bool {
+        if !self.has_left(now, gateways, 0.0) {
+            return false;
+        }
+        self.bucket(now).further += 1;
+        true
+    }
+
+    /// Whether a send is left beside a share of the budget that is kept for others.
+    pub fn has_left(&mut self, now: Timestamp, gateways: usize, kept: f64) -> bool {
         self.expire(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let further: u32 = self.buckets.iter().map(|bucket| bucket.further).sum();
         let gateways = f64::from(u32::try_from(gateways.max(1)).unwrap_or(u32::MAX));
         let limit = USED_SHARE
             * (self.options.ratio * f64::from(requests) + self.options.allowance / gateways);
-        if f64::from(further) + 1.0 > limit {
-            return false;
-        }
-        self.bucket(now).further += 1;
-        true
+        f64::from(further) + 1.0 <= limit * (1.0 - kept)
     }
 
     fn bucket(&mut self, now: Timestamp) -> &mut Bucket {
--- a/crates/auburnbridge_policy/tests/send_budget.rs
+++ b/crates/auburnbridge_policy/tests/send_budget.rs
@@ -1,7 +1,11 @@
 //! Guards the budget of further sends: its bound in every window, over all gateways together.
 
-use auburnbridge_policy::balance::{SendBudget, SendBudgetOptions};
-use auburnbridge_types::{Millis, Timestamp};
+use auburnbridge_policy::RequestClass;
+use auburnbridge_policy::balance::{
+    BalancedMember, BalancerOptions, Dispatcher, DispatcherOptions, Finding, GatewayPlace, Need,
+    Placement, ReportedFinding, SendBudget, SendBudgetOptions, TargetHash,
+};
+use auburnbridge_types::{Incarnation, Millis, Slots, Timestamp};
 use proptest::prelude::*;
 
 const OPTIONS: SendBudgetOptions = SendBudgetOptions {
@@ -71,3 +75,88 @@
     assert_eq!(taken(&mut budget, 5_000), 0);
     assert_eq!(taken(&mut budget, 11_000), first);
 }
+
+fn member(name: &str) -> BalancedMember {
+    BalancedMember {
+        id: name.parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "north".parse().unwrap(),
+        incarnation: Incarnation(1),
+        slots: Slots(2),
+    }
+}
+
+/// A gateway with a budget of 8 further sends before a target that works and a suspected one.
+fn dispatcher() -> Dispatcher<()> {
+    let mut dispatcher = Dispatcher::new(&DispatcherOptions {
+        balancer: BalancerOptions {
+            own: GatewayPlace {
+                vm: "gateway-1".parse().unwrap(),
+                data_centre: "north".parse().unwrap(),
+            },
+            floor_share: 0.7,
+            seed: 1,
+        },
+        sends: SendBudgetOptions {
+            ratio: 0.0,
+            allowance: 10.0,
+            ..OPTIONS
+        },
+        seed: 1,
+    });
+    dispatcher.set_members(time(0), &[member("t-good"), member("t-bad")]);
+    let broken = ReportedFinding {
+        target: TargetHash::of(&"t-bad".parse().unwrap(), Incarnation(1)),
+        finding: Finding::Broken,
+    };
+    dispatcher.hear_findings(time(0), &[broken]);
+    dispatcher
+}
+
+/// The target of a lookup.
+fn placed(dispatcher: &mut Dispatcher<()>, now: u64) -> String {
+    let need = Need {
+        class: RequestClass::Idempotent,
+        rank: 1,
+        deadline: time(now + 1_500),
+        objective: time(now + 800),
+        tried: &[],
+    };
+    match dispatcher.place(time(now), &need, || ()) {
+        Placement::Start(pick) => pick.target.to_string(),
+        other => panic!("there is room, but the lookup got {other:?}"),
+    }
+}
+
+/// Guards against lookups that are spent on tests of suspected targets and then lost, since no send to
+/// another target is left.
+#[test]
+fn tests_of_targets_leave_a_quarter_of_the_budget() {
+    let mut fresh = dispatcher();
+    assert_eq!(placed(&mut fresh, 1_500), "t-bad");
+    let mut spent = dispatcher();
+    for _ in 0..6 {
+        assert!(spent.try_send_again(time(1_400)));
+    }
+    assert_eq!(placed(&mut spent, 1_500), "t-good");
+}
+
+/// Guards against second sends beside silent ones that take the last of the budget.
+#[test]
+fn second_sends_leave_a_quarter_of_the_budget() {
+    let mut dispatcher = dispatcher();
+    let need = Need {
+        class: RequestClass::Idempotent,
+        rank: 1,
+        deadline: time(3_000),
+        objective: time(2_300),
+        tried: &[],
+    };
+    for _ in 0..6 {
+        let second = dispatcher.pick_free(time(1_500), &need).unwrap();
+        dispatcher.finish(time(1_500), second.key, None);
+        assert!(dispatcher.try_send_again(time(1_500)));
+    }
+    assert_eq!(dispatcher.pick_free(time(1_500), &need), None);
+    assert!(dispatcher.try_send_again(time(1_500)));
+}
