Count an answer after an observed silence as an answer

Change: an answer that comes after its silence has been observed counts as an answer. The test late_answer_to_an_order_clears_its_silence failed before.

--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_std::task;
 use auburnbridge_http::{FramingError, Request, Response, Verdict};
@@ -68,10 +69,16 @@
                 RequestClass::Once => pool.exchange_fresh(address, &message, &limits, until).await,
             }
         };
-        let exchange = exchanging.or(self.observe_silence(&assignment)).await;
+        let was_silent = AtomicBool::new(false);
+        let silence = self.observe_silence(&assignment, &was_silent);
+        let exchange = exchanging.or(silence).await;
         let time = self.gateway.clock.now().since(start);
         let reused = exchange.reused;
-        let (outcome, finding) = self.judge(exchange, time, &assignment).await;
+        let (outcome, mut finding) = self.judge(exchange, time, &assignment).await;
+        if was_silent.load(Ordering::Relaxed) && finding == Some(Finding::Slow) {
+            // The time has counted against the target already; now it has answered.
+            finding = Some(Finding::Answered);
+        }
         self.log_exchange(&assignment, &outcome, finding, time, reused);
         let is_unsent = matches!(outcome, Outcome::NotRun) && finding != Some(Finding::Shed);
         assignment.finish(finding);
@@ -86,7 +93,7 @@
 
     /// Takes the lack of an answer in several times the usual time as evidence while the request goes
     /// on; otherwise the target would get more work up to the deadline. Never ends.
-    async fn observe_silence<T>(self, assignment: &Assignment) -> T {
+    async fn observe_silence<T>(self, assignment: &Assignment, was_silent: &AtomicBool) -> T {
         let patience = self.silent_after();
         self.gateway.clock.sleep(patience).await;
         info!(
@@ -94,6 +101,7 @@
             target_id = assignment.target().as_str(), after_ms = patience.0;
             "target silent"
         );
+        was_silent.store(true, Ordering::Relaxed);
         self.gate.observe(assignment.key(), Finding::Silent);
         self.gateway.news.notify(usize::MAX);
         std::future::pending().await
--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -122,6 +122,25 @@
     });
 }
 
+/// Guards against a target that is left for seconds because one request took long: its silence has
+/// counted against it already when the answer comes.
+#[test]
+fn late_answer_to_an_order_clears_its_silence() {
+    block_on(async {
+        let late = start_target("t-late", Act::AnswerLate(OK)).await;
+        let gateway = start_gateway(&[&late]);
+        let address = listen(&gateway).await;
+        assert_eq!(send(address, "/order/1", 1_200).await.status, 200);
+        let gate = gateway.services().get(&"stock".parse().unwrap()).unwrap();
+        let findings: Vec<Finding> = gate
+            .take_unreported()
+            .iter()
+            .map(|told| told.finding)
+            .collect();
+        assert_eq!(findings, [Finding::Silent, Finding::Answered]);
+    });
+}
+
 /// Guards against a lookup that is cut off for its target's silence while no other target can take it.
 #[test]
 fn lookup_without_another_target_waits_for_its_answer() {
