Withdraw a grant whose reply was lost

Cause: an entry that gets no reply to its grant, as one that is frozen meanwhile, tells its caller that nothing ran, but the grant may hold. Resends then find the key in progress and hear unknown. Change: the entry withdraws the attempt in the background. Nothing runs under it afterwards, and a withdrawal by an attempt that holds nothing changes nothing. Before and after, fault matrix: a lost reply and a quorum lost after the grant gave no run and two answers key-in-progress; now the resend runs and is answered. The rows of the matrix failed before. Not run: the process-level trial of the issue (3 of 90 tries).

--- a/crates/auburnbridge_entry/src/keyed.rs
+++ b/crates/auburnbridge_entry/src/keyed.rs
@@ -54,10 +54,15 @@
             deadline: req.deadline.after(SETTLE_GRACE),
             previous_attempts: req.previous_attempts,
         };
-        let reply = entry.ledger.apply(command).await.map_err(|error| {
-            let problem = Problem::new(ErrorKind::LedgerUnavailable, error.to_string());
-            req.refuse_unread(problem)
-        })?;
+        let reply = match entry.ledger.apply(command).await {
+            Ok(reply) => reply,
+            Err(error) => {
+                // The grant may have taken effect, and would block resends up to its deadline.
+                entry.settle_later(Command::Withdraw { key, attempt });
+                let problem = Problem::new(ErrorKind::LedgerUnavailable, error.to_string());
+                return Err(req.refuse_unread(problem));
+            }
+        };
         info!(
             "ledger key={} attempt={attempt} reply={reply}",
             key.idempotency_key
