--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -60,18 +60,9 @@
     pub(crate) async fn send(self, assignment: Assignment) -> Sent {
         let start = self.gateway.clock.now();
         let message = self.outgoing(&assignment, start);
-        let limits = self.gateway.answer_limits();
-        let until = self.incoming.deadline;
-        let (pool, address) = (&self.gateway.pool, assignment.address());
-        let exchanging = async {
-            match self.incoming.route.class {
-                RequestClass::Idempotent => pool.exchange(address, &message, &limits, until).await,
-                RequestClass::Once => pool.exchange_fresh(address, &message, &limits, until).await,
-            }
-        };
         let was_silent = AtomicBool::new(false);
         let silence = self.observe_silence(&assignment, &was_silent);
-        let exchange = exchanging.or(silence).await;
+        let exchange = self.exchange(&assignment, &message).or(silence).await;
         let time = self.gateway.clock.now().since(start);
         let reused = exchange.reused;
         let (outcome, mut finding) = self.judge(exchange, time, &assignment).await;
@@ -91,6 +82,16 @@
         }
     }
 
+    async fn exchange(self, assignment: &Assignment, message: &Request) -> Exchange {
+        let limits = self.gateway.answer_limits();
+        let until = self.incoming.deadline;
+        let (pool, address) = (&self.gateway.pool, assignment.address());
+        match self.incoming.route.class {
+            RequestClass::Idempotent => pool.exchange(address, message, &limits, until).await,
+            RequestClass::Once => pool.exchange_fresh(address, message, &limits, until).await,
+        }
+    }
+
     /// Takes the lack of an answer in several times the usual time as evidence while the request goes
     /// on; otherwise the target would get more work up to the deadline. Never ends.
     async fn observe_silence<T>(self, assignment: &Assignment, was_silent: &AtomicBool) -> T {
@@ -138,9 +139,11 @@
             ExchangeResult::Unknown {
                 reason: Unknown::Deadline,
                 ..
+            } => {
                 // A long silence has been observed already, and a short time left must not make a
                 // healthy target look sick.
-            } => (Outcome::MayHaveRun(Failure::TimedOut), None),
+                (Outcome::MayHaveRun(Failure::TimedOut), None)
+            }
             ExchangeResult::Unknown {
                 reason,
                 answer_started,
--- a/crates/auburnbridge_policy/src/balance/mod.rs
+++ b/crates/auburnbridge_policy/src/balance/mod.rs
@@ -10,6 +10,7 @@
 //! told to others nor forgiven by their successes.
 
 mod balancer;
+mod choice;
 mod dispatcher;
 mod evidence;
 mod homes;
