--- a/crates/auburnbridge/tests/processes/soak/callers.rs
+++ b/crates/auburnbridge/tests/processes/soak/callers.rs
@@ -23,8 +23,8 @@
 const GIVE_UP: Duration = Duration::from_secs(4);
 const CONNECT: Duration = Duration::from_millis(500);
 
-/// A connection to a gateway.
-struct Link {
+/// An open connection to a gateway.
+struct OpenConnection {
     gateway: u8,
     connection: Connection<TcpStream>,
 }
@@ -43,13 +43,13 @@
 }
 
 async fn call_in_turn(soak: &Soak, addresses: &FleetAddresses, name: &str, mut rng: ChaCha8Rng) {
-    let mut link: Option<Link> = None;
+    let mut kept: Option<OpenConnection> = None;
     for number in 0.. {
         if soak.is_over() {
             return;
         }
         task::sleep(Duration::from_millis(rng.random_range(5..40))).await;
-        let open = match link.take() {
+        let open = match kept.take() {
             Some(open) => Some(open),
             None => connect(addresses, rng.random_range(0..GATEWAYS)).await,
         };
@@ -77,17 +77,17 @@
             ended: Instant::now(),
             heard,
         });
-        link = stays_open.then_some(open);
+        kept = stays_open.then_some(open);
     }
 }
 
-async fn connect(addresses: &FleetAddresses, gateway: u8) -> Option<Link> {
+async fn connect(addresses: &FleetAddresses, gateway: u8) -> Option<OpenConnection> {
     let address = addresses.gateways[usize::from(gateway)];
     let stream = timeout(CONNECT, TcpStream::connect(address))
         .await
         .ok()?
         .ok()?;
-    Some(Link {
+    Some(OpenConnection {
         gateway,
         connection: Connection::new(stream),
     })
--- a/crates/auburnbridge/tests/processes/soak/mod.rs
+++ b/crates/auburnbridge/tests/processes/soak/mod.rs
@@ -7,7 +7,7 @@
 //! and names every promise that was broken.
 //!
 //! `SOAK_SEEDS=20 SOAK_FIRST_SEED=1000 cargo test -p auburnbridge --test processes -- --ignored
-//! fresh_seeds` runs further seeds. A failed seed is kept in [`REGRESSION_SEEDS`] with its cause.
+//! fresh_seeds` runs further seeds. A failed seed is kept in [`KEPT_SEEDS`] with its cause.
 //! Connections between keepers and gateways can't be cut here, since processes know each other by
 //! the addresses of their VMs; frozen processes take that part. Storage fails by the loss of whole
 //! folders only, and no process uses the time of day.
@@ -42,13 +42,14 @@
 /// Time within which everything must be served again, as the operators ask.
 const RECOVERY: Duration = Duration::from_secs(15);
 
-/// Seeds that have failed, with the cause. They run in CI, with one that has not.
-const REGRESSION_SEEDS: [u64; 1] = [1];
+/// Seeds that CI runs. Each seed that fails is added with its cause; none has failed yet.
+const KEPT_SEEDS: [u64; 1] = [1];
 
 /// What the threads of one run share.
 pub struct Soak {
     pub record: Record,
     pub targets: Vec<SoakTarget>,
+    /// Set once all threads are to end.
     pub is_over: AtomicBool,
 }
 
@@ -191,7 +192,7 @@
 /// Guards the promises to callers, operators and targets against overlapping faults.
 #[test]
 fn kept_seeds() {
-    run_seeds(REGRESSION_SEEDS.into_iter());
+    run_seeds(KEPT_SEEDS.into_iter());
 }
 
 /// Runs as many fresh seeds as `SOAK_SEEDS` says, from `SOAK_FIRST_SEED` on.
--- a/crates/auburnbridge_policy/tests/balance_load/main.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/main.rs
@@ -363,6 +363,17 @@
     }
 }
 
+/// Share of all requests that were refused or failed.
+fn lost_share<'a>(outcomes: impl IntoIterator<Item = &'a Outcome>) -> f64 {
+    let (offered, lost) = outcomes
+        .into_iter()
+        .flat_map(|outcome| &outcome.tallies)
+        .fold((0, 0), |(offered, lost), tally| {
+            (offered + tally.offered, lost + tally.refused + tally.failed)
+        });
+    f64::from(lost) / f64::from(offered)
+}
+
 /// Pattern: the restless fleet. Guards against gateways that each find out by a lost request of their
 /// own that a target has begun to fail, and that test failing targets all at once.
 ///
@@ -371,13 +382,7 @@
 #[test]
 fn restless_fleet_loses_few_requests() {
     for outcome in run_seeds(restless_fleet) {
-        let offered: u32 = outcome.tallies.iter().map(|tally| tally.offered).sum();
-        let lost: u32 = outcome
-            .tallies
-            .iter()
-            .map(|tally| tally.refused + tally.failed)
-            .sum();
-        let share = f64::from(lost) / f64::from(offered);
+        let share = lost_share([&outcome]);
         assert!(share <= 0.018, "{:.2}% were lost", 100.0 * share);
         let lookups = &outcome.tallies[LOOKUP];
         assert!(lookups.objective_share() > 0.95, "{lookups:?}");
@@ -442,14 +447,20 @@
 /// The bound is that of the restless fleet, over all seeds.
 #[test]
 fn restless_small_fleet_loses_few_requests() {
-    let outcomes = run_seeds(restless_small_fleet);
-    let tallies = || outcomes.iter().flat_map(|outcome| &outcome.tallies);
-    let offered: u32 = tallies().map(|tally| tally.offered).sum();
-    let lost: u32 = tallies().map(|tally| tally.refused + tally.failed).sum();
-    let share = f64::from(lost) / f64::from(offered);
+    let share = lost_share(&run_seeds(restless_small_fleet));
     assert!(share <= 0.018, "{:.2}% were lost", 100.0 * share);
 }
 
+/// Share of their credit that the orders of all seeds earn; late answers earn three tenths.
+fn order_credit(outcomes: &[Outcome]) -> f64 {
+    let tallies = || outcomes.iter().map(|outcome| &outcome.tallies[ORDER]);
+    let offered: u32 = tallies().map(|tally| tally.offered).sum();
+    let earned: f64 = tallies()
+        .map(|tally| f64::from(tally.in_objective) + 0.3 * f64::from(tally.late))
+        .sum();
+    earned / f64::from(offered)
+}
+
 /// Pattern: restless orders. Guards against targets that stay suspected long after they work again
 /// where no lookup tests them.
 ///
@@ -458,12 +469,7 @@
 #[test]
 fn restless_orders_earn_their_credit() {
     let outcomes = run_seeds(restless_orders);
-    let tallies = || outcomes.iter().map(|outcome| &outcome.tallies[ORDER]);
-    let offered: u32 = tallies().map(|tally| tally.offered).sum();
-    let earned: f64 = tallies()
-        .map(|tally| f64::from(tally.in_objective) + 0.3 * f64::from(tally.late))
-        .sum();
-    let share = earned / f64::from(offered);
+    let share = order_credit(&outcomes);
     assert!(share >= 0.93 / 0.988, "{:.2}% of the credit", 100.0 * share);
 }
 
@@ -542,12 +548,7 @@
 #[test]
 fn lost_answers_cost_themselves_only() {
     let outcomes = run_seeds(lost_answers);
-    let tallies = || outcomes.iter().map(|outcome| &outcome.tallies[ORDER]);
-    let offered: u32 = tallies().map(|tally| tally.offered).sum();
-    let earned: f64 = tallies()
-        .map(|tally| f64::from(tally.in_objective) + 0.3 * f64::from(tally.late))
-        .sum();
-    let share = earned / f64::from(offered);
+    let share = order_credit(&outcomes);
     let bound = 0.93 / 0.988 - 0.03;
     assert!(share >= bound, "{:.2}% of the credit", 100.0 * share);
 }
