Decide on slow, silent and second sends in one place of the policy

The gateway's transport code held the times of silence and of second sends, with a factor of its own beside that of slow answers, and turned one finding into another. answer_times.rs holds them now, with tests without a network. Weights are computed only for the targets that are drawn from, not for those of the gateway itself or of worse ranks; the list of gateways is compared once, in the table of services. No change of behaviour.

--- a/crates/auburnbridge/tests/processes/soak/proxy.rs
+++ b/crates/auburnbridge/tests/processes/soak/proxy.rs
@@ -63,11 +63,11 @@
 }
 
 async fn relay(caller: TcpStream, target: SocketAddr, link: Arc<Mutex<Link>>) {
-    let Ok(upstream) = TcpStream::connect(target).await else {
+    let Ok(target) = TcpStream::connect(target).await else {
         return;
     };
-    let requests = copy(caller.clone(), upstream.clone(), &link, Direction::Request);
-    let answers = copy(upstream, caller, &link, Direction::Answer);
+    let requests = copy(caller.clone(), target.clone(), &link, Direction::Request);
+    let answers = copy(target, caller, &link, Direction::Answer);
     // Either end closes both.
     requests.or(answers).await;
 }
--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -18,11 +18,6 @@
 use crate::gate::{Assignment, ServiceGate};
 use crate::gateway::{Gateway, Incoming};
 
-/// Multiple of the average answer time after which a target counts as silent. Two in a hundred
-/// requests take longer on a healthy target.
-const SILENT_FACTOR: u64 = 3;
-/// Shortest time after which a target counts as silent.
-const LEAST_SILENT: Millis = Millis(300);
 /// Status of a target that is not the expected one.
 const MISDIRECTED: u16 = 421;
 /// Statuses that promise callers that their request has not run.
@@ -65,11 +60,8 @@
         let exchange = self.exchange(&assignment, &message).or(silence).await;
         let time = self.gateway.clock.now().since(start);
         let reused = exchange.reused;
-        let (outcome, mut finding) = self.judge(exchange, time, &assignment).await;
-        if was_silent.load(Ordering::Relaxed) && finding == Some(Finding::Slow) {
-            // The time has counted against the target already; now it has answered.
-            finding = Some(Finding::Answered);
-        }
+        let was_silent = was_silent.load(Ordering::Relaxed);
+        let (outcome, finding) = self.judge(exchange, time, was_silent, &assignment).await;
         self.log_exchange(&assignment, &outcome, finding, time, reused);
         let is_unsent = matches!(outcome, Outcome::NotRun) && finding != Some(Finding::Shed);
         assignment.finish(finding);
@@ -95,7 +87,7 @@
     /// Takes the lack of an answer in several times the usual time as evidence while the request goes
     /// on; otherwise the target would get more work up to the deadline. Never ends.
     async fn observe_silence<T>(self, assignment: &Assignment, was_silent: &AtomicBool) -> T {
-        let patience = self.silent_after();
+        let patience = self.gate.answer_times().silent_after();
         self.gateway.clock.sleep(patience).await;
         info!(
             attempt = self.attempt_id(), service = self.gate.name().as_str(),
@@ -108,11 +100,6 @@
         std::future::pending().await
     }
 
-    /// Time without an answer after which a target counts as silent.
-    pub(crate) fn silent_after(self) -> Millis {
-        Millis(self.gate.latency().0 * SILENT_FACTOR).max(LEAST_SILENT)
-    }
-
     /// The request as it goes to a target.
     fn outgoing(&self, assignment: &Assignment, now: Timestamp) -> Request {
         let mut message = self.incoming.message.clone();
@@ -131,10 +118,11 @@
         &self,
         exchange: Exchange,
         time: Millis,
+        was_silent: bool,
         assignment: &Assignment,
     ) -> (Outcome, Option<Finding>) {
         match exchange.result {
-            ExchangeResult::Answered(response) => self.judge_answer(response, time),
+            ExchangeResult::Answered(response) => self.judge_answer(response, time, was_silent),
             ExchangeResult::NotSent(reason) => (Outcome::NotRun, finding_of_unsent(reason)),
             ExchangeResult::Unknown {
                 reason: Unknown::Deadline,
@@ -167,7 +155,12 @@
         }
     }
 
-    fn judge_answer(&self, response: Response, time: Millis) -> (Outcome, Option<Finding>) {
+    fn judge_answer(
+        &self,
+        response: Response,
+        time: Millis,
+        was_silent: bool,
+    ) -> (Outcome, Option<Finding>) {
         let names = self.gateway.headers;
         if response.status == MISDIRECTED {
             return (Outcome::NotRun, Some(Finding::Replaced));
@@ -184,7 +177,7 @@
             }
             return (
                 Outcome::Answered(response),
-                Some(self.gate.judge_answer(time)),
+                Some(self.gate.judge_answer(time, was_silent)),
             );
         }
         if PROMISES.contains(&response.status) {
@@ -199,7 +192,7 @@
         }
         (
             Outcome::Answered(response),
-            Some(self.gate.judge_answer(time)),
+            Some(self.gate.judge_answer(time, was_silent)),
         )
     }
 
--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -19,13 +19,6 @@
 /// Connections that failed before the request was sent; more are not tried.
 const MOST_UNSENT: u32 = 8;
 
-/// Time that is left for the answer of a second target, in percent of the average answer time. Two in
-/// three requests take less.
-const SECOND_ANSWER_PERCENT: u64 = 125;
-/// Time after which most answers have come, in percent of the average answer time; one in twenty
-/// takes longer.
-const USUAL_PERCENT: u64 = 150;
-
 /// The state of one request.
 pub(crate) struct Forward<'a> {
     exchanger: Exchanger<'a>,
@@ -110,7 +103,11 @@
         if exchanger.incoming.route.class == RequestClass::Once {
             return self.count(exchanger.send(assignment).await);
         }
-        let patience = self.second_send_after();
+        let left = exchanger
+            .incoming
+            .objective
+            .since(exchanger.gateway.clock.now());
+        let patience = exchanger.gate.answer_times().second_send_after(left);
         let mut first = Box::pin(exchanger.send(assignment));
         let silent = exchanger.gateway.clock.sleep(patience);
         let answered = async { Some((&mut first).await) };
@@ -139,18 +136,6 @@
         self.count(sent)
     }
 
-    /// Time without an answer after which an idempotent request goes to a second target: early enough
-    /// for an answer within the objective, but not before most answers come.
-    fn second_send_after(&self) -> Millis {
-        let exchanger = self.exchanger;
-        let latency = exchanger.gate.latency().0;
-        let now = exchanger.gateway.clock.now();
-        let left = exchanger.incoming.objective.since(now).0;
-        let latest = left.saturating_sub(latency * SECOND_ANSWER_PERCENT / 100);
-        let usual = latency * USUAL_PERCENT / 100;
-        Millis(latest.max(usual)).min(exchanger.silent_after())
-    }
-
     /// A second target for a request that has been sent already, if there is one with a free slot.
     fn second_target(&mut self) -> Option<Assignment> {
         let is_allowed = self.sends + 1 < self.exchanger.incoming.route.attempts;
--- a/crates/auburnbridge_gateway/src/gate.rs
+++ b/crates/auburnbridge_gateway/src/gate.rs
@@ -8,8 +8,8 @@
 
 use async_channel::Sender;
 use auburnbridge_policy::balance::{
-    BalancedKey, BalancedMember, Dispatcher, DispatcherOptions, Finding, GatewayPlace, LoadReport,
-    Need, Pick, Placement, Refusal, ReportedFinding, WaitingKey,
+    AnswerTimes, BalancedKey, BalancedMember, Dispatcher, DispatcherOptions, Finding, GatewayPlace,
+    LoadReport, Need, Pick, Placement, Refusal, ReportedFinding, WaitingKey,
 };
 use auburnbridge_types::{Clock, Millis, ServiceName, TargetId, VmId};
 use futures_lite::FutureExt;
@@ -117,13 +117,13 @@
     }
 
     /// The finding that an answer after `time` is.
-    pub(crate) fn judge_answer(&self, time: Millis) -> Finding {
-        self.dispatcher.lock().judge_answer(time)
+    pub(crate) fn judge_answer(&self, time: Millis, was_silent: bool) -> Finding {
+        self.dispatcher.lock().judge_answer(time, was_silent)
     }
 
-    /// Average answer time of the service.
-    pub(crate) fn latency(&self) -> Millis {
-        self.dispatcher.lock().latency()
+    /// Answer times of the service.
+    pub(crate) fn answer_times(&self) -> AnswerTimes {
+        self.dispatcher.lock().answer_times()
     }
 
     /// When a request of the rank that is refused may come back.
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -6,6 +6,7 @@
 use auburnbridge_types::{Incarnation, Millis, TargetId, Timestamp, VmId};
 use slotmap::SlotMap;
 
+use super::answer_times::AnswerTimes;
 use super::evidence::{Finding, Origin};
 use super::homes::{GatewayPlace, home_targets};
 use super::report::{LoadReport, ReportedFinding, TargetHash, TargetLoad};
@@ -17,13 +18,6 @@
 const PROOF_STEP_MS: u64 = 8;
 /// Share of the slots from which a service is crowded.
 const CROWDED_SHARE: f64 = 0.6;
-/// Weight of the newest answer in the average answer time.
-const LATENCY_WEIGHT: f64 = 0.05;
-/// Answer time that is assumed before any was measured.
-const ASSUMED_LATENCY_MS: f64 = 250.0;
-/// Multiple of the average answer time from which an answer is slow. Rare long requests take five
-/// times the usual time.
-const SLOW_FACTOR: f64 = 3.0;
 /// Targets of its own from which a gateway prefers them. With fewer, those that fail leave it too
 /// little, and all gateways do better to share all targets.
 const LEAST_HOMES: usize = 4;
@@ -80,7 +74,7 @@
     by_hash: HashMap<TargetHash, BalancedKey>,
     /// Last report of each other gateway.
     reports: HashMap<VmId, (Timestamp, LoadReport)>,
-    latency_ms: f64,
+    answer_times: AnswerTimes,
     /// Findings that the other gateways have not been told yet.
     unreported: Vec<ReportedFinding>,
 }
@@ -96,7 +90,7 @@
             by_id: HashMap::new(),
             by_hash: HashMap::new(),
             reports: HashMap::new(),
-            latency_ms: ASSUMED_LATENCY_MS,
+            answer_times: AnswerTimes::default(),
             unreported: Vec::new(),
         }
     }
@@ -146,10 +140,8 @@
     pub fn set_gateways(&mut self, others: &[GatewayPlace]) {
         let mut gateways = vec![self.options.own.clone()];
         gateways.extend(others.iter().cloned());
-        if gateways != self.gateways {
-            self.gateways = gateways;
-            self.assign_homes();
-        }
+        self.gateways = gateways;
+        self.assign_homes();
     }
 
     /// Number of gateways, this one included.
@@ -199,26 +191,14 @@
         }
     }
 
-    /// The finding that an answer after `time` is, and its part in the average answer time.
-    pub fn judge_answer(&mut self, time: Millis) -> Finding {
-        let time_ms = f64::from(u32::try_from(time.0).unwrap_or(u32::MAX));
-        let is_slow = time_ms > self.latency_ms * SLOW_FACTOR;
-        self.latency_ms += (time_ms - self.latency_ms) * LATENCY_WEIGHT;
-        if is_slow {
-            Finding::Slow
-        } else {
-            Finding::Answered
-        }
+    /// Takes an answer after `time` into the answer times; gives the finding that it is.
+    pub fn judge_answer(&mut self, time: Millis, was_silent: bool) -> Finding {
+        self.answer_times.judge(time, was_silent)
     }
 
-    /// Average answer time of the service.
-    pub fn latency(&self) -> Millis {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "an average of times is neither negative nor above their maximum"
-        )]
-        Millis(self.latency_ms as u64)
+    /// Answer times of the service.
+    pub fn answer_times(&self) -> AnswerTimes {
+        self.answer_times
     }
 
     /// Takes over what another gateway found.
--- a/crates/auburnbridge_policy/src/balance/choice.rs
+++ b/crates/auburnbridge_policy/src/balance/choice.rs
@@ -158,7 +158,7 @@
         // The first send of an idempotent request may find out that a target has begun to fail.
         let is_test = class == RequestClass::Idempotent && tried.is_empty();
         let mut best = worst;
-        let mut candidates: Vec<(BalancedKey, u32)> = Vec::new();
+        let mut candidates: Vec<BalancedKey> = Vec::new();
         for (key, target) in &self.targets {
             if tried.contains(&key) {
                 continue;
@@ -171,27 +171,34 @@
                 best = rank;
                 candidates.clear();
             }
-            candidates.push((key, weight(now, is_test, rank, target)));
+            candidates.push(key);
         }
         if best == Rank::HomeFree {
             let proofs = candidates
                 .iter()
-                .map(|(key, _)| (self.targets[*key].proof_age(now), *key));
+                .map(|key| (self.targets[*key].proof_age(now), *key));
             let chosen = if is_test { proofs.max() } else { proofs.min() };
             return chosen.map(|(_, key)| key);
         }
-        let total: u32 = candidates.iter().map(|(_, weight)| weight).sum();
+        let weights: Vec<u32> = candidates
+            .iter()
+            .map(|key| weight(now, is_test, best, &self.targets[*key]))
+            .collect();
+        let total: u32 = weights.iter().sum();
         if total == 0 {
             return None;
         }
         let mut drawn = rng.random_range(0..total);
-        candidates.into_iter().find_map(|(key, weight)| {
-            if drawn < weight {
-                return Some(key);
-            }
-            drawn -= weight;
-            None
-        })
+        candidates
+            .into_iter()
+            .zip(weights)
+            .find_map(|(key, weight)| {
+                if drawn < weight {
+                    return Some(key);
+                }
+                drawn -= weight;
+                None
+            })
     }
 
     fn rank(
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -4,6 +4,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::answer_times::AnswerTimes;
 use super::balancer::{Balancer, BalancerOptions, Pick, TargetSummary};
 use super::evidence::Finding;
 use super::homes::GatewayPlace;
@@ -113,8 +114,10 @@
         self.budget.try_send_again(now, self.balancer.gateways())
     }
 
-    fn has_sends_left(&mut self, now: Timestamp, kept: f64) -> bool {
-        self.budget.has_left(now, self.balancer.gateways(), kept)
+    /// Whether the budget has more than what is kept for requests whose send has failed.
+    fn has_spare_sends(&mut self, now: Timestamp) -> bool {
+        self.budget
+            .has_left(now, self.balancer.gateways(), KEPT_SHARE)
     }
 
     /// Places a request; `item` is made only if it waits.
@@ -126,7 +129,7 @@
     ) -> Placement {
         let may_test = need.class == RequestClass::Idempotent && need.tried.is_empty();
         if may_test
-            && self.has_sends_left(now, KEPT_SHARE)
+            && self.has_spare_sends(now)
             && let Some(pick) = self.balancer.pick_test(now)
         {
             return Placement::Start(pick);
@@ -215,7 +218,7 @@
 
     /// Picks a target with a free slot, if there is one now and no request waits for it.
     pub fn pick_free(&mut self, now: Timestamp, need: &Need<'_>) -> Option<Pick> {
-        if !self.waiting.is_empty() || !self.has_sends_left(now, KEPT_SHARE) {
+        if !self.waiting.is_empty() || !self.has_spare_sends(now) {
             return None;
         }
         self.balancer
@@ -234,13 +237,13 @@
     }
 
     /// The finding that an answer after `time` is.
-    pub fn judge_answer(&mut self, time: Millis) -> Finding {
-        self.balancer.judge_answer(time)
+    pub fn judge_answer(&mut self, time: Millis, was_silent: bool) -> Finding {
+        self.balancer.judge_answer(time, was_silent)
     }
 
-    /// Average answer time of the service.
-    pub fn latency(&self) -> Millis {
-        self.balancer.latency()
+    /// Answer times of the service.
+    pub fn answer_times(&self) -> AnswerTimes {
+        self.balancer.answer_times()
     }
 
     /// When a request of the rank that is refused may come back.
@@ -285,7 +288,7 @@
             slots: summary.slots,
             in_flight: summary.in_flight,
             gateways: self.balancer.gateways(),
-            latency: self.balancer.latency(),
+            latency: self.balancer.answer_times().average(),
             ended_per_ms: self.ended.per_ms(now),
         }
     }
--- a/crates/auburnbridge_policy/src/balance/mod.rs
+++ b/crates/auburnbridge_policy/src/balance/mod.rs
@@ -9,6 +9,7 @@
 //! Failures to connect are kept apart: they may be due to the path from this VM, and are neither
 //! told to others nor forgiven by their successes.
 
+mod answer_times;
 mod balancer;
 mod choice;
 mod dispatcher;
@@ -19,6 +20,7 @@
 mod target;
 mod waiting;
 
+pub use answer_times::AnswerTimes;
 pub use balancer::{Balancer, BalancerOptions, Pick, TargetSummary};
 pub use dispatcher::{Dispatcher, DispatcherOptions, Need, Placement};
 pub use evidence::{Finding, Origin};
--- a/crates/auburnbridge_policy/tests/balance_load/model.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/model.rs
@@ -433,7 +433,7 @@
         let key = req.pick.as_ref().unwrap().key;
         let dispatcher = &mut self.gateways[gateway];
         let told = match ending {
-            Ending::Answer => dispatcher.judge_answer(time_taken),
+            Ending::Answer => dispatcher.judge_answer(time_taken, false),
             Ending::Broken | Ending::Interrupted => Finding::of_break(time_taken),
             Ending::Shed => Finding::Shed,
             Ending::Unreachable => Finding::Unreachable,
