Draw a seed's faults in one structure; accept connections of test targets in one function

The soak's schedule passed its steps and its busy processes through five functions; the stand-in targets and the proxy each had an accept loop.

--- a/crates/auburnbridge/tests/processes/platform_fleet.rs
+++ b/crates/auburnbridge/tests/processes/platform_fleet.rs
@@ -255,7 +255,22 @@
     }
 }
 
-/// A back end that seals its answers and counts them.
+/// Listens on a free port of loopback and handles each connection in a task of its own.
+pub fn accept_each<F>(handle: impl Fn(TcpStream) -> F + Send + 'static) -> SocketAddr
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            task::spawn(handle(stream));
+        }
+    });
+    address
+}
+
+/// A target that seals its answers and counts them.
 pub struct SealingTarget {
     pub address: SocketAddr,
     pub runs: Arc<Mutex<u32>>,
@@ -265,13 +280,7 @@
     pub fn start() -> Self {
         let runs: Arc<Mutex<u32>> = Arc::default();
         let counted = Arc::clone(&runs);
-        let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
-        let address = listener.local_addr().unwrap();
-        task::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                task::spawn(serve(stream, Arc::clone(&counted)));
-            }
-        });
+        let address = accept_each(move |stream| serve(stream, Arc::clone(&counted)));
         Self { address, runs }
     }
 
--- a/crates/auburnbridge/tests/processes/soak/proxy.rs
+++ b/crates/auburnbridge/tests/processes/soak/proxy.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use async_std::io::{ReadExt, WriteExt};
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpStream;
 use async_std::task;
 use futures_lite::FutureExt;
 use parking_lot::Mutex;
 
+use crate::platform_fleet::accept_each;
+
 const SLOW: Duration = Duration::from_millis(150);
 /// Interval at which held bytes look whether the link is open again.
 const HOLD: Duration = Duration::from_millis(20);
@@ -44,16 +46,8 @@
 impl Proxy {
     pub fn start(target: SocketAddr) -> Self {
         let link = Arc::new(Mutex::new(Link::Open));
-        let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
-        let address = listener.local_addr().unwrap();
         let shared = Arc::clone(&link);
-        task::spawn(async move {
-            while let Ok((caller, _)) = listener.accept().await {
-                if *shared.lock() != Link::Refused {
-                    task::spawn(relay(caller, target, Arc::clone(&shared)));
-                }
-            }
-        });
+        let address = accept_each(move |caller| relay(caller, target, Arc::clone(&shared)));
         Self { address, link }
     }
 
@@ -63,6 +57,9 @@
 }
 
 async fn relay(caller: TcpStream, target: SocketAddr, link: Arc<Mutex<Link>>) {
+    if *link.lock() == Link::Refused {
+        return;
+    }
     let Ok(target) = TcpStream::connect(target).await else {
         return;
     };
--- a/crates/auburnbridge/tests/processes/soak/schedule.rs
+++ b/crates/auburnbridge/tests/processes/soak/schedule.rs
@@ -14,6 +14,10 @@
 const FAULTS: usize = 14;
 /// Time for which an emptied keeper counts as lost after its start, as the operators say.
 const CATCH_UP_MS: u64 = 4_000;
+/// Time after its start from which a process handles signals.
+const SIGNALS_READY_MS: u64 = 500;
+/// Time that a target needs to leave and come back, at which its link has no fault.
+const LEAVING_MS: u64 = 5_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Role {
@@ -45,131 +49,131 @@
     pub action: Action,
 }
 
-/// When each process and link is free for the next fault, in milliseconds.
-struct Busy {
-    until: Vec<(Role, u8, u64)>,
+/// The steps of a seed while they are drawn.
+struct Schedule<'a> {
+    rng: &'a mut ChaCha8Rng,
+    steps: Vec<Step>,
+    /// Until when each process and link has a fault, in milliseconds.
+    busy: Vec<(Role, u8, u64)>,
     /// Until then no second disk may be lost.
-    disk: u64,
-}
-
-impl Busy {
-    fn is_free(&self, role: Role, number: u8, at: u64) -> bool {
-        self.until
-            .iter()
-            .all(|(other, of, until)| (*other, *of) != (role, number) || *until < at)
-    }
+    disk_busy: u64,
 }
 
 /// The steps of a seed, in the order of their times.
 pub fn draw(rng: &mut ChaCha8Rng) -> Vec<Step> {
-    let mut steps = Vec::new();
-    let mut busy = Busy {
-        until: Vec::new(),
-        disk: 0,
-    };
     let mut times: Vec<u64> = (0..FAULTS)
         .map(|_| rng.random_range(0..LENGTH_MS))
         .collect();
     times.sort_unstable();
+    let mut schedule = Schedule {
+        rng,
+        steps: Vec::new(),
+        busy: Vec::new(),
+        disk_busy: 0,
+    };
     for at in times {
-        let lasts = rng.random_range(100..2_500);
-        match rng.random_range(0..12) {
-            0..=3 => draw_link(rng, &mut steps, &mut busy, at, lasts),
-            4..=6 => draw_process(rng, &mut steps, &mut busy, at, lasts, Role::Gateway),
-            7..=9 => draw_process(rng, &mut steps, &mut busy, at, lasts, Role::Control),
-            10 => draw_all_controls(&mut steps, &mut busy, at, lasts),
-            _ => draw_departure(rng, &mut steps, &mut busy, at),
-        }
+        schedule.draw_fault(at);
     }
-    steps.sort_by_key(|step| step.at);
-    steps
+    schedule.steps.sort_by_key(|step| step.at);
+    schedule.steps
 }
 
-fn push(steps: &mut Vec<Step>, at: u64, role: Role, number: u8, action: Action) {
-    steps.push(Step {
-        at: Duration::from_millis(at),
-        role,
-        number,
-        action,
-    });
-}
+impl Schedule<'_> {
+    fn draw_fault(&mut self, at: u64) {
+        let end = at + self.rng.random_range(100..2_500);
+        match self.rng.random_range(0..12) {
+            0..=3 => self.draw_link(at, end),
+            4..=6 => self.draw_process(at, end, Role::Gateway),
+            7..=9 => self.draw_process(at, end, Role::Control),
+            10 => self.kill_all_controls(at, end),
+            _ => self.draw_departure(at),
+        }
+    }
 
-fn target(rng: &mut ChaCha8Rng) -> u8 {
-    u8::try_from(rng.random_range(0..TARGETS)).expect("a few targets")
-}
+    fn is_free(&self, role: Role, number: u8, at: u64) -> bool {
+        self.busy
+            .iter()
+            .all(|(other, of, until)| (*other, *of) != (role, number) || *until < at)
+    }
 
-fn draw_link(rng: &mut ChaCha8Rng, steps: &mut Vec<Step>, busy: &mut Busy, at: u64, lasts: u64) {
-    let number = target(rng);
-    if !busy.is_free(Role::Target, number, at) {
-        return;
+    fn push(&mut self, at: u64, role: Role, number: u8, action: Action) {
+        self.steps.push(Step {
+            at: Duration::from_millis(at),
+            role,
+            number,
+            action,
+        });
     }
-    let link = [
-        Link::Slow,
-        Link::Silent,
-        Link::NoAnswers,
-        Link::Reset,
-        Link::Refused,
-    ][rng.random_range(0..5)];
-    push(steps, at, Role::Target, number, Action::Link(link));
-    let end = Action::Link(Link::Open);
-    push(steps, at + lasts, Role::Target, number, end);
-    busy.until.push((Role::Target, number, at + lasts));
-}
 
-fn draw_process(
-    rng: &mut ChaCha8Rng,
-    steps: &mut Vec<Step>,
-    busy: &mut Busy,
-    at: u64,
-    lasts: u64,
-    role: Role,
-) {
-    let count = if role == Role::Control {
-        CONTROLS
-    } else {
-        GATEWAYS
-    };
-    let number = rng.random_range(0..count);
-    if !busy.is_free(role, number, at) {
-        return;
+    fn target(&mut self) -> u8 {
+        u8::try_from(self.rng.random_range(0..TARGETS)).expect("a few targets")
     }
-    let others_run = (0..count).all(|other| other == number || busy.is_free(role, other, at));
-    let (begin, end) = match rng.random_range(0..8) {
-        0 | 1 => (Action::Kill, Some(Action::Start)),
-        2..=4 => (Action::Freeze, Some(Action::Thaw)),
-        5 => (Action::Reload, None),
-        6 if role == Role::Control && others_run && busy.disk < at => {
-            busy.disk = at + lasts + CATCH_UP_MS;
-            (Action::Empty, Some(Action::Start))
+
+    fn draw_link(&mut self, at: u64, end: u64) {
+        let number = self.target();
+        if !self.is_free(Role::Target, number, at) {
+            return;
         }
-        _ => (Action::Terminate, Some(Action::Start)),
-    };
-    push(steps, at, role, number, begin);
-    // A stop that waits for requests delays the steps behind it, but not their order.
-    if let Some(end) = end {
-        push(steps, at + lasts, role, number, end);
+        let link = [
+            Link::Slow,
+            Link::Silent,
+            Link::NoAnswers,
+            Link::Reset,
+            Link::Refused,
+        ][self.rng.random_range(0..5)];
+        self.push(at, Role::Target, number, Action::Link(link));
+        self.push(end, Role::Target, number, Action::Link(Link::Open));
+        self.busy.push((Role::Target, number, end));
     }
-    // A process that has just begun may not handle signals yet.
-    busy.until.push((role, number, at + lasts + 500));
-}
 
-/// All keepers are killed at the same moment, unless one is emptied or still catching up.
-fn draw_all_controls(steps: &mut Vec<Step>, busy: &mut Busy, at: u64, lasts: u64) {
-    let all_free = (0..CONTROLS).all(|number| busy.is_free(Role::Control, number, at));
-    if !all_free || busy.disk >= at {
-        return;
+    fn draw_process(&mut self, at: u64, end: u64, role: Role) {
+        let count = if role == Role::Control {
+            CONTROLS
+        } else {
+            GATEWAYS
+        };
+        let number = self.rng.random_range(0..count);
+        if !self.is_free(role, number, at) {
+            return;
+        }
+        let others_run = (0..count).all(|other| other == number || self.is_free(role, other, at));
+        let (action, last_action) = match self.rng.random_range(0..8) {
+            0 | 1 => (Action::Kill, Some(Action::Start)),
+            2..=4 => (Action::Freeze, Some(Action::Thaw)),
+            5 => (Action::Reload, None),
+            6 if role == Role::Control && others_run && self.disk_busy < at => {
+                self.disk_busy = end + CATCH_UP_MS;
+                (Action::Empty, Some(Action::Start))
+            }
+            _ => (Action::Terminate, Some(Action::Start)),
+        };
+        self.push(at, role, number, action);
+        // A stop that waits for requests delays the steps behind it, but not their order.
+        if let Some(last_action) = last_action {
+            self.push(end, role, number, last_action);
+        }
+        self.busy.push((role, number, end + SIGNALS_READY_MS));
     }
-    for number in 0..CONTROLS {
-        push(steps, at, Role::Control, number, Action::Kill);
-        push(steps, at + lasts, Role::Control, number, Action::Start);
-        busy.until.push((Role::Control, number, at + lasts + 500));
+
+    /// All keepers are killed at the same moment, unless one is emptied or still catching up.
+    fn kill_all_controls(&mut self, at: u64, end: u64) {
+        let all_free = (0..CONTROLS).all(|number| self.is_free(Role::Control, number, at));
+        if !all_free || self.disk_busy >= at {
+            return;
+        }
+        for number in 0..CONTROLS {
+            self.push(at, Role::Control, number, Action::Kill);
+            self.push(end, Role::Control, number, Action::Start);
+            let until = end + SIGNALS_READY_MS;
+            self.busy.push((Role::Control, number, until));
+        }
     }
-}
 
-fn draw_departure(rng: &mut ChaCha8Rng, steps: &mut Vec<Step>, busy: &mut Busy, at: u64) {
-    let number = target(rng);
-    if busy.is_free(Role::Target, number, at) {
-        push(steps, at, Role::Target, number, Action::Leave);
-        busy.until.push((Role::Target, number, at + 5_000));
+    fn draw_departure(&mut self, at: u64) {
+        let number = self.target();
+        if self.is_free(Role::Target, number, at) {
+            self.push(at, Role::Target, number, Action::Leave);
+            self.busy.push((Role::Target, number, at + LEAVING_MS));
+        }
     }
 }
--- a/crates/auburnbridge/tests/processes/soak/targets.rs
+++ b/crates/auburnbridge/tests/processes/soak/targets.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::io::WriteExt;
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpStream;
 use async_std::task;
 use auburnbridge_http::{Connection, Limits, Request};
 use parking_lot::Mutex;
@@ -16,7 +16,7 @@
 use super::Soak;
 use super::proxy::Proxy;
 use super::record::Run;
-use crate::platform_fleet::{FleetAddresses, call};
+use crate::platform_fleet::{FleetAddresses, accept_each, call};
 use crate::wire;
 
 const HEARTBEAT: Duration = Duration::from_millis(700);
@@ -35,14 +35,8 @@
 impl SoakTarget {
     pub fn start() -> Self {
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-        let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
-        let address = listener.local_addr().unwrap();
         let shared = Arc::clone(&runs);
-        task::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                task::spawn(serve(stream, Arc::clone(&shared)));
-            }
-        });
+        let address = accept_each(move |stream| serve(stream, Arc::clone(&shared)));
         Self {
             proxy: Proxy::start(address),
             runs,
