Heed what targets state in their responses, and keep what a lost send may have run

Cause: a gateway learned that a target leaves only from its announcement, and paused for 60 ms after any shed, whatever time the target asked for. After a hedge the outcome of the send that failed first was dropped, so a lookup that may have run was answered 503 "not run". A new incarnation inherited the proof of the former one.

Ruled out: telling the other gateways by datagram, which would change the layout of reports that old gateways read; the log does it and survives restarts. Telling them of a Retry-After: a target asks each sender by itself. Acknowledging departures found in the log before the election: the records may be uncommitted, so they only keep the target out of use.

Change: a response with the leaving header ends the use of its target on this gateway at once and is reported to the keepers until recorded; a keeper passes the departures of its log to its catalogue at the start; Retry-After of a 503 or 429 pauses a target for every kind of pick, with a spread return, and requests wait for the end of a pause only if it is early enough; the better of two outcomes is kept after a hedge; a restarted target starts without pauses and proofs.

--- a/crates/auburnbridge/tests/processes/platform.rs
+++ b/crates/auburnbridge/tests/processes/platform.rs
@@ -2,6 +2,7 @@
 //! keepers and gateways are killed, lose their data or are stopped.
 
 use std::fs;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -86,6 +87,52 @@
     });
 }
 
+/// Guards against requests to a target after one of its answers stated its departure, on the other
+/// gateway too, and after a restart of all processes, while its announcements still say that it is
+/// ready.
+#[test]
+fn departure_stated_in_an_answer_outlasts_restarts() {
+    let (mut fleet, first) = serving_fleet(17, 3);
+    first.states_departure.store(true, Ordering::SeqCst);
+    assert!(is_served(&fleet, 0, "/a/x"));
+    first.states_departure.store(false, Ordering::SeqCst);
+    eventually("the other gateway still uses the target", || {
+        fleet.send(1, "POST", "/a/x") == Some(503)
+    });
+    for number in 0..3 {
+        eventually("a keeper has not recorded the departure", || {
+            let log = fleet.log(&format!("control-{number}"));
+            log.contains("\"state\":\"leaving\"")
+        });
+    }
+    let runs = *first.runs.lock();
+    for process in fleet.controls.iter_mut().chain(&mut fleet.gateways) {
+        process.kill();
+    }
+    for process in fleet.controls.iter_mut().chain(&mut fleet.gateways) {
+        process.start();
+    }
+    let second = SealingTarget::start();
+    let body = second.announcement(READY, 1);
+    fleet.call_any("PUT", &target_path("i-2"), &body, 200);
+    let body = first.announcement(READY, 3);
+    fleet.call_any("PUT", &target_path("i-1"), &body, 200);
+    for gateway in 0..2 {
+        eventually("the gateway serves nothing", || {
+            is_served(&fleet, gateway, "/a/x")
+        });
+    }
+    for _ in 0..20 {
+        assert!(is_served(&fleet, 0, "/a/x") && is_served(&fleet, 1, "/a/x"));
+    }
+    assert_eq!(*first.runs.lock(), runs);
+    assert!(
+        fleet
+            .log("gateway-0")
+            .contains("\"message\":\"target leaving\"")
+    );
+}
+
 /// Guards against the loss of an acknowledged configuration when all keepers are killed, and against
 /// gateways that stop serving while no keeper runs.
 #[test]
--- a/crates/auburnbridge/tests/processes/platform_fleet.rs
+++ b/crates/auburnbridge/tests/processes/platform_fleet.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
@@ -276,14 +277,23 @@
 pub struct SealingTarget {
     pub address: SocketAddr,
     pub runs: Arc<Mutex<u32>>,
+    /// Whether its answers state that it is leaving.
+    pub states_departure: Arc<AtomicBool>,
 }
 
 impl SealingTarget {
     pub fn start() -> Self {
         let runs: Arc<Mutex<u32>> = Arc::default();
         let counted = Arc::clone(&runs);
-        let address = accept_each(move |stream| serve(stream, Arc::clone(&counted)));
-        Self { address, runs }
+        let states_departure: Arc<AtomicBool> = Arc::default();
+        let is_leaving = Arc::clone(&states_departure);
+        let address =
+            accept_each(move |stream| serve(stream, Arc::clone(&counted), Arc::clone(&is_leaving)));
+        Self {
+            address,
+            runs,
+            states_departure,
+        }
     }
 
     /// Body of the target's announcement.
@@ -292,14 +302,19 @@
     }
 }
 
-async fn serve(stream: TcpStream, runs: Arc<Mutex<u32>>) {
+async fn serve(stream: TcpStream, runs: Arc<Mutex<u32>>, is_leaving: Arc<AtomicBool>) {
     let mut connection = Connection::new(stream);
     while let Ok(req) = connection.read_request(&Limits::default()).await {
         *runs.lock() += 1;
         if req.path.contains("slow") {
             task::sleep(Duration::from_millis(700)).await;
         }
-        let answer = wire::answer(req.headers.text(wire::ATTEMPT).unwrap_or_default());
+        let attempt = req.headers.text(wire::ATTEMPT).unwrap_or_default();
+        let answer = if is_leaving.load(Ordering::SeqCst) {
+            wire::leaving_answer(attempt)
+        } else {
+            wire::answer(attempt)
+        };
         if connection
             .get_mut()
             .write_all(answer.as_bytes())
--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -18,12 +18,17 @@
 
 use crate::failure::Failure;
 use crate::gateway::{Gateway, Incoming};
+use crate::retry_after::parse_retry_after;
 use crate::service_dispatcher::{Assignment, ServiceDispatcher};
 
 /// Status with which a process responds if it is not the target that the request expects.
 const MISDIRECTED: u16 = 421;
 /// Statuses that tell a caller that its request was not run.
 const NOT_RUN_STATUSES: [u16; 3] = [408, 429, 503];
+/// Statuses with which a target that sheds requests may state when it wants requests again.
+const SHED_STATUSES: [u16; 2] = [429, 503];
+/// Value of the header by which a target states that it is leaving.
+const IS_LEAVING: &str = "1";
 
 /// Performs the exchanges of one request with targets.
 #[derive(Clone, Copy)]
@@ -53,6 +58,35 @@
     pub(crate) counts_as_send: bool,
 }
 
+impl Outcome {
+    /// How much of the outcome counts for the caller, if a request was sent to two targets: a response
+    /// that is passed on, then the knowledge that the request may have run.
+    fn rank(&self) -> u8 {
+        match self {
+            Self::Answered(_) => 3,
+            Self::ServerError(_) => 2,
+            Self::MayHaveRun(_) => 1,
+            Self::NotRun => 0,
+        }
+    }
+}
+
+impl SendResult {
+    /// The result of a request that was sent to two targets: it has not run only if neither ran it.
+    pub(crate) fn or_better(self, other: Self) -> Self {
+        let counts_as_send = self.counts_as_send || other.counts_as_send;
+        let outcome = if other.outcome.rank() > self.outcome.rank() {
+            other.outcome
+        } else {
+            self.outcome
+        };
+        Self {
+            outcome,
+            counts_as_send,
+        }
+    }
+}
+
 impl Exchanger<'_> {
     /// Sends the request to a target and waits for the outcome. Dropping the future cancels the
     /// request at the target.
@@ -65,6 +99,9 @@
         let time = self.gateway.clock.now().since(start);
         let reused = exchange.reused;
         let was_silent = was_silent.load(Ordering::Relaxed);
+        if let ExchangeResult::Answered(response) = &exchange.result {
+            self.heed_notices(response, &assignment);
+        }
         let (outcome, finding) = self.classify(exchange, time, was_silent, &assignment).await;
         self.log_exchange(&assignment, &outcome, finding, time, reused);
         let is_unsent = matches!(outcome, Outcome::NotRun) && finding != Some(Finding::Shed);
@@ -121,6 +158,32 @@
         request
     }
 
+    /// Applies what the response states about its target apart from the request: that the target is
+    /// leaving, or for how long it wants no further request from this gateway.
+    fn heed_notices(self, response: &Response, assignment: &Assignment) {
+        if response.status == MISDIRECTED {
+            // The response is that of another target.
+            return;
+        }
+        if response.headers.text(self.gateway.headers.leaving) == Some(IS_LEAVING) {
+            self.gateway
+                .record_departure(self.dispatcher.name(), assignment.pick());
+        }
+        let pause = response
+            .headers
+            .text("Retry-After")
+            .filter(|_| SHED_STATUSES.contains(&response.status))
+            .and_then(parse_retry_after);
+        if let Some(pause) = pause {
+            info!(
+                attempt = self.attempt_id(), service = self.dispatcher.name().as_str(),
+                target_id = assignment.target().as_str(), pause_ms = pause.0;
+                "target paused"
+            );
+            self.dispatcher.pause(assignment.key(), pause);
+        }
+    }
+
     /// Determines the outcome of an exchange and the finding about the target.
     async fn classify(
         &self,
--- a/crates/auburnbridge_gateway/src/feed.rs
+++ b/crates/auburnbridge_gateway/src/feed.rs
@@ -69,16 +69,24 @@
     pub async fn run(self: Arc<Self>) {
         let mut next_candidate: usize = rand::random_range(0..64);
         loop {
-            let candidates = self.candidates();
-            let Some(keeper) = candidates.get(next_candidate % candidates.len().max(1)) else {
+            let Some(keeper) = self.candidate(next_candidate) else {
                 self.clock.sleep(RETRY_DELAY).await;
                 continue;
             };
-            self.watch(keeper).await;
+            self.watch(&keeper).await;
             next_candidate += 1;
         }
     }
 
+    /// The keeper to contact in attempt `number`; `None` if none is known.
+    pub(crate) fn candidate(&self, number: usize) -> Option<PeerAddress> {
+        let mut candidates = self.candidates();
+        if candidates.is_empty() {
+            return None;
+        }
+        Some(candidates.swap_remove(number % candidates.len()))
+    }
+
     /// The known keepers and the seeds.
     fn candidates(&self) -> Vec<PeerAddress> {
         let seeds = self.seeds.lock().clone();
--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -135,8 +135,8 @@
             .await;
         let result = match either {
             (_, result) if matches!(result.outcome, Outcome::Answered(_)) => result,
-            (true, _) => hedge.await,
-            (false, _) => first.await,
+            (true, result) => result.or_better(hedge.await),
+            (false, result) => result.or_better(first.await),
         };
         self.record_send(result)
     }
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -6,6 +6,8 @@
 use arc_swap::ArcSwapOption;
 use auburnbridge_caller::{Disconnect, LimitSource, Service};
 use auburnbridge_http::{Limits, MemoryBudget, Request, Response};
+use auburnbridge_membership::Announcement;
+use auburnbridge_policy::balance::Pick;
 use auburnbridge_policy::{CrashReport, PoisonTable};
 use auburnbridge_routing::{
     CallerLimits, Dialect, HeaderNames, PublishedRoute, RouteSet, TrafficSplits,
@@ -13,7 +15,7 @@
 use auburnbridge_target::Pool;
 use auburnbridge_telemetry::ProcessMetrics;
 use auburnbridge_types::{
-    BoxFuture, ByteSize, Clock, ConfigVersion, Millis, RequestDigest, Timestamp,
+    BoxFuture, ByteSize, Clock, ConfigVersion, Millis, RequestDigest, ServiceName, Timestamp,
 };
 use event_listener::Event;
 use log::info;
@@ -22,6 +24,7 @@
 use rand::{Rng, SeedableRng};
 use sha2::{Digest, Sha256};
 
+use crate::departures::UnreportedDepartures;
 use crate::failure::Failure;
 use crate::forward::Forwarder;
 use crate::service_dispatcher::ServiceDispatcher;
@@ -72,6 +75,7 @@
     splits: Mutex<(TrafficSplits, StdRng)>,
     poison: Mutex<PoisonTable>,
     unreported_crashes: Mutex<Vec<CrashReport>>,
+    pub(crate) unreported_departures: UnreportedDepartures,
     /// Notified when a finding or crash is to be reported to the other gateways immediately.
     pub(crate) urgent_report: Event,
 }
@@ -107,6 +111,7 @@
             )),
             poison: Mutex::default(),
             unreported_crashes: Mutex::default(),
+            unreported_departures: UnreportedDepartures::default(),
             urgent_report: Event::new(),
         }
     }
@@ -167,6 +172,30 @@
         std::mem::take(&mut self.unreported_crashes.lock())
     }
 
+    /// Takes a target out of use that stated its departure in a response, and queues the departure for
+    /// the keepers.
+    pub(crate) fn record_departure(&self, service: &ServiceName, pick: &Pick) {
+        let departure = self
+            .services
+            .record_departure(service, &pick.target, pick.incarnation);
+        let Some(departure) = departure else {
+            return;
+        };
+        info!(
+            service = service.as_str(), target_id = pick.target.as_str(),
+            incarnation = pick.incarnation.0;
+            "target leaving"
+        );
+        self.metrics.record_stated_departure(service.as_str());
+        self.pool.close_idle(pick.address);
+        self.unreported_departures.push(departure);
+    }
+
+    /// Takes the departures that have not been reported to the keepers yet.
+    pub fn take_unreported_departures(&self) -> Vec<Announcement> {
+        self.unreported_departures.take()
+    }
+
     pub(crate) fn is_poisoned(&self, digest: &RequestDigest) -> bool {
         let now = self.clock.now();
         self.poison.lock().is_poisoned(now, digest)
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -6,12 +6,14 @@
 //! targets. The gateway watches them for both, and reports its findings about targets to the other
 //! gateways.
 
+mod departures;
 mod exchange;
 mod failure;
 mod feed;
 mod forward;
 mod gateway;
 mod neighbours;
+mod retry_after;
 mod run;
 mod service_dispatcher;
 mod service_table;
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -171,7 +171,8 @@
             callers:% = options.caller_address;
             "gateway started"
         );
-        task::spawn(watcher.run());
+        task::spawn(Arc::clone(&watcher).run());
+        task::spawn(watcher.report_departures());
         task::spawn(Arc::clone(&reporter).receive(Arc::clone(&gateway)));
         task::spawn(reporter.broadcast(Arc::clone(&gateway)));
         task::spawn(maintain(gateway));
--- a/crates/auburnbridge_gateway/src/service_dispatcher.rs
+++ b/crates/auburnbridge_gateway/src/service_dispatcher.rs
@@ -182,6 +182,12 @@
         self.inner.lock().observe(now, key, finding);
     }
 
+    /// Sends no further requests to a target for `pause`.
+    pub(crate) fn pause(&self, key: BalancedKey, pause: Millis) {
+        let now = self.clock.now();
+        self.inner.lock().pause(now, key, pause);
+    }
+
     fn assignment(self: &Arc<Self>, pick: Pick) -> Assignment {
         Assignment {
             dispatcher: Arc::clone(self),
--- a/crates/auburnbridge_gateway/src/service_table.rs
+++ b/crates/auburnbridge_gateway/src/service_table.rs
@@ -9,7 +9,7 @@
     BalancedMember, DispatcherOptions, GatewayHost, LoadReport, ReportedFinding,
 };
 use auburnbridge_routing::RouteSet;
-use auburnbridge_types::{Clock, Incarnation, ServiceName, VmId};
+use auburnbridge_types::{Clock, Incarnation, ServiceName, TargetId, VmId};
 use parking_lot::{Mutex, RwLock};
 
 use crate::service_dispatcher::ServiceDispatcher;
@@ -78,6 +78,33 @@
         }
     }
 
+    /// Records that an incarnation of a target is leaving, as if it had announced it. Returns the
+    /// departure unless it is known already.
+    pub fn record_departure(
+        &self,
+        service: &ServiceName,
+        target: &TargetId,
+        incarnation: Incarnation,
+    ) -> Option<Announcement> {
+        let now = self.clock.now();
+        let mut members = self.members.lock();
+        let known = members
+            .get(service, target)
+            .filter(|known| known.incarnation == incarnation)?;
+        let departure = Announcement {
+            state: AnnouncedState::Leaving,
+            ..known.clone()
+        };
+        let is_new = !members
+            .merge(now, std::slice::from_ref(&departure))
+            .is_empty();
+        if !is_new {
+            return None;
+        }
+        self.update_dispatchers(&members);
+        Some(departure)
+    }
+
     /// Number of targets that accept requests.
     pub fn targets(&self) -> usize {
         self.members.lock().len()
--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -2,6 +2,7 @@
 //! the request.
 
 mod neighbours;
+mod notices;
 mod targets;
 
 use std::time::{Duration, Instant};
@@ -114,6 +115,33 @@
     });
 }
 
+/// Guards against a lookup that is reported as not run because its hedge was shed, while the first
+/// target may have run it.
+#[test]
+fn lookup_whose_hedge_is_shed_may_have_run() {
+    block_on(async {
+        // The hedge is sent after about 500 ms, and shed before or after the first send fails.
+        for (failure_ms, shed_ms) in [(900, 0), (700, 400)] {
+            let failing = Behaviour::DisconnectAfter(failure_ms);
+            let shedding = Behaviour::RespondAfter(shed_ms, SHED);
+            // The random choices are the same in both runs, so in one of them the failing target
+            // comes first.
+            for behaviours in [[failing, shedding], [shedding, failing]] {
+                let targets = [
+                    start_target("t-1", behaviours[0]).await,
+                    start_target("t-2", behaviours[1]).await,
+                ];
+                let address = listen(&start_gateway(&[&targets[0], &targets[1]])).await;
+                let status = send(address, "/lookup/1", 1_200).await.status;
+                for target in &targets {
+                    assert_eq!(target.requests.lock().len(), 1, "{behaviours:?}");
+                }
+                assert_eq!(status, 502, "{behaviours:?}");
+            }
+        }
+    });
+}
+
 /// Guards against a target that keeps receiving orders without responding to any, because the first
 /// order yields no finding until its deadline.
 #[test]
@@ -138,7 +166,7 @@
 #[test]
 fn late_response_to_an_order_clears_the_silent_finding() {
     block_on(async {
-        let late = start_target("t-late", Behaviour::RespondLate(OK)).await;
+        let late = start_target("t-late", Behaviour::RespondAfter(1_000, OK)).await;
         let gateway = start_gateway(&[&late]);
         let address = listen(&gateway).await;
         assert_eq!(send(address, "/order/1", 1_200).await.status, 200);
@@ -157,7 +185,7 @@
 #[test]
 fn lookup_without_a_second_target_waits_for_its_response() {
     block_on(async {
-        let late = start_target("t-late", Behaviour::RespondLate(OK)).await;
+        let late = start_target("t-late", Behaviour::RespondAfter(1_000, OK)).await;
         let address = listen(&start_gateway(&[&late])).await;
         assert_eq!(send(address, "/lookup/1", 1_200).await.status, 200);
         assert_eq!(late.requests.lock().len(), 1);
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -31,17 +31,24 @@
 pub enum Behaviour {
     /// Responds with these bytes, in which `{id}` stands for the attempt id.
     Respond(&'static str),
+    /// Responds like `Respond` to the first request with the first text, to the second one with the
+    /// second, and so on, and repeats the last.
+    InTurn(&'static [&'static str]),
     /// Responds like `Respond`, then closes the connection.
     RespondAndClose(&'static str),
     /// Closes the connection without a response.
     Disconnect,
-    /// Responds like `Respond` after a second.
-    RespondLate(&'static str),
+    /// Closes the connection without a response after a time in milliseconds.
+    DisconnectAfter(u64),
+    /// Responds like `Respond` after a time in milliseconds.
+    RespondAfter(u64, &'static str),
     /// Sends no response and keeps the connection open.
     Hang,
 }
 
 pub const OK: &str = "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
+pub const LEAVING: &str =
+    "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nSeal: s\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok";
 pub const SHED: &str =
     "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 pub const MISDIRECTED: &str =
@@ -78,14 +85,23 @@
     let mut connection = Connection::new(stream);
     while let Ok(req) = connection.read_request(&Limits::default()).await {
         let id = req.headers.text("Attempt").unwrap_or("-").to_owned();
-        received.lock().push(req);
+        let number = {
+            let mut received = received.lock();
+            received.push(req);
+            received.len() - 1
+        };
         let text = match behaviour {
             Behaviour::Respond(text) | Behaviour::RespondAndClose(text) => text,
-            Behaviour::RespondLate(text) => {
-                task::sleep(Duration::from_secs(1)).await;
+            Behaviour::InTurn(texts) => texts[number.min(texts.len() - 1)],
+            Behaviour::RespondAfter(time_ms, text) => {
+                task::sleep(Duration::from_millis(time_ms)).await;
                 text
             }
             Behaviour::Disconnect => return,
+            Behaviour::DisconnectAfter(time_ms) => {
+                task::sleep(Duration::from_millis(time_ms)).await;
+                return;
+            }
             Behaviour::Hang => {
                 task::sleep(Duration::from_secs(30)).await;
                 return;
@@ -117,6 +133,7 @@
             expected_target: "Expected",
             seal: "Seal",
             not_run: "Not-Run",
+            leaving: "Leaving",
         }
     }
 
@@ -133,7 +150,7 @@
     }
 }
 
-fn announcement(target: &Target) -> Announcement {
+pub fn announcement(target: &Target) -> Announcement {
     Announcement {
         service: "stock".parse().unwrap(),
         target: target.name.parse().unwrap(),
--- a/crates/auburnbridge_keeper/src/catalogue.rs
+++ b/crates/auburnbridge_keeper/src/catalogue.rs
@@ -7,7 +7,7 @@
 //! Departures go through the replicated log first: the acknowledgement promises that no gateway
 //! sends the target another request, even after every keeper has restarted.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use auburnbridge_config::VersionedDocument;
@@ -40,6 +40,9 @@
     /// Random number of this process; positions in another process's list don't apply here.
     boot: u64,
     members: TargetMembership,
+    /// Departures that were in the log when the keeper started and aren't known to be committed. The
+    /// targets are listed as leaving, but their departures are not acknowledged.
+    unconfirmed_departures: HashSet<(TargetId, Incarnation)>,
     /// Number of changes to the list of targets so far.
     changes: u64,
     /// The most recent changes, oldest first.
@@ -78,6 +81,7 @@
             state: Mutex::new(CatalogueState {
                 boot,
                 members: TargetMembership::default(),
+                unconfirmed_departures: HashSet::new(),
                 changes: 0,
                 recent_changes: VecDeque::new(),
                 document: None,
@@ -123,7 +127,9 @@
                 // A later incarnation has started, so this one gets no more requests.
                 LeavingTarget::Departed
             }
-            Some(known) if known.state == AnnouncedState::Leaving => LeavingTarget::Departed,
+            Some(known) if known.state == AnnouncedState::Leaving && state.is_confirmed(known) => {
+                LeavingTarget::Departed
+            }
             Some(known) => LeavingTarget::Present(Announcement {
                 state: AnnouncedState::Leaving,
                 ..known.clone()
@@ -140,7 +146,8 @@
         known.is_some_and(|known| {
             known.incarnation > announcement.incarnation
                 || (known.incarnation == announcement.incarnation
-                    && known.state == AnnouncedState::Leaving)
+                    && known.state == AnnouncedState::Leaving
+                    && state.is_confirmed(known))
         })
     }
 
@@ -206,7 +213,12 @@
         state.last_saved = Some(current);
         Some(CachedView {
             document: state.document.clone(),
-            targets: state.members.iter().cloned().collect(),
+            targets: state
+                .members
+                .iter()
+                .filter(|target| state.is_confirmed(target))
+                .cloned()
+                .collect(),
         })
     }
 
@@ -294,6 +306,12 @@
         verdict
     }
 
+    /// Whether the state in the announcement is more than a record that may be uncommitted.
+    fn is_confirmed(&self, announcement: &Announcement) -> bool {
+        let departure = (announcement.target.clone(), announcement.incarnation);
+        !self.unconfirmed_departures.contains(&departure)
+    }
+
     fn has_updates(&self, watch: &WatchRequest) -> bool {
         let is_list_current = watch
             .position
@@ -366,9 +384,26 @@
 
     fn departed(&self, announcement: &Announcement) {
         let now = self.clock.now();
-        self.state
-            .lock()
-            .apply_announcement(now, announcement.clone());
+        let mut state = self.state.lock();
+        let departure = (announcement.target.clone(), announcement.incarnation);
+        if state.unconfirmed_departures.remove(&departure) {
+            // The saved view lacks it.
+            state.last_saved = None;
+        }
+        state.apply_announcement(now, announcement.clone());
+        drop(state);
+        self.changed.notify(usize::MAX);
+    }
+
+    fn may_have_departed(&self, announcement: &Announcement) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let verdict = state.apply_announcement(now, announcement.clone());
+        if verdict == Verdict::Left {
+            let departure = (announcement.target.clone(), announcement.incarnation);
+            state.unconfirmed_departures.insert(departure);
+        }
+        drop(state);
         self.changed.notify(usize::MAX);
     }
 
--- a/crates/auburnbridge_keeper/src/core.rs
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -98,6 +98,9 @@
     /// Called when the departure of a target is committed.
     fn departed(&self, announcement: &Announcement);
 
+    /// Called for a departure that was in the log at the start and may be uncommitted.
+    fn may_have_departed(&self, announcement: &Announcement);
+
     /// Called when this keeper, having applied all records that it knows to be committed, leads the
     /// group at `time` or last heard from its leader then. A leader that has lost its quorum steps
     /// down only within an election timeout, so the state may lack what another leader has
@@ -244,9 +247,24 @@
             return Err(CoreError::FolderSuperseded);
         }
         core.handle_outputs(outputs)?;
+        core.notify_unapplied_departures();
         Ok(core)
     }
 
+    /// Passes the observer the departures that the log holds beyond the applied state. After a restart
+    /// it takes an election to learn which records are committed, and until then no target may be
+    /// used again whose departure was acknowledged.
+    fn notify_unapplied_departures(&self) {
+        let Some(observer) = &self.observer else {
+            return;
+        };
+        for data in self.replica.unapplied_commands() {
+            if let Ok(StateCommand::Depart(announcement)) = postcard::from_bytes(data) {
+                observer.may_have_departed(&announcement);
+            }
+        }
+    }
+
     /// Handles events until [`Event::Stop`], the end of the queue or an error.
     pub fn run(mut self, events: &Receiver<Event>) -> Result<CommitCounts, CoreError> {
         loop {
--- a/crates/auburnbridge_keeper/src/server.rs
+++ b/crates/auburnbridge_keeper/src/server.rs
@@ -57,7 +57,12 @@
             (Request::Publish(publish), Role::Keeper) => {
                 self.propose(StateCommand::Publish(publish)).await
             }
-            (Request::Depart(target), Role::Keeper) => {
+            // A gateway reports a departure that the target stated in a response. Many gateways may do
+            // so, and the first report is enough.
+            (Request::Depart(target), Role::Entry) if self.catalogue.has_departed(&target) => {
+                Reply::Done
+            }
+            (Request::Depart(target), Role::Keeper | Role::Entry) => {
                 self.propose(StateCommand::Depart(target)).await
             }
             (Request::ReadPublished, Role::Keeper) => self.read_published().await,
--- a/crates/auburnbridge_keeper/tests/catalogue.rs
+++ b/crates/auburnbridge_keeper/tests/catalogue.rs
@@ -207,6 +207,44 @@
     assert_eq!(watch(&catalogue, None).confirmed_before, Some(Millis(700)));
 }
 
+/// Guards against a restarted keeper that lists a departed target as ready until the election, against
+/// one that acknowledges the departure although the record may be uncommitted, and against a cached
+/// view that turns such a record into a departure.
+#[test]
+fn departure_in_the_log_takes_effect_before_it_is_known_to_be_committed() {
+    let clock = PausedClock::new(START);
+    let catalogue = catalogue(&clock);
+    catalogue.announce(announcement("t-1", 5, 1));
+    catalogue.may_have_departed(&leaving("t-1", 5, 1));
+    assert_eq!(
+        catalogue.announce(announcement("t-1", 5, 2)),
+        Verdict::Outdated
+    );
+    let listed = watch(&catalogue, None);
+    assert_eq!(
+        targets_and_states(&listed),
+        [("t-1", AnnouncedState::Leaving)]
+    );
+    let departure = leaving("t-1", 5, 3);
+    assert!(!catalogue.has_departed(&departure));
+    assert!(matches!(
+        catalogue.find_leaving(&target_id("t-1"), None),
+        LeavingTarget::Present(_)
+    ));
+    assert_eq!(catalogue.take_changed_view().unwrap().targets, []);
+    catalogue.departed(&departure);
+    assert!(catalogue.has_departed(&departure));
+    assert_eq!(
+        catalogue.find_leaving(&target_id("t-1"), None),
+        LeavingTarget::Departed
+    );
+    assert_eq!(catalogue.take_changed_view().unwrap().targets.len(), 1);
+    assert_eq!(
+        catalogue.announce(announcement("t-1", 6, 1)),
+        Verdict::Accepted
+    );
+}
+
 /// Guards against stopped gateways that are still listed, and against gateways that the other keepers
 /// are not told about.
 #[test]
--- a/crates/auburnbridge_log/src/replica/mod.rs
+++ b/crates/auburnbridge_log/src/replica/mod.rs
@@ -185,6 +185,16 @@
         self.log.members().1
     }
 
+    /// Returns the commands in the log that are not applied yet. They may be uncommitted.
+    pub fn unapplied_commands(&self) -> impl Iterator<Item = &[u8]> {
+        self.log
+            .iter_from(self.applied.next())
+            .filter_map(|record| match &record.payload {
+                Payload::Data(data) => Some(&**data),
+                Payload::Noop | Payload::Members(_) => None,
+            })
+    }
+
     /// Returns the state for status reports and log lines.
     pub fn status(&self) -> Status {
         Status {
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -18,6 +18,8 @@
 const PROOF_AGE_STEP_MS: u64 = 8;
 /// Share of the slots in use from which a service counts as crowded.
 const CROWDED_SLOT_SHARE: f64 = 0.6;
+/// Longest time over which the gateways return to a target after a pause.
+const MAX_RETURN_SPREAD: Millis = Millis(1_000);
 /// Smallest subset that a gateway prefers to other targets. In a smaller one, failing targets leave
 /// too little capacity, and all gateways do better by sharing all targets.
 const MIN_SUBSET_SIZE: usize = 4;
@@ -54,10 +56,12 @@
 /// Totals over a service's targets, for logs and estimates.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TargetSummary {
-    /// Targets that are neither suspected nor down.
+    /// Targets that are neither suspected, down nor paused.
     pub unsuspected: u32,
     /// Slots of the unsuspected targets.
     pub slots: u32,
+    /// Slots of the targets that are unsuspected but paused; the other totals leave them out.
+    pub paused_slots: u32,
     /// Requests in flight on all targets from all gateways.
     pub in_flight: u32,
 }
@@ -202,6 +206,32 @@
         self.answer_times
     }
 
+    /// Sends no requests to a target for `pause`, which it asked for when it shed a request, and a
+    /// little longer. The addition differs by gateway and target, so that the return of the load is
+    /// spread over up to a quarter of the pause and at most [`MAX_RETURN_SPREAD`].
+    ///
+    /// Other gateways are not told: a target asks each sender by itself, and may still have room for
+    /// the others.
+    pub fn pause(&mut self, now: Timestamp, key: BalancedKey, pause: Millis) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        let max_spread = Millis(pause.0 / 4).min(MAX_RETURN_SPREAD);
+        let spread = (self.options.seed ^ u64::from(target.hash.0)) % (max_spread.0 + 1);
+        let until = now.after(pause).after(Millis(spread));
+        target.paused_until = target.paused_until.max(until);
+    }
+
+    /// Time until the first unsuspected target returns from its pause, if there is one.
+    pub fn pause_left(&self, now: Timestamp) -> Option<Millis> {
+        self.targets
+            .values()
+            .filter(|target| !target.is_down(now) && !target.is_suspect(now))
+            .filter(|target| target.is_paused(now))
+            .map(|target| target.paused_until.since(now))
+            .min()
+    }
+
     /// Records findings reported by another gateway.
     pub fn apply_findings(&mut self, now: Timestamp, findings: &[ReportedFinding]) {
         for reported in findings {
@@ -288,7 +318,12 @@
         let mut summary = TargetSummary::default();
         for target in self.targets.values() {
             summary.in_flight += target.in_flight();
-            if !target.is_down(now) && !target.is_suspect(now) {
+            if target.is_down(now) || target.is_suspect(now) {
+                continue;
+            }
+            if target.is_paused(now) {
+                summary.paused_slots += target.member.slots.0;
+            } else {
                 summary.unsuspected += 1;
                 summary.slots += target.member.slots.0;
             }
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -155,9 +155,30 @@
                 .pick_any(now, request.class, request.tried, &mut self.rng)
             {
                 Some(pick) => Placement::Start(pick),
+                None if self.returns_in_time(now, request) => {
+                    self.enqueue(now, request, summary, item)
+                }
                 None => Placement::Refuse(self.refusal(now, request.priority)),
             };
         }
+        self.enqueue(now, request, summary, item)
+    }
+
+    /// Whether a paused target returns early enough to answer the request before its deadline.
+    fn returns_in_time(&self, now: Timestamp, request: &PlacementRequest<'_>) -> bool {
+        let min_remaining = self.capacity(now, TargetSummary::default()).min_remaining();
+        self.balancer
+            .pause_left(now)
+            .is_some_and(|left| now.after(left).after(min_remaining) <= request.deadline)
+    }
+
+    fn enqueue(
+        &mut self,
+        now: Timestamp,
+        request: &PlacementRequest<'_>,
+        summary: TargetSummary,
+        item: impl FnOnce() -> T,
+    ) -> Placement {
         let capacity = self.capacity(now, summary);
         let wait_request = WaitRequest {
             priority: request.priority,
@@ -238,6 +259,11 @@
         self.balancer.observe(now, key, finding);
     }
 
+    /// Sends no requests to a target for `pause`, as [`Balancer::pause`] describes.
+    pub fn pause(&mut self, now: Timestamp, key: BalancedKey, pause: Millis) {
+        self.balancer.pause(now, key, pause);
+    }
+
     /// Ends a request on a target and records its finding, if any.
     pub fn finish(&mut self, now: Timestamp, key: BalancedKey, finding: Option<Finding>) {
         self.completions.record(now);
@@ -255,10 +281,19 @@
     }
 
     /// The refusal of a request of this priority, with the delay after which it may be retried.
+    ///
+    /// While all targets without suspicion are paused, the delay lasts until one of them returns.
     pub fn refusal(&self, now: Timestamp, priority: u32) -> Refusal {
         let summary = self.balancer.summary(now);
-        self.waiting
-            .refusal(now, priority, &self.capacity(now, summary))
+        let mut refusal = self
+            .waiting
+            .refusal(now, priority, &self.capacity(now, summary));
+        if summary.unsuspected == 0
+            && let Some(left) = self.balancer.pause_left(now)
+        {
+            refusal.retry_after = refusal.retry_after.max(left);
+        }
+        refusal
     }
 
     /// Records findings reported by another gateway.
@@ -292,8 +327,12 @@
     }
 
     fn capacity(&self, now: Timestamp, summary: TargetSummary) -> Capacity {
+        let slots = match summary.unsuspected {
+            0 => summary.paused_slots,
+            _ => summary.slots,
+        };
         Capacity {
-            slots: summary.slots,
+            slots,
             in_flight: summary.in_flight,
             gateways: self.balancer.gateway_count(),
             average_answer_time: self.balancer.answer_times().average(),
--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -127,7 +127,9 @@
     fn suspect_to_try(&self, now: Timestamp) -> Option<BalancedKey> {
         self.targets
             .iter()
-            .filter(|(_, target)| target.in_subset && !target.is_down(now))
+            .filter(|(_, target)| {
+                target.in_subset && !target.is_down(now) && !target.is_paused(now)
+            })
             .filter(|(_, target)| target.is_suspect(now))
             .filter(|(_, target)| target.own_in_flight == 0 && target.free_slots(now) > 0)
             .filter(|(_, target)| {
@@ -170,7 +172,7 @@
         let mut best = worst;
         let mut candidates: Vec<BalancedKey> = Vec::new();
         for (key, target) in &self.targets {
-            if tried.contains(&key) {
+            if tried.contains(&key) || target.is_paused(now) {
                 continue;
             }
             let tier = self.tier(now, class, target, floor_limit);
@@ -246,7 +248,7 @@
         let mut suspicions: Vec<f64> = self
             .targets
             .values()
-            .filter(|target| !target.is_down(now))
+            .filter(|target| !target.is_down(now) && !target.is_paused(now))
             .map(|target| target.suspicion(now))
             .collect();
         if suspicions.is_empty() {
--- a/crates/auburnbridge_policy/src/balance/target.rs
+++ b/crates/auburnbridge_policy/src/balance/target.rs
@@ -61,6 +61,8 @@
     pub(super) down_until: Timestamp,
     backoff: Millis,
     pub(super) shed_until: Timestamp,
+    /// Instant until which the target asked this gateway to send no requests.
+    pub(super) paused_until: Timestamp,
     pub(super) warmup_until: Timestamp,
     /// When this gateway last sent a request, or a finding of any gateway arrived.
     pub(super) last_activity: Timestamp,
@@ -87,6 +89,7 @@
             down_until: Timestamp(0),
             backoff: INITIAL_BACKOFF,
             shed_until: Timestamp(0),
+            paused_until: Timestamp(0),
             warmup_until,
             last_activity: Timestamp(0),
             answered_last: false,
@@ -123,6 +126,10 @@
         self.is_replaced || now < self.down_until
     }
 
+    pub(super) fn is_paused(&self, now: Timestamp) -> bool {
+        now < self.paused_until
+    }
+
     /// Counts a request that this gateway starts now.
     pub(super) fn start(&mut self, now: Timestamp) {
         // Keeps the proof of the previous request, whose start time is overwritten.
@@ -187,6 +194,10 @@
         self.path_evidence.clear();
         self.down_until = Timestamp(0);
         self.backoff = INITIAL_BACKOFF;
+        self.shed_until = Timestamp(0);
+        self.paused_until = Timestamp(0);
+        self.proven_at = Timestamp(0);
+        self.last_started_at = Timestamp(0);
         self.warmup_until = now.after(WARMUP_TIME);
         self.is_replaced = false;
     }
--- a/crates/auburnbridge_policy/tests/balancer.rs
+++ b/crates/auburnbridge_policy/tests/balancer.rs
@@ -8,7 +8,7 @@
     BalancedMember, Balancer, BalancerOptions, Finding, GatewayHost, LoadReport, Pick,
     ReportedFinding, TargetHash, TargetLoad,
 };
-use auburnbridge_types::{Incarnation, Slots, Timestamp};
+use auburnbridge_types::{Incarnation, Millis, Slots, Timestamp};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -280,3 +280,83 @@
     }
     assert!(used.len() <= 2, "{used:?}");
 }
+
+/// Every kind of pick must leave a paused target alone, also where no other target is left.
+#[test]
+fn paused_target_is_never_picked() {
+    type PickKind = fn(&mut Balancer, u64, RequestClass) -> Option<Pick>;
+    let kinds: [PickKind; 4] = [
+        |balancer, now, class| pick(balancer, now, class),
+        |balancer, now, _| balancer.pick_trial(time(now)),
+        |balancer, now, class| {
+            balancer.pick_busy(time(now), class, &[], &mut ChaCha8Rng::seed_from_u64(now))
+        },
+        |balancer, now, class| {
+            balancer.pick_any(time(now), class, &[], &mut ChaCha8Rng::seed_from_u64(now))
+        },
+    ];
+    for (number, kind) in kinds.into_iter().enumerate() {
+        for class in [RequestClass::Once, RequestClass::Idempotent] {
+            let mut balancer = balancer(&[member("t-1", "north")]);
+            let picked = pick(&mut balancer, 0, class).unwrap();
+            balancer.finish(time(100), picked.key, Some(Finding::Shed));
+            // A suspicion makes the target due for trials.
+            balancer.apply_findings(time(100), &[reported("t-1", Finding::Broken)]);
+            balancer.pause(time(100), picked.key, Millis(4_000));
+            for now in (100..4_100).step_by(100) {
+                assert_eq!(
+                    kind(&mut balancer, now, class),
+                    None,
+                    "kind {number} at {now}"
+                );
+            }
+        }
+    }
+}
+
+/// A paused target must return after the pause, and all gateways must not return at once.
+#[test]
+fn gateways_return_from_a_pause_one_after_the_other() {
+    let returns: BTreeSet<u64> = (0..20)
+        .map(|seed| {
+            let mut balancer = Balancer::new(BalancerOptions {
+                own: GatewayHost {
+                    vm: "gateway-1".parse().unwrap(),
+                    data_centre: "north".parse().unwrap(),
+                },
+                floor_share: 0.7,
+                seed: seed * 7_919,
+            });
+            balancer.set_members(time(0), &[member("t-1", "north")]);
+            let picked = pick(&mut balancer, 0, RequestClass::Once).unwrap();
+            balancer.finish(time(10), picked.key, Some(Finding::Shed));
+            balancer.pause(time(10), picked.key, Millis(2_000));
+            let left = balancer.pause_left(time(10)).unwrap();
+            assert!((2_000..=2_500).contains(&left.0), "{left}");
+            let returned = (10..3_000).find(|now| {
+                let mut balancer = balancer.clone();
+                pick(&mut balancer, *now, RequestClass::Once).is_some()
+            });
+            returned.expect("the target never returned")
+        })
+        .collect();
+    assert!(returns.len() > 10, "{returns:?}");
+}
+
+/// A new incarnation must not inherit the pause or the proof of the former one.
+#[test]
+fn new_incarnation_starts_without_the_state_of_the_former_one() {
+    let mut balancer = balancer(&[member("t-1", "north")]);
+    let picked = pick(&mut balancer, 0, RequestClass::Once).unwrap();
+    balancer.finish(time(100), picked.key, Some(Finding::Answered));
+    balancer.pause(time(100), picked.key, Millis(60_000));
+    let restarted = BalancedMember {
+        incarnation: Incarnation(2),
+        ..member("t-1", "north")
+    };
+    balancer.set_members(time(200), &[restarted]);
+    assert_eq!(balancer.pause_left(time(200)), None);
+    pick(&mut balancer, 300, RequestClass::Once).expect("the target is still paused");
+    let report = balancer.load_report(time(301));
+    assert_eq!(report.in_flight[0].proof_age, u8::MAX);
+}
--- a/crates/auburnbridge_routing/src/dialect.rs
+++ b/crates/auburnbridge_routing/src/dialect.rs
@@ -22,6 +22,8 @@
     pub seal: &'static str,
     /// Marks the response of a target that did not run the request.
     pub not_run: &'static str,
+    /// Marks with the value `1` each response of a target that is leaving.
+    pub leaving: &'static str,
 }
 
 /// An unparsed configuration document with its version.
--- a/crates/auburnbridge_telemetry/src/metrics.rs
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -56,6 +56,7 @@
     exchange_seconds: Family<ServiceLabels, Histogram>,
     configuration_version: Gauge,
     control_calls: Family<CallLabels, Counter>,
+    stated_departures: Family<ServiceLabels, Counter>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -71,6 +72,7 @@
         let exchange_seconds = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
         let configuration_version = Gauge::default();
         let control_calls = Family::default();
+        let stated_departures = Family::default();
         registry.register("requests", "Requests of callers", requests.clone());
         registry.register(
             "request_seconds",
@@ -93,6 +95,11 @@
             "Calls of the control interface",
             control_calls.clone(),
         );
+        registry.register(
+            "stated_departures",
+            "Targets that stated in a response that they are leaving",
+            stated_departures.clone(),
+        );
         Self {
             registry,
             requests,
@@ -101,6 +108,7 @@
             exchange_seconds,
             configuration_version,
             control_calls,
+            stated_departures,
         }
     }
 }
@@ -137,6 +145,14 @@
         self.control_calls.get_or_create(&labels).inc();
     }
 
+    /// Counts a target that stated in a response that it is leaving.
+    pub fn record_stated_departure(&self, service: &str) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.stated_departures.get_or_create(&labels).inc();
+    }
+
     /// Sets the version of the current configuration.
     pub fn set_configuration_version(&self, version: u64) {
         self.configuration_version
