Use idle and recovered targets of small services, and prove targets before orders

Cause: a working target gets no request for seconds where a service has few targets for each gateway. Only the gateway that has a suspected target in its subset tries it, and with one or two requests a second it has none in time; at-most-once requests go to the newest proof, so idle targets stay idle. Separately, most at-most-once requests that a failing target breaks off met one whose last proof was old: in the flapping fleet 139 of 202 losses had a proof of over 200 ms.

Ruled out: claims of trials by datagram, fewer gateways for a small service, and shared loss counts, which need a new layout of reports (docs/platform.md). A queue of orders that wait for a proof held back the idempotent requests that give it (lookups refused 2 to 5%). Orders on fresh targets of other subsets lost less (0.6 to 0.9%) but collide there: 4 to 10% late.

Change: targets become due after a time without use by any gateway; idempotent requests of gateways with small subsets try them first, at-most-once requests only in a service without idempotent ones that loses over 8%. An at-most-once request is deferred, up to 100 ms, while no target has a proof below 300 ms and idempotent requests come often; the last send of an idempotent request goes to a fresh local target. The model ends sends at deadlines, records silence where a pattern asks for it, and lost orders no longer use the resend budget in it, as in the gateway.

--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -11,6 +11,8 @@
 use super::report::{LoadReport, ReportedFinding, TargetHash, TargetLoad};
 use super::subset::{GatewayHost, gateway_subset};
 use super::target::{BalancedKey, BalancedMember, BalancedTarget, WARMUP_TIME};
+use super::wait_queue::EventRate;
+use crate::RequestClass;
 
 /// Time after which a gateway's load report expires.
 const REPORT_LIFETIME: Millis = Millis(1_500);
@@ -18,6 +20,14 @@
 const PROOF_AGE_STEP_MS: u64 = 8;
 /// Share of the slots in use from which a service counts as crowded.
 const CROWDED_SLOT_SHARE: f64 = 0.6;
+/// Share of lost requests from which a service counts as losing many: somewhat less than the tenth
+/// from which operators expect the floor's share of the targets to receive requests.
+const HEAVY_LOSS_SHARE: f64 = 0.08;
+/// Rate of lost requests below which a service never counts as losing many, since single failures say
+/// nothing about the share: two in a second.
+const MIN_HEAVY_LOSS_PER_MS: f64 = 0.002;
+/// Time without idempotent requests after which a service counts as having none.
+const IDEMPOTENT_MEMORY: Millis = Millis(3_000);
 /// Longest time over which the gateways return to a target after a pause.
 const MAX_RETURN_SPREAD: Millis = Millis(1_000);
 /// Smallest subset that a gateway prefers to other targets. In a smaller one, failing targets leave
@@ -80,6 +90,12 @@
     /// Latest report of each other gateway, with its time of receipt.
     reports: HashMap<VmId, (Timestamp, LoadReport)>,
     answer_times: AnswerTimes,
+    /// Rate of failures on targets that were not suspected.
+    surprises: EventRate,
+    /// When the first request was placed.
+    first_placed: Option<Timestamp>,
+    /// When an idempotent request was last placed.
+    last_idempotent: Option<Timestamp>,
     /// Findings not yet reported to the other gateways.
     unreported: Vec<ReportedFinding>,
 }
@@ -96,6 +112,9 @@
             by_hash: HashMap::new(),
             reports: HashMap::new(),
             answer_times: AnswerTimes::default(),
+            surprises: EventRate::default(),
+            first_placed: None,
+            last_idempotent: None,
             unreported: Vec::new(),
         }
     }
@@ -187,6 +206,9 @@
         let is_reported = finding.is_reported()
             || (matches!(finding, Finding::Answered | Finding::Slow)
                 && target.evidence.value(now) > 0.5);
+        if finding.is_failure() && !target.is_suspect(now) {
+            self.surprises.record(now);
+        }
         target.observe(now, finding, Origin::Own);
         if is_reported {
             self.unreported.push(ReportedFinding {
@@ -235,19 +257,26 @@
     /// Records findings reported by another gateway.
     pub fn apply_findings(&mut self, now: Timestamp, findings: &[ReportedFinding]) {
         for reported in findings {
-            if let Some(key) = self.by_hash.get(&reported.target) {
-                self.targets[*key].observe(now, reported.finding, Origin::Reported);
+            let Some(key) = self.by_hash.get(&reported.target) else {
+                continue;
+            };
+            let target = &mut self.targets[*key];
+            if reported.finding.is_failure() && !target.is_suspect(now) {
+                self.surprises.record(now);
             }
+            target.observe(now, reported.finding, Origin::Reported);
         }
     }
 
     /// Records the requests in flight that another gateway reports.
     pub fn apply_load_report(&mut self, now: Timestamp, from: &VmId, report: LoadReport) {
         for load in &report.in_flight {
-            if load.proof_age < u8::MAX
-                && let Some(key) = self.by_hash.get(&load.target)
-            {
-                let target = &mut self.targets[*key];
+            let Some(key) = self.by_hash.get(&load.target) else {
+                continue;
+            };
+            let target = &mut self.targets[*key];
+            target.last_used = now;
+            if load.proof_age < u8::MAX {
                 let proven_at = now
                     .0
                     .saturating_sub(u64::from(load.proof_age) * PROOF_AGE_STEP_MS);
@@ -313,6 +342,40 @@
         f64::from(summary.in_flight) >= f64::from(summary.slots) * CROWDED_SLOT_SHARE
     }
 
+    /// Notes that a request of this class is to be placed.
+    pub(super) fn record_class(&mut self, now: Timestamp, class: RequestClass) {
+        self.first_placed.get_or_insert(now);
+        if class == RequestClass::Idempotent {
+            self.last_idempotent = Some(now);
+        }
+    }
+
+    /// Whether idempotent requests have come within `time`.
+    pub(super) fn had_idempotent_request(&self, now: Timestamp, time: Millis) -> bool {
+        self.last_idempotent
+            .is_some_and(|last| now.since(last) < time)
+    }
+
+    /// Whether the service has idempotent requests, or has had too few requests to tell.
+    pub(super) fn may_have_idempotent_requests(&self, now: Timestamp) -> bool {
+        let is_unknown = self
+            .first_placed
+            .is_none_or(|first| now.since(first) < IDEMPOTENT_MEMORY);
+        is_unknown || self.had_idempotent_request(now, IDEMPOTENT_MEMORY)
+    }
+
+    /// Whether the service loses so many requests on all gateways together that the operators' floor
+    /// has to be used. The losses are the failures of targets that were not suspected; the served
+    /// requests follow from those in flight and the average answer time.
+    pub(super) fn loses_many(&self, now: Timestamp) -> bool {
+        let lost_per_ms = self.surprises.per_ms(now);
+        let in_flight: u32 = self.targets.values().map(BalancedTarget::in_flight).sum();
+        let average_ms = u32::try_from(self.answer_times.average().0).unwrap_or(u32::MAX);
+        let served_per_ms = f64::from(in_flight) / f64::from(average_ms.max(1));
+        lost_per_ms >= MIN_HEAVY_LOSS_PER_MS
+            && lost_per_ms > HEAVY_LOSS_SHARE * (lost_per_ms + served_per_ms)
+    }
+
     /// Totals over all targets.
     pub fn summary(&self, now: Timestamp) -> TargetSummary {
         let mut summary = TargetSummary::default();
--- a/crates/auburnbridge_policy/src/balance/evidence.rs
+++ b/crates/auburnbridge_policy/src/balance/evidence.rs
@@ -143,6 +143,19 @@
         }
     }
 
+    /// Whether the target failed a request that it received.
+    pub(super) fn is_failure(self) -> bool {
+        match self {
+            Self::ServerError | Self::Broken | Self::Interrupted | Self::Silent => true,
+            Self::Answered
+            | Self::Slow
+            | Self::Shed
+            | Self::Refused
+            | Self::Unreachable
+            | Self::Replaced => false,
+        }
+    }
+
     /// Whether the finding is always reported to the other gateways.
     pub fn is_reported(self) -> bool {
         match self {
--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -18,6 +18,17 @@
 const WEAK_TRIAL_INTERVAL: Millis = Millis(150);
 /// The same for a strongly suspected target.
 const STRONG_TRIAL_INTERVAL: Millis = Millis(700);
+/// Time without use after which a target is tried by any gateway of its data centre.
+const UNUSED_AFTER: Millis = Millis(700);
+/// The same for a strongly suspected target.
+const STRONG_UNUSED_AFTER: Millis = Millis(1_000);
+/// Longest addition to these times.
+const UNUSED_SPREAD: Millis = Millis(400);
+/// Age up to which a proof is good enough for an at-most-once request that may still wait.
+const MAX_PROOF_AGE: Millis = Millis(300);
+/// Age from which the oldest proof of its subset makes a gateway retry an idempotent request on another
+/// target of its data centre, if one has a newer proof.
+const RETRY_PROOF_AGE: Millis = Millis(150);
 /// Requests that a target receives beyond its slots. The target's own queue ignores priorities, and
 /// a request that waits there delays all requests behind it.
 const MAX_QUEUED: u32 = 1;
@@ -28,6 +39,9 @@
 /// Preference for a target, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Tier {
+    /// Free, in this data centre, and unused for so long that a request should find out whether it
+    /// works.
+    Due,
     /// Usable, not suspected and free, in the subset of this gateway.
     SubsetFree,
     /// Usable, not suspected and free, in this data centre; traffic between data centres costs
@@ -65,6 +79,21 @@
         self.pick_up_to(now, class, worst, tried, rng)
     }
 
+    /// Like [`Balancer::pick`] for an at-most-once request, if the target has given a proof within
+    /// [`MAX_PROOF_AGE`].
+    pub fn pick_proven(
+        &mut self,
+        now: Timestamp,
+        tried: &[BalancedKey],
+        rng: &mut impl Rng,
+    ) -> Option<Pick> {
+        let key = self.draw_up_to(now, RequestClass::Once, Tier::FloorFree, tried, rng)?;
+        if self.targets[key].proof_age(now) > MAX_PROOF_AGE {
+            return None;
+        }
+        Some(self.start(now, key))
+    }
+
     /// Picks a suspected target with a free slot that is due for a trial, for an idempotent request
     /// that has not been sent yet. This takes no slots from other requests, which avoid the target.
     pub fn pick_trial(&mut self, now: Timestamp) -> Option<Pick> {
@@ -120,25 +149,31 @@
         }
     }
 
-    /// The suspected target of this gateway's subset that is due for a trial and has had none for
-    /// the longest time. Only idempotent requests are used for trials, since they can be retried on
-    /// another target. If no idempotent request comes, the target returns to use once the evidence
-    /// against it has decayed, within seconds.
+    /// The suspected target that is due for a trial and has had none for the longest time. Only
+    /// idempotent requests are used for trials, since they can be retried on another target. If no
+    /// idempotent request comes, the target returns to use once the evidence against it has decayed,
+    /// within seconds.
     fn suspect_to_try(&self, now: Timestamp) -> Option<BalancedKey> {
         self.targets
             .iter()
-            .filter(|(_, target)| {
-                target.in_subset && !target.is_down(now) && !target.is_paused(now)
-            })
             .filter(|(_, target)| target.is_suspect(now))
+            .filter(|(_, target)| !target.is_down(now) && !target.is_paused(now))
             .filter(|(_, target)| target.own_in_flight == 0 && target.free_slots(now) > 0)
-            .filter(|(_, target)| {
-                now.since(target.last_activity) >= self.trial_interval(now, target)
-            })
+            .filter(|(_, target)| self.is_due_for_trial(now, target))
             .min_by_key(|(_, target)| target.last_activity)
             .map(|(key, _)| key)
     }
 
+    /// Whether a suspected target is due for a trial by this gateway. The trials of a target are made by
+    /// the gateway that has it in its subset. In a small service that gateway may get no request in
+    /// time, so the others of the data centre make one if the target has been unused for longer.
+    fn is_due_for_trial(&self, now: Timestamp, target: &BalancedTarget) -> bool {
+        if target.in_subset {
+            return now.since(target.last_activity) >= self.trial_interval(now, target);
+        }
+        !self.prefers_subset && self.is_local(target) && self.is_unused(now, target)
+    }
+
     fn is_local(&self, target: &BalancedTarget) -> bool {
         target.member.data_centre == self.options.own.data_centre
     }
@@ -169,13 +204,18 @@
     ) -> Option<BalancedKey> {
         let floor_limit = self.floor_limit(now);
         let explores = class == RequestClass::Idempotent && tried.is_empty();
+        let tries_due = self.tries_due(now, class, tried);
         let mut best = worst;
         let mut candidates: Vec<BalancedKey> = Vec::new();
         for (key, target) in &self.targets {
             if tried.contains(&key) || target.is_paused(now) {
                 continue;
             }
-            let tier = self.tier(now, class, target, floor_limit);
+            let tier = if tries_due && self.is_due(now, class, target) {
+                Tier::Due
+            } else {
+                self.tier(now, class, target, floor_limit)
+            };
             if tier > best {
                 continue;
             }
@@ -189,8 +229,16 @@
             let proofs = candidates
                 .iter()
                 .map(|key| (self.targets[*key].proof_age(now), *key));
-            let chosen = if explores { proofs.max() } else { proofs.min() };
-            return chosen.map(|(_, key)| key);
+            let (age, key) = if explores { proofs.max() } else { proofs.min() }?;
+            if class == RequestClass::Once || explores || age <= RETRY_PROOF_AGE {
+                return Some(key);
+            }
+            // The last send of an idempotent request must not explore.
+            candidates = self.recently_proven(now, class, tried, floor_limit);
+            if candidates.is_empty() {
+                return Some(key);
+            }
+            best = Tier::LocalFree;
         }
         let weights: Vec<u32> = candidates
             .iter()
@@ -213,6 +261,64 @@
             })
     }
 
+    /// The local targets of other subsets that have at least two free slots, one of which its own gateway
+    /// may take at the same moment, and a proof younger than [`RETRY_PROOF_AGE`].
+    fn recently_proven(
+        &self,
+        now: Timestamp,
+        class: RequestClass,
+        tried: &[BalancedKey],
+        floor_limit: f64,
+    ) -> Vec<BalancedKey> {
+        self.targets
+            .iter()
+            .filter(|(key, target)| !tried.contains(key) && !target.is_paused(now))
+            .filter(|(_, target)| {
+                target.proof_age(now) <= RETRY_PROOF_AGE && target.free_slots(now) >= 2
+            })
+            .filter(|(_, target)| self.tier(now, class, target, floor_limit) == Tier::LocalFree)
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// Whether a request goes to a target that is due before all others. An idempotent request can be
+    /// retried; where the gateway prefers its subset, it goes to the target there with the oldest proof
+    /// anyway. A service without idempotent requests uses at-most-once requests, but only while it loses
+    /// many: targets that have recovered are then not found otherwise.
+    fn tries_due(&self, now: Timestamp, class: RequestClass, tried: &[BalancedKey]) -> bool {
+        match class {
+            RequestClass::Idempotent => tried.is_empty() && !self.prefers_subset,
+            RequestClass::Once => !self.may_have_idempotent_requests(now) && self.loses_many(now),
+        }
+    }
+
+    /// Whether the target is free and has been unused for so long that it should be tried. Suspected
+    /// targets are left to trials, where idempotent requests make some.
+    fn is_due(&self, now: Timestamp, class: RequestClass, target: &BalancedTarget) -> bool {
+        let max_suspicion = match class {
+            RequestClass::Idempotent => SUSPECT_THRESHOLD,
+            RequestClass::Once => STRONG_THRESHOLD,
+        };
+        self.is_local(target)
+            && !target.is_down(now)
+            && now >= target.shed_until
+            && target.free_slots(now) > 0
+            && target.suspicion(now) < max_suspicion
+            && self.is_unused(now, target)
+    }
+
+    /// Whether no gateway has used the target for [`UNUSED_AFTER`], as far as it is known. The time
+    /// differs by gateway and target, so that not all gateways try it at once.
+    fn is_unused(&self, now: Timestamp, target: &BalancedTarget) -> bool {
+        let after = if target.suspicion(now) >= STRONG_THRESHOLD {
+            STRONG_UNUSED_AFTER
+        } else {
+            UNUSED_AFTER
+        };
+        let spread = (self.options.seed ^ u64::from(target.hash.0)) % UNUSED_SPREAD.0;
+        now.since(target.last_used) >= Millis(after.0 + spread)
+    }
+
     fn tier(
         &self,
         now: Timestamp,
@@ -272,7 +378,8 @@
 /// divisions.
 fn weight(now: Timestamp, explores: bool, tier: Tier, target: &BalancedTarget) -> u32 {
     match tier {
-        Tier::SubsetFree
+        Tier::Due
+        | Tier::SubsetFree
         | Tier::LocalFree
         | Tier::RemoteFree
         | Tier::FloorFree
--- a/crates/auburnbridge_policy/src/balance/target.rs
+++ b/crates/auburnbridge_policy/src/balance/target.rs
@@ -66,6 +66,8 @@
     pub(super) warmup_until: Timestamp,
     /// When this gateway last sent a request, or a finding of any gateway arrived.
     pub(super) last_activity: Timestamp,
+    /// When a gateway last had a request on it or a finding about it, as far as it is known.
+    pub(super) last_used: Timestamp,
     /// Whether the last finding was an answer.
     pub(super) answered_last: bool,
     /// Whether another target now uses its address.
@@ -92,6 +94,7 @@
             paused_until: Timestamp(0),
             warmup_until,
             last_activity: Timestamp(0),
+            last_used: Timestamp(0),
             answered_last: false,
             is_replaced: false,
             proven_at: Timestamp(0),
@@ -137,6 +140,7 @@
         self.own_in_flight += 1;
         self.last_started_at = now;
         self.last_activity = now;
+        self.last_used = now;
     }
 
     pub(super) fn is_suspect(&self, now: Timestamp) -> bool {
@@ -157,6 +161,7 @@
     pub(super) fn observe(&mut self, now: Timestamp, finding: Finding, origin: Origin) {
         self.evidence.add(now, finding.target_evidence());
         self.last_activity = now;
+        self.last_used = now;
         self.answered_last = finding == Finding::Answered;
         if origin == Origin::Own {
             self.path_evidence.add(now, finding.path_evidence());
--- a/crates/auburnbridge_policy/tests/balance_load/main.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/main.rs
@@ -17,7 +17,7 @@
 mod simulation;
 
 use auburnbridge_policy::RequestClass;
-use simulation::{Outcome, RequestKind, Scenario, run};
+use simulation::{FailureMode, Outcome, RequestKind, Scenario, run};
 
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
 
@@ -75,6 +75,8 @@
             },
         ],
         failure_share: never,
+        failure_mode: FailureMode::Disconnect,
+        finds_silence: false,
         lost_answer_share: never,
         work_time_factor: normal_speed,
         is_unreachable: none_unreachable,
@@ -95,13 +97,17 @@
 }
 
 fn run_scenarios(make: impl Fn() -> Scenario) -> Vec<(Scenario, Outcome)> {
-    SEEDS
-        .iter()
+    run_scenarios_with(SEEDS, make)
+}
+
+fn run_scenarios_with(
+    seeds: impl IntoIterator<Item = u64>,
+    make: impl Fn() -> Scenario,
+) -> Vec<(Scenario, Outcome)> {
+    seeds
+        .into_iter()
         .map(|seed| {
-            let scenario = Scenario {
-                seed: *seed,
-                ..make()
-            };
+            let scenario = Scenario { seed, ..make() };
             let outcome = run(&scenario);
             (scenario, outcome)
         })
@@ -511,26 +517,40 @@
     }
 }
 
-/// While many requests are lost, working targets must not be left without requests: of those that
-/// work throughout a window of two seconds, the floor's share must receive some in it.
-#[test]
-fn working_targets_receive_requests_while_others_are_lost() {
-    const WINDOW_MS: u64 = 2_000;
-    // Half of the share of lost requests from which the floor has to hold, since other losses may
-    // add to it.
-    const LOST: f64 = 0.05;
-    let mut windows = 0;
-    for (scenario, outcome) in run_scenarios(flapping_start) {
-        for from in (0..8_000).step_by(500) {
-            let window = from..from + WINDOW_MS;
+/// Length of the windows in which targets must receive requests.
+const FLOOR_WINDOW_MS: u64 = 2_000;
+/// Share of the working targets that must receive requests in each window.
+const FLOOR_SHARE: f64 = 0.7;
+
+/// Use of the working targets in one window.
+struct FloorWindow {
+    from_ms: u64,
+    /// Share of the requests that were lost.
+    lost: f64,
+    working: usize,
+    /// Share of the working targets that received requests.
+    used: f64,
+}
+
+/// Windows of two seconds in which at least `lost` and less than half of the requests were lost. Targets
+/// count as working if they have worked since `settle_ms` before the window.
+fn floor_windows(
+    scenario: &Scenario,
+    outcome: &Outcome,
+    lost: f64,
+    settle_ms: u64,
+) -> Vec<FloorWindow> {
+    (settle_ms..scenario.duration_ms - FLOOR_WINDOW_MS)
+        .step_by(500)
+        .filter_map(|from_ms| {
+            let window = from_ms..from_ms + FLOOR_WINDOW_MS;
             let within = |times: &[u64]| times.iter().filter(|at| window.contains(at)).count();
-            let lost = within(&outcome.lost_ms) as f64 / within(&outcome.arrivals_ms) as f64;
-            if !(LOST..0.5).contains(&lost) {
-                continue;
+            let lost_share = within(&outcome.lost_ms) as f64 / within(&outcome.arrivals_ms) as f64;
+            if !(lost..0.5).contains(&lost_share) {
+                return None;
             }
-            windows += 1;
             let works = |target: &usize| {
-                let mut times = window.clone().step_by(100);
+                let mut times = (from_ms - settle_ms..window.end).step_by(100);
                 times.all(|at_ms| (scenario.failure_share)(*target, at_ms) == 0.0)
             };
             let working: Vec<usize> = (0..scenario.targets).filter(works).collect();
@@ -538,14 +558,127 @@
                 let mut sends = outcome.sends.iter();
                 sends.any(|send| send.target == **target && window.contains(&send.at_ms))
             });
-            let share = used.count() as f64 / working.len() as f64;
+            Some(FloorWindow {
+                from_ms,
+                lost: lost_share,
+                working: working.len(),
+                used: used.count() as f64 / working.len() as f64,
+            })
+        })
+        .collect()
+}
+
+/// Seeds of the patterns in which few targets of a small service are looked at.
+const FLOOR_SEEDS: std::ops::RangeInclusive<u64> = 1..=20;
+
+/// Checks that working targets aren't left without requests while many requests are lost: in each of
+/// [`floor_windows`] the floor's share of them must receive some.
+fn assert_floor_is_used(runs: Vec<(Scenario, Outcome)>, lost: f64, settle_ms: u64) {
+    for (scenario, outcome) in runs {
+        let windows = floor_windows(&scenario, &outcome, lost, settle_ms);
+        assert!(!windows.is_empty(), "no window lost enough requests");
+        for window in windows {
             assert!(
-                share >= 0.7,
-                "{share:.2} of the targets used at {from} ms, lost {lost:.2}"
+                window.used >= FLOOR_SHARE,
+                "seed {}: {:.2} of {} working targets used at {} ms, lost {:.2}",
+                scenario.seed,
+                window.used,
+                window.working,
+                window.from_ms,
+                window.lost
             );
         }
     }
-    assert!(windows > 0, "no window lost enough requests");
+}
+
+/// Guards against orders that all go to a few proven targets while many are lost.
+#[test]
+fn working_targets_receive_requests_while_others_are_lost() {
+    // Half of the share of lost requests from which the floor has to hold, since other losses may
+    // add to it.
+    assert_floor_is_used(run_scenarios(flapping_start), 0.05, 0);
+}
+
+/// A small service without lookups on a large fleet: 40 targets of which each fails for 2.7 s of every
+/// 9 s, and a tenth of the answers is lost with its connection.
+fn small_service_with_lost_answers() -> Scenario {
+    fn failure_share(target: usize, at_ms: u64) -> f64 {
+        let offset = target as u64 * 7_919;
+        if (at_ms + offset) % 9_000 < 2_700 {
+            0.85
+        } else {
+            0.0
+        }
+    }
+    fn lost_answer_share(_target: usize, _at_ms: u64) -> f64 {
+        0.12
+    }
+    let mut scenario = Scenario {
+        gateways: 54,
+        targets: 40,
+        slots: 3,
+        data_centres: 6,
+        duration_ms: 30_000,
+        failure_share,
+        lost_answer_share,
+        finds_silence: true,
+        ..flapping_orders()
+    };
+    scenario.kinds[ORDER].work_ms = 210;
+    scenario.kinds[ORDER].per_second = |_| 176.0;
+    scenario
+}
+
+/// Guards against targets of a small service that have recovered and get no order while many orders are
+/// lost. Targets count as working two seconds after they have recovered by themselves.
+#[test]
+fn recovered_targets_of_a_small_service_are_used_while_orders_are_lost() {
+    let runs = run_scenarios_with(FLOOR_SEEDS, small_service_with_lost_answers);
+    assert_floor_is_used(runs, 0.1, 2_000);
+}
+
+/// A small service of long lookups on a large fleet, whose timeout is so short that half of them are
+/// lost: 58 targets of which each hangs for 2.7 s of every 9 s.
+fn small_service_with_a_short_timeout() -> Scenario {
+    fn failure_share(target: usize, at_ms: u64) -> f64 {
+        let offset = target as u64 * 7_919;
+        if (at_ms + offset) % 9_000 < 2_700 {
+            0.75
+        } else {
+            0.0
+        }
+    }
+    let mut scenario = Scenario {
+        gateways: 31,
+        targets: 58,
+        slots: 3,
+        data_centres: 4,
+        duration_ms: 30_000,
+        failure_share,
+        failure_mode: FailureMode::Hang,
+        finds_silence: true,
+        ..flapping_fleet()
+    };
+    scenario.kinds[LOOKUP] = RequestKind {
+        class: RequestClass::Idempotent,
+        priority: 2,
+        work_ms: 930,
+        objective_ms: 1_100,
+        deadline_ms: 1_100,
+        per_second: |_| 60.0,
+    };
+    scenario.kinds[ORDER].per_second = |_| 0.0;
+    scenario
+}
+
+/// Guards against working targets of a small service that get no lookup while many lookups are lost.
+#[test]
+fn targets_of_a_small_service_are_used_while_lookups_time_out() {
+    assert_floor_is_used(
+        run_scenarios(small_service_with_a_short_timeout),
+        0.1,
+        2_000,
+    );
 }
 
 /// The flapping orders at the peak of the usual load variation (1.15 times the mean), with half of
@@ -619,6 +752,36 @@
     }
 }
 
+/// Prints how many working targets are used while many requests are lost, for docs/MEASURES.md.
+#[test]
+#[ignore = "prints figures; run it by hand with --nocapture"]
+fn print_floor_results() {
+    let patterns = [
+        ("start", flapping_start as fn() -> Scenario, 0.05, 0),
+        ("lost answers", small_service_with_lost_answers, 0.1, 2_000),
+        (
+            "short timeout",
+            small_service_with_a_short_timeout,
+            0.1,
+            2_000,
+        ),
+    ];
+    for (name, make, lost, settle_ms) in patterns {
+        for (scenario, outcome) in run_scenarios_with(FLOOR_SEEDS, make) {
+            let windows = floor_windows(&scenario, &outcome, lost, settle_ms);
+            let below = windows.iter().filter(|window| window.used < FLOOR_SHARE);
+            let least = windows.iter().map(|window| window.used).fold(1.0, f64::min);
+            println!(
+                "{name} seed={} windows={} below={} least={least:.2} lost={:.2}%",
+                scenario.seed,
+                windows.len(),
+                below.count(),
+                100.0 * lost_share([&outcome]),
+            );
+        }
+    }
+}
+
 /// Prints the results of staggered failures, for docs/MEASURES.md.
 #[test]
 #[ignore = "prints figures; run it by hand with --nocapture"]
--- a/crates/auburnbridge_policy/tests/balance_load/simulation.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/simulation.rs
@@ -2,7 +2,8 @@
 //!
 //! It uses no network or processes: time is simulated, and all randomness comes from one seed.
 //! Targets run as many requests as they have slots, queue a few more and shed the rest; a failing
-//! target closes the connection at once. Gateways report requests in flight to each other at
+//! target closes the connection at once, or hangs. A send ends at its deadline, and the target then
+//! drops the request. Gateways report requests in flight to each other at
 //! intervals, and findings immediately: a finding is applied in the event that produced it, with a
 //! time stamp later by [`ONE_WAY_DELAY_MS`], so another gateway may use it before it would arrive.
 
@@ -39,6 +40,15 @@
     pub per_second: fn(u64) -> f64,
 }
 
+/// What a failing target does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureMode {
+    /// Closes the connection at once.
+    Disconnect,
+    /// Takes the request and never answers.
+    Hang,
+}
+
 /// Load, fleet and failures of one run.
 pub struct Scenario {
     pub seed: u64,
@@ -52,6 +62,9 @@
     pub kinds: Vec<RequestKind>,
     /// Share of the requests that a target fails, by its number and the time.
     pub failure_share: fn(usize, u64) -> f64,
+    pub failure_mode: FailureMode,
+    /// Whether gateways record a finding while a send has had no answer for long.
+    pub finds_silence: bool,
     /// Share of the requests that a target runs but whose answer is lost with the connection.
     pub lost_answer_share: fn(usize, u64) -> f64,
     /// Factor applied to the work time of a target.
@@ -115,12 +128,41 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Arrive { kind: usize },
-    ReachTarget { request: usize, target: usize },
-    Complete { request: usize, target: usize },
-    EndSend { request: usize, result: SendResult },
-    Expire { request: usize, wait: u64 },
-    PublishLoad { gateway: usize, round: u64 },
+    Place {
+        request: usize,
+    },
+    Arrive {
+        kind: usize,
+    },
+    ReachTarget {
+        request: usize,
+        send: u32,
+    },
+    Complete {
+        request: usize,
+        send: u32,
+    },
+    EndSend {
+        request: usize,
+        send: u32,
+        result: SendResult,
+    },
+    Expire {
+        request: usize,
+        wait: u64,
+    },
+    FindSilent {
+        request: usize,
+        send: u32,
+    },
+    TimeOut {
+        request: usize,
+        send: u32,
+    },
+    PublishLoad {
+        gateway: usize,
+        round: u64,
+    },
 }
 
 /// How a send to a target ended.
@@ -131,6 +173,18 @@
     Interrupted,
     Shed,
     Unreachable,
+    TimedOut,
+}
+
+/// Where a send is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// On its way, or ended.
+    Elsewhere,
+    Queued,
+    Running,
+    /// A failing target holds it.
+    Hung,
 }
 
 struct Request {
@@ -144,6 +198,11 @@
     /// Number of times that the request has been queued.
     waits: u64,
     sends: u32,
+    /// Number of the latest send, which tells events of earlier ones apart.
+    send: u32,
+    stage: Stage,
+    target: usize,
+    was_silent: bool,
 }
 
 #[derive(Default)]
@@ -279,9 +338,30 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive { kind } => self.arrive(kind),
-            Event::ReachTarget { request, target } => self.reach_target(request, target),
-            Event::Complete { request, target } => self.complete(request, target),
-            Event::EndSend { request, result } => self.end_send(request, result),
+            Event::Place { request } => self.place(request),
+            Event::ReachTarget { request, send } if self.is_current(request, send) => {
+                self.reach_target(request);
+            }
+            Event::Complete { request, send } if self.is_current(request, send) => {
+                self.complete(request);
+            }
+            Event::EndSend {
+                request,
+                send,
+                result,
+            } if self.is_current(request, send) => self.end_send(request, result),
+            Event::FindSilent { request, send } if self.is_current(request, send) => {
+                self.find_silent(request);
+            }
+            Event::TimeOut { request, send } if self.is_current(request, send) => {
+                self.time_out(request);
+            }
+            // The send has timed out or ended.
+            Event::ReachTarget { .. }
+            | Event::Complete { .. }
+            | Event::EndSend { .. }
+            | Event::FindSilent { .. }
+            | Event::TimeOut { .. } => {}
             Event::Expire { request, wait } => self.expire(request, wait),
             Event::PublishLoad { gateway, round } => self.publish_load(gateway, round),
         }
@@ -306,6 +386,10 @@
             waiting_key: None,
             waits: 0,
             sends: 0,
+            send: 0,
+            stage: Stage::Elsewhere,
+            target: 0,
+            was_silent: false,
         });
         self.place(self.requests.len() - 1);
     }
@@ -317,6 +401,7 @@
         let placement_request = PlacementRequest {
             class: kind.class,
             priority: kind.priority,
+            arrived: time(req.arrived),
             deadline: time(req.arrived + kind.deadline_ms),
             objective: time(req.arrived + kind.objective_ms),
             tried: &tried,
@@ -331,6 +416,7 @@
                 let wait = req.waits;
                 self.schedule(max_wait.0, Event::Expire { request, wait });
             }
+            Placement::Defer(wait) => self.schedule(wait.0, Event::Place { request }),
             Placement::Refuse(refusal) => self.refuse(request, refusal.retry_after),
         }
     }
@@ -372,12 +458,21 @@
         let req = &mut self.requests[request];
         req.waiting_key = None;
         req.sent = now;
+        req.send += 1;
+        req.target = target;
+        req.was_silent = false;
+        let (send, arrived) = (req.send, req.arrived);
         req.tried.push(pick.key);
         req.pick = Some(pick);
         let (gateway, kind) = (req.gateway, req.kind);
+        let left = (arrived + self.scenario.kinds[kind].deadline_ms).saturating_sub(now);
+        self.schedule(left, Event::TimeOut { request, send });
+        let silent_after = self.gateways[gateway].answer_times().silent_after().0;
+        if self.scenario.finds_silence {
+            self.schedule(silent_after, Event::FindSilent { request, send });
+        }
         if (self.scenario.is_unreachable)(gateway, target) {
-            let result = SendResult::Unreachable;
-            self.schedule(CONNECT_TIMEOUT_MS, Event::EndSend { request, result });
+            self.schedule_end(CONNECT_TIMEOUT_MS, request, SendResult::Unreachable);
             return;
         }
         self.requests[request].sends += 1;
@@ -387,62 +482,119 @@
             target,
             class: self.scenario.kinds[kind].class,
         });
-        self.schedule(ONE_WAY_DELAY_MS, Event::ReachTarget { request, target });
+        self.schedule(ONE_WAY_DELAY_MS, Event::ReachTarget { request, send });
     }
 
-    fn reach_target(&mut self, request: usize, target: usize) {
+    /// Whether this send of the request is its latest one.
+    fn is_current(&self, request: usize, send: u32) -> bool {
+        self.requests[request].send == send
+    }
+
+    fn schedule_end(&mut self, after: u64, request: usize, result: SendResult) {
+        let send = self.requests[request].send;
+        self.schedule(
+            after,
+            Event::EndSend {
+                request,
+                send,
+                result,
+            },
+        );
+    }
+
+    fn reach_target(&mut self, request: usize) {
+        let target = self.requests[request].target;
         let failure_share = (self.scenario.failure_share)(target, self.now);
         if self.rng.random::<f64>() < failure_share {
-            let result = SendResult::Broken;
-            self.schedule(FAILURE_DELAY_MS, Event::EndSend { request, result });
+            match self.scenario.failure_mode {
+                FailureMode::Disconnect => {
+                    self.schedule_end(FAILURE_DELAY_MS, request, SendResult::Broken);
+                }
+                FailureMode::Hang => self.requests[request].stage = Stage::Hung,
+            }
         } else if self.targets[target].running < self.scenario.slots {
             self.start_work(request, target);
         } else if self.targets[target].queue.len() < TARGET_QUEUE_CAPACITY {
+            self.requests[request].stage = Stage::Queued;
             self.targets[target].queue.push_back(request);
         } else {
-            let result = SendResult::Shed;
-            self.schedule(ONE_WAY_DELAY_MS, Event::EndSend { request, result });
+            self.schedule_end(ONE_WAY_DELAY_MS, request, SendResult::Shed);
+        }
+    }
+
+    fn find_silent(&mut self, request: usize) {
+        let req = &mut self.requests[request];
+        req.was_silent = true;
+        let (gateway, key) = (req.gateway, req.pick.as_ref().unwrap().key);
+        self.gateways[gateway].observe(time(self.now), key, Finding::Silent);
+        self.publish_findings(gateway);
+    }
+
+    /// Ends a send at its deadline; the target drops the request.
+    fn time_out(&mut self, request: usize) {
+        let req = &self.requests[request];
+        let target = req.target;
+        match req.stage {
+            Stage::Queued => {
+                let queue = &mut self.targets[target].queue;
+                queue.retain(|queued| *queued != request);
+            }
+            Stage::Running => self.release_slot(target),
+            Stage::Hung | Stage::Elsewhere => {}
+        }
+        self.end_send(request, SendResult::TimedOut);
+    }
+
+    fn release_slot(&mut self, target: usize) {
+        self.targets[target].running -= 1;
+        if let Some(next) = self.targets[target].queue.pop_front() {
+            self.start_work(next, target);
         }
     }
 
     fn start_work(&mut self, request: usize, target: usize) {
         self.targets[target].running += 1;
+        self.requests[request].stage = Stage::Running;
+        let send = self.requests[request].send;
         let kind = &self.scenario.kinds[self.requests[request].kind];
         let spread = self.rng.random_range(0.5..1.5);
         let work_time_factor = (self.scenario.work_time_factor)(target, self.now);
         let work = (kind.work_ms as f64 * spread * work_time_factor) as u64;
-        self.schedule(work, Event::Complete { request, target });
+        self.schedule(work, Event::Complete { request, send });
     }
 
-    fn complete(&mut self, request: usize, target: usize) {
-        self.targets[target].running -= 1;
-        if let Some(next) = self.targets[target].queue.pop_front() {
-            self.start_work(next, target);
-        }
+    fn complete(&mut self, request: usize) {
+        let target = self.requests[request].target;
+        self.requests[request].stage = Stage::Elsewhere;
+        self.release_slot(target);
         let lost = (self.scenario.lost_answer_share)(target, self.now);
         let result = if self.rng.random::<f64>() < lost {
             SendResult::Interrupted
         } else {
             SendResult::Answer
         };
-        self.schedule(ONE_WAY_DELAY_MS, Event::EndSend { request, result });
+        self.schedule_end(ONE_WAY_DELAY_MS, request, result);
     }
 
     fn end_send(&mut self, request: usize, result: SendResult) {
-        let req = &self.requests[request];
-        let gateway = req.gateway;
+        let req = &mut self.requests[request];
+        // Later events of this send are obsolete.
+        req.send += 1;
+        req.stage = Stage::Elsewhere;
+        let (gateway, was_silent) = (req.gateway, req.was_silent);
         let time_taken = Millis(self.now - req.sent);
         let key = req.pick.as_ref().unwrap().key;
         let dispatcher = &mut self.gateways[gateway];
         let finding = match result {
-            SendResult::Answer => dispatcher.record_answer(time_taken, false),
+            SendResult::Answer => Some(dispatcher.record_answer(time_taken, was_silent)),
             SendResult::Broken | SendResult::Interrupted => {
-                Finding::from_closed_connection(time_taken)
+                Some(Finding::from_closed_connection(time_taken))
             }
-            SendResult::Shed => Finding::Shed,
-            SendResult::Unreachable => Finding::Unreachable,
+            SendResult::Shed => Some(Finding::Shed),
+            SendResult::Unreachable => Some(Finding::Unreachable),
+            SendResult::TimedOut => None,
         };
-        dispatcher.finish(time(self.now), key, Some(finding));
+        dispatcher.finish(time(self.now), key, finding);
         self.publish_findings(gateway);
         self.start_waiting(gateway);
         if result == SendResult::Answer {
@@ -476,9 +628,10 @@
         let is_lost = matches!(result, SendResult::Broken | SendResult::Interrupted)
             && kind.class == RequestClass::Once;
         let is_over = self.now >= req.arrived + kind.deadline_ms;
-        let may_resend = req.sends == 0
-            || (req.sends < 2 && self.gateways[req.gateway].try_resend(time(self.now)));
-        if is_lost || is_over || !may_resend {
+        let (sends, gateway) = (req.sends, req.gateway);
+        let mut may_resend =
+            || sends == 0 || (sends < 2 && self.gateways[gateway].try_resend(time(self.now)));
+        if is_lost || is_over || !may_resend() {
             self.outcome.lost_ms.push(req.arrived);
             if self.is_counted(req.arrived) {
                 self.outcome.tallies[req.kind].failed += 1;
