Send orders to recent proofs of the data centre instead of holding them back

Change: the wait is gone. Where the newest proof in a gateway's subset is older than 500 ms, the request goes to a local target of another subset with a proof below 250 ms and two free slots. Silence is no loss, and the share that counts as heavy is 0.09.

--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -167,7 +167,6 @@
         PlacementRequest {
             class: incoming.route.class,
             priority: incoming.route.priority.0,
-            arrived: incoming.arrived,
             deadline: incoming.deadline,
             objective: incoming.objective,
             tried: &self.tried,
--- a/crates/auburnbridge_gateway/src/service_dispatcher.rs
+++ b/crates/auburnbridge_gateway/src/service_dispatcher.rs
@@ -141,16 +141,13 @@
         self: &Arc<Self>,
         request: PlacementRequest<'_>,
     ) -> Result<Assignment, Refusal> {
-        let (rx, key, max_wait) = loop {
-            let (tx, rx) = async_channel::bounded(1);
-            let now = self.clock.now();
-            let placement = self.inner.lock().place(now, &request, || tx);
-            match placement {
-                Placement::Start(pick) => return Ok(self.assignment(pick)),
-                Placement::Refuse(refusal) => return Err(refusal),
-                Placement::Wait { key, max_wait } => break (rx, key, max_wait),
-                Placement::Defer(wait) => self.clock.sleep(wait).await,
-            }
+        let (tx, rx) = async_channel::bounded(1);
+        let now = self.clock.now();
+        let placement = self.inner.lock().place(now, &request, || tx);
+        let (key, max_wait) = match placement {
+            Placement::Start(pick) => return Ok(self.assignment(pick)),
+            Placement::Refuse(refusal) => return Err(refusal),
+            Placement::Wait { key, max_wait } => (key, max_wait),
         };
         let guard = QueueGuard {
             dispatcher: self,
--- a/crates/auburnbridge_policy/examples/dispatch_cost.rs
+++ b/crates/auburnbridge_policy/examples/dispatch_cost.rs
@@ -46,7 +46,6 @@
     let request = PlacementRequest {
         class: RequestClass::Once,
         priority: 1,
-        arrived: START,
         deadline: START.after(Millis(1_500)),
         objective: START.after(Millis(800)),
         tried: &[],
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -22,7 +22,7 @@
 const CROWDED_SLOT_SHARE: f64 = 0.6;
 /// Share of lost requests from which a service counts as losing many: somewhat less than the tenth
 /// from which operators expect the floor's share of the targets to receive requests.
-const HEAVY_LOSS_SHARE: f64 = 0.08;
+const HEAVY_LOSS_SHARE: f64 = 0.09;
 /// Rate of lost requests below which a service never counts as losing many, since single failures say
 /// nothing about the share: two in a second.
 const MIN_HEAVY_LOSS_PER_MS: f64 = 0.002;
@@ -350,18 +350,13 @@
         }
     }
 
-    /// Whether idempotent requests have come within `time`.
-    pub(super) fn had_idempotent_request(&self, now: Timestamp, time: Millis) -> bool {
-        self.last_idempotent
-            .is_some_and(|last| now.since(last) < time)
-    }
-
     /// Whether the service has idempotent requests, or has had too few requests to tell.
     pub(super) fn may_have_idempotent_requests(&self, now: Timestamp) -> bool {
-        let is_unknown = self
-            .first_placed
-            .is_none_or(|first| now.since(first) < IDEMPOTENT_MEMORY);
-        is_unknown || self.had_idempotent_request(now, IDEMPOTENT_MEMORY)
+        let is_recent =
+            |at: Option<Timestamp>| at.is_some_and(|at| now.since(at) < IDEMPOTENT_MEMORY);
+        self.first_placed.is_none()
+            || is_recent(self.first_placed)
+            || is_recent(self.last_idempotent)
     }
 
     /// Whether the service loses so many requests on all gateways together that the operators' floor
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -19,13 +19,6 @@
 /// of requests whose first send may still be answered.
 const RESERVED_SHARE: f64 = 0.25;
 
-/// Longest time that an at-most-once request waits for a target to prove that it works.
-const MAX_PROOF_WAIT: Millis = Millis(100);
-/// Interval at which such a request is placed again; a proof takes 25 ms.
-const PROOF_POLL_INTERVAL: Millis = Millis(20);
-/// Time since the last idempotent request within which the next one is expected soon.
-const PROOF_SOURCE_MEMORY: Millis = Millis(400);
-
 /// Settings of a [`Dispatcher`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct DispatcherOptions {
@@ -44,8 +37,6 @@
     pub class: RequestClass,
     /// Priority among waiting requests; 0 is the highest.
     pub priority: u32,
-    /// When the request arrived.
-    pub arrived: Timestamp,
     /// Instant after which the caller no longer waits for the answer.
     pub deadline: Timestamp,
     /// Latency objective: until this instant an answer has its full value.
@@ -66,9 +57,6 @@
         /// Duration after which it can no longer be answered before its deadline.
         max_wait: Millis,
     },
-    /// The request is to be placed again after this time: a target is likely to have proved by then that
-    /// it works.
-    Defer(Millis),
     /// The request can't be served in time.
     Refuse(Refusal),
 }
@@ -153,10 +141,6 @@
             .waiting
             .first()
             .is_none_or(|(first, _)| first.priority() > request.priority);
-        if is_next && self.may_wait_for_proof(now, request) {
-            let pick = self.balancer.pick_proven(now, request.tried, &mut self.rng);
-            return pick.map_or(Placement::Defer(PROOF_POLL_INTERVAL), Placement::Start);
-        }
         if is_next
             && let Some(pick) = self
                 .balancer
@@ -181,21 +165,6 @@
         self.enqueue(now, request, summary, item)
     }
 
-    /// Whether an at-most-once request should rather wait than be sent to a target without a recent
-    /// proof: idempotent requests, which can be retried, come often enough to give one, and enough time
-    /// remains before its objective.
-    fn may_wait_for_proof(&self, now: Timestamp, request: &PlacementRequest<'_>) -> bool {
-        if request.class != RequestClass::Once || now >= request.arrived.after(MAX_PROOF_WAIT) {
-            return false;
-        }
-        let min_remaining = self.capacity(now, TargetSummary::default()).min_remaining();
-        let latest_start = now.after(MAX_PROOF_WAIT).after(min_remaining);
-        latest_start < request.objective
-            && self
-                .balancer
-                .had_idempotent_request(now, PROOF_SOURCE_MEMORY)
-    }
-
     /// Whether a paused target returns early enough to answer the request before its deadline.
     fn returns_in_time(&self, now: Timestamp, request: &PlacementRequest<'_>) -> bool {
         let min_remaining = self.capacity(now, TargetSummary::default()).min_remaining();
--- a/crates/auburnbridge_policy/src/balance/evidence.rs
+++ b/crates/auburnbridge_policy/src/balance/evidence.rs
@@ -143,12 +143,14 @@
         }
     }
 
-    /// Whether the target failed a request that it received.
+    /// Whether the target failed a request that it received. Silence is none, since the answer may
+    /// still come.
     pub(super) fn is_failure(self) -> bool {
         match self {
-            Self::ServerError | Self::Broken | Self::Interrupted | Self::Silent => true,
+            Self::ServerError | Self::Broken | Self::Interrupted => true,
             Self::Answered
             | Self::Slow
+            | Self::Silent
             | Self::Shed
             | Self::Refused
             | Self::Unreachable
--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -24,11 +24,11 @@
 const STRONG_UNUSED_AFTER: Millis = Millis(1_000);
 /// Longest addition to these times.
 const UNUSED_SPREAD: Millis = Millis(400);
-/// Age up to which a proof is good enough for an at-most-once request that may still wait.
-const MAX_PROOF_AGE: Millis = Millis(300);
-/// Age from which the oldest proof of its subset makes a gateway retry an idempotent request on another
-/// target of its data centre, if one has a newer proof.
-const RETRY_PROOF_AGE: Millis = Millis(150);
+/// Age from which even the newest proof in its subset makes a gateway prefer other targets of its data
+/// centre, if they have given a recent proof.
+const OLD_PROOF_AGE: Millis = Millis(500);
+/// Age up to which a proof counts as recent.
+const RECENT_PROOF_AGE: Millis = Millis(250);
 /// Requests that a target receives beyond its slots. The target's own queue ignores priorities, and
 /// a request that waits there delays all requests behind it.
 const MAX_QUEUED: u32 = 1;
@@ -79,21 +79,6 @@
         self.pick_up_to(now, class, worst, tried, rng)
     }
 
-    /// Like [`Balancer::pick`] for an at-most-once request, if the target has given a proof within
-    /// [`MAX_PROOF_AGE`].
-    pub fn pick_proven(
-        &mut self,
-        now: Timestamp,
-        tried: &[BalancedKey],
-        rng: &mut impl Rng,
-    ) -> Option<Pick> {
-        let key = self.draw_up_to(now, RequestClass::Once, Tier::FloorFree, tried, rng)?;
-        if self.targets[key].proof_age(now) > MAX_PROOF_AGE {
-            return None;
-        }
-        Some(self.start(now, key))
-    }
-
     /// Picks a suspected target with a free slot that is due for a trial, for an idempotent request
     /// that has not been sent yet. This takes no slots from other requests, which avoid the target.
     pub fn pick_trial(&mut self, now: Timestamp) -> Option<Pick> {
@@ -230,10 +215,9 @@
                 .iter()
                 .map(|key| (self.targets[*key].proof_age(now), *key));
             let (age, key) = if explores { proofs.max() } else { proofs.min() }?;
-            if class == RequestClass::Once || explores || age <= RETRY_PROOF_AGE {
+            if explores || age <= OLD_PROOF_AGE {
                 return Some(key);
             }
-            // The last send of an idempotent request must not explore.
             candidates = self.recently_proven(now, class, tried, floor_limit);
             if candidates.is_empty() {
                 return Some(key);
@@ -262,7 +246,7 @@
     }
 
     /// The local targets of other subsets that have at least two free slots, one of which its own gateway
-    /// may take at the same moment, and a proof younger than [`RETRY_PROOF_AGE`].
+    /// may take at the same moment, and a recent proof from any gateway.
     fn recently_proven(
         &self,
         now: Timestamp,
@@ -274,7 +258,7 @@
             .iter()
             .filter(|(key, target)| !tried.contains(key) && !target.is_paused(now))
             .filter(|(_, target)| {
-                target.proof_age(now) <= RETRY_PROOF_AGE && target.free_slots(now) >= 2
+                target.proof_age(now) <= RECENT_PROOF_AGE && target.free_slots(now) >= 2
             })
             .filter(|(_, target)| self.tier(now, class, target, floor_limit) == Tier::LocalFree)
             .map(|(key, _)| key)
--- a/crates/auburnbridge_policy/tests/balance_load/simulation.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/simulation.rs
@@ -128,9 +128,6 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Place {
-        request: usize,
-    },
     Arrive {
         kind: usize,
     },
@@ -338,7 +335,6 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive { kind } => self.arrive(kind),
-            Event::Place { request } => self.place(request),
             Event::ReachTarget { request, send } if self.is_current(request, send) => {
                 self.reach_target(request);
             }
@@ -401,7 +397,6 @@
         let placement_request = PlacementRequest {
             class: kind.class,
             priority: kind.priority,
-            arrived: time(req.arrived),
             deadline: time(req.arrived + kind.deadline_ms),
             objective: time(req.arrived + kind.objective_ms),
             tried: &tried,
@@ -416,7 +411,6 @@
                 let wait = req.waits;
                 self.schedule(max_wait.0, Event::Expire { request, wait });
             }
-            Placement::Defer(wait) => self.schedule(wait.0, Event::Place { request }),
             Placement::Refuse(refusal) => self.refuse(request, refusal.retry_after),
         }
     }
--- a/crates/auburnbridge_policy/tests/resend_budget.rs
+++ b/crates/auburnbridge_policy/tests/resend_budget.rs
@@ -116,7 +116,6 @@
     let request = PlacementRequest {
         class: RequestClass::Idempotent,
         priority: 1,
-        arrived: time(now),
         deadline: time(now + 1_500),
         objective: time(now + 800),
         tried: &[],
@@ -147,7 +146,6 @@
     let request = PlacementRequest {
         class: RequestClass::Idempotent,
         priority: 1,
-        arrived: time(1_500),
         deadline: time(3_000),
         objective: time(2_300),
         tried: &[],
