Explore and try targets only where another send is left, and only when it pays

Ruled out: longer intervals between trials while slots are free; in the load model the small fleet then refuses 2.0% of its lookups instead of 1.3%.

Change: a request that can be sent only once more is placed like an order: no trial, no exploring. Lookups try due targets, and gateways beyond the subset's own make trials, only while this gateway loses a fifth of its own requests.

--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -170,6 +170,7 @@
             deadline: incoming.deadline,
             objective: incoming.objective,
             tried: &self.tried,
+            is_last_send: self.sends + 1 >= incoming.route.max_attempts,
         }
     }
 
@@ -194,6 +195,7 @@
     }
 
     fn deliver(&self, response: Response) -> Response {
+        self.exchanger.dispatcher.record_outcome(true);
         self.log_request(response.status, "answered", None);
         response
     }
@@ -201,6 +203,7 @@
     /// The response to a request that is sent to no further target.
     fn give_up(&self, last_error: Option<Response>, refusal: Option<Refusal>) -> Response {
         let exchanger = self.exchanger;
+        exchanger.dispatcher.record_outcome(false);
         if self.may_have_run {
             if let Some(response) = last_error {
                 self.log_request(response.status, "target-error", None);
--- a/crates/auburnbridge_gateway/src/service_dispatcher.rs
+++ b/crates/auburnbridge_gateway/src/service_dispatcher.rs
@@ -110,6 +110,12 @@
         self.inner.lock().record_request(now, priority);
     }
 
+    /// Records whether a request was served.
+    pub(crate) fn record_outcome(&self, is_served: bool) {
+        let now = self.clock.now();
+        self.inner.lock().record_outcome(now, is_served);
+    }
+
     /// Takes a resend, for a retry or a hedge, from the budget; `false` if none remains.
     pub(crate) fn try_resend(&self) -> bool {
         let now = self.clock.now();
--- a/crates/auburnbridge_policy/examples/dispatch_cost.rs
+++ b/crates/auburnbridge_policy/examples/dispatch_cost.rs
@@ -49,6 +49,7 @@
         deadline: START.after(Millis(1_500)),
         objective: START.after(Millis(800)),
         tried: &[],
+        is_last_send: false,
     };
     match black_box(dispatcher.place(START, &request, || ())) {
         Placement::Start(pick) => dispatcher.finish(START, pick.key, Some(Finding::Answered)),
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -23,6 +23,12 @@
 /// Share of lost requests from which a service counts as losing many: somewhat less than the tenth
 /// from which operators expect the floor's share of the targets to receive requests.
 const HEAVY_LOSS_SHARE: f64 = 0.09;
+/// Share of its own requests whose loss makes a gateway try the targets that nobody uses, and the number
+/// of recent losses below which the share says nothing.
+const HEAVY_OWN_LOSS_SHARE: f64 = 0.2;
+const MIN_OWN_LOSSES: f64 = 1.5;
+/// Time constant with which outcomes of requests are forgotten.
+const OUTCOME_MEMORY: Millis = Millis(3_000);
 /// Rate of lost requests below which a service never counts as losing many, since single failures say
 /// nothing about the share: two in a second.
 const MIN_HEAVY_LOSS_PER_MS: f64 = 0.002;
@@ -92,6 +98,9 @@
     answer_times: AnswerTimes,
     /// Rate of failures on targets that were not suspected.
     surprises: EventRate,
+    /// Requests of this gateway that were served, and those that were not.
+    served: EventRate,
+    lost: EventRate,
     /// When the first request was placed.
     first_placed: Option<Timestamp>,
     /// When an idempotent request was last placed.
@@ -113,6 +122,8 @@
             reports: HashMap::new(),
             answer_times: AnswerTimes::default(),
             surprises: EventRate::default(),
+            served: EventRate::with_time_constant(OUTCOME_MEMORY),
+            lost: EventRate::with_time_constant(OUTCOME_MEMORY),
             first_placed: None,
             last_idempotent: None,
             unreported: Vec::new(),
@@ -359,6 +370,22 @@
             || is_recent(self.last_idempotent)
     }
 
+    /// Records whether a request of this gateway was served.
+    pub(super) fn record_outcome(&mut self, now: Timestamp, is_served: bool) {
+        let outcomes = if is_served {
+            &mut self.served
+        } else {
+            &mut self.lost
+        };
+        outcomes.record(now);
+    }
+
+    /// Whether this gateway loses a fifth or more of its own requests to the service.
+    pub(super) fn loses_own(&self, now: Timestamp) -> bool {
+        let (lost, served) = (self.lost.count(now), self.served.count(now));
+        lost >= MIN_OWN_LOSSES && lost >= HEAVY_OWN_LOSS_SHARE * (lost + served)
+    }
+
     /// Whether the service loses so many requests on all gateways together that the operators' floor
     /// has to be used. The losses are the failures of targets that were not suspected; the served
     /// requests follow from those in flight and the average answer time.
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -43,6 +43,19 @@
     pub objective: Timestamp,
     /// Targets to which the request was already sent.
     pub tried: &'a [BalancedKey],
+    /// Whether the request can be sent only once more.
+    pub is_last_send: bool,
+}
+
+impl PlacementRequest<'_> {
+    /// The class by which a target is selected: the last send of a request must not fail either.
+    fn selection_class(&self) -> RequestClass {
+        if self.is_last_send {
+            RequestClass::Once
+        } else {
+            self.class
+        }
+    }
 }
 
 /// Result of [`Dispatcher::place`].
@@ -111,6 +124,11 @@
         self.waiting.record_arrival(now, priority);
     }
 
+    /// Records whether a request was served, once for each request that its caller has waited for.
+    pub fn record_outcome(&mut self, now: Timestamp, is_served: bool) {
+        self.balancer.record_outcome(now, is_served);
+    }
+
     /// Takes a resend from the budget if any remains.
     pub fn try_resend(&mut self, now: Timestamp) -> bool {
         self.budget.try_resend(now, self.balancer.gateway_count())
@@ -130,7 +148,8 @@
         item: impl FnOnce() -> T,
     ) -> Placement {
         self.balancer.record_class(now, request.class);
-        let allows_trial = request.class == RequestClass::Idempotent && request.tried.is_empty();
+        let class = request.selection_class();
+        let allows_trial = class == RequestClass::Idempotent && request.tried.is_empty();
         if allows_trial
             && self.has_unreserved_resends(now)
             && let Some(pick) = self.balancer.pick_trial(now)
@@ -141,10 +160,7 @@
             .waiting
             .first()
             .is_none_or(|(first, _)| first.priority() > request.priority);
-        if is_next
-            && let Some(pick) = self
-                .balancer
-                .pick(now, request.class, request.tried, &mut self.rng)
+        if is_next && let Some(pick) = self.balancer.pick(now, class, request.tried, &mut self.rng)
         {
             return Placement::Start(pick);
         }
@@ -153,7 +169,7 @@
             // Without an unsuspected target there is no slot worth waiting for.
             return match self
                 .balancer
-                .pick_any(now, request.class, request.tried, &mut self.rng)
+                .pick_any(now, class, request.tried, &mut self.rng)
             {
                 Some(pick) => Placement::Start(pick),
                 None if self.returns_in_time(now, request) => {
@@ -186,7 +202,7 @@
             deadline: request.deadline,
             objective: request.objective,
             item: Waiter {
-                class: request.class,
+                class: request.selection_class(),
                 tried: request.tried.to_vec(),
                 busy_allowed_at: now.after(busy_fallback_delay(now, request, &capacity)),
                 item: item(),
@@ -252,7 +268,7 @@
             return None;
         }
         self.balancer
-            .pick(now, request.class, request.tried, &mut self.rng)
+            .pick(now, RequestClass::Once, request.tried, &mut self.rng)
     }
 
     /// Records a finding about the target of a request that is still in flight.
--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -151,12 +151,16 @@
 
     /// Whether a suspected target is due for a trial by this gateway. The trials of a target are made by
     /// the gateway that has it in its subset. In a small service that gateway may get no request in
-    /// time, so the others of the data centre make one if the target has been unused for longer.
+    /// time, so while many requests are lost, the others of the data centre make one if the target has
+    /// been unused for longer.
     fn is_due_for_trial(&self, now: Timestamp, target: &BalancedTarget) -> bool {
         if target.in_subset {
             return now.since(target.last_activity) >= self.trial_interval(now, target);
         }
-        !self.prefers_subset && self.is_local(target) && self.is_unused(now, target)
+        !self.prefers_subset
+            && self.loses_own(now)
+            && self.is_local(target)
+            && self.is_unused(now, target)
     }
 
     fn is_local(&self, target: &BalancedTarget) -> bool {
@@ -265,13 +269,15 @@
             .collect()
     }
 
-    /// Whether a request goes to a target that is due before all others. An idempotent request can be
-    /// retried; where the gateway prefers its subset, it goes to the target there with the oldest proof
-    /// anyway. A service without idempotent requests uses at-most-once requests, but only while it loses
-    /// many: targets that have recovered are then not found otherwise.
+    /// Whether a request goes to a target that is due before all others, which happens only while many
+    /// requests are lost. Idempotent requests do so unless the gateway prefers its subset, where they go
+    /// to the target with the oldest proof anyway. A service without idempotent requests uses
+    /// at-most-once requests, since targets that have recovered are not found otherwise.
     fn tries_due(&self, now: Timestamp, class: RequestClass, tried: &[BalancedKey]) -> bool {
         match class {
-            RequestClass::Idempotent => tried.is_empty() && !self.prefers_subset,
+            RequestClass::Idempotent => {
+                tried.is_empty() && !self.prefers_subset && self.loses_own(now)
+            }
             RequestClass::Once => !self.may_have_idempotent_requests(now) && self.loses_many(now),
         }
     }
--- a/crates/auburnbridge_policy/src/balance/wait_queue.rs
+++ b/crates/auburnbridge_policy/src/balance/wait_queue.rs
@@ -93,13 +93,35 @@
 }
 
 /// Rate of recent events, as an exponentially decaying count.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct EventRate {
     count: f64,
     at: Timestamp,
+    time_constant: Millis,
+}
+
+impl Default for EventRate {
+    fn default() -> Self {
+        Self::with_time_constant(RATE_TIME_CONSTANT)
+    }
 }
 
 impl EventRate {
+    /// Creates a rate without events; an event counts for about `time_constant`.
+    pub fn with_time_constant(time_constant: Millis) -> Self {
+        Self {
+            count: 0.0,
+            at: Timestamp(0),
+            time_constant,
+        }
+    }
+
+    /// Number of recent events, each weighted by its age.
+    pub fn count(mut self, now: Timestamp) -> f64 {
+        self.decay(now);
+        self.count
+    }
+
     /// Counts an event.
     pub fn record(&mut self, now: Timestamp) {
         self.decay(now);
@@ -109,12 +131,12 @@
     /// Events per millisecond.
     pub fn per_ms(mut self, now: Timestamp) -> f64 {
         self.decay(now);
-        self.count / millis_to_f64(RATE_TIME_CONSTANT)
+        self.count / millis_to_f64(self.time_constant)
     }
 
     fn decay(&mut self, now: Timestamp) {
         let age = millis_to_f64(now.since(self.at));
-        self.count *= (-age / millis_to_f64(RATE_TIME_CONSTANT)).exp();
+        self.count *= (-age / millis_to_f64(self.time_constant)).exp();
         self.at = now;
     }
 }
--- a/crates/auburnbridge_policy/tests/balance_load/simulation.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/simulation.rs
@@ -25,6 +25,8 @@
 const FAILURE_DELAY_MS: u64 = 2;
 /// Time after which an attempt to connect is abandoned.
 const CONNECT_TIMEOUT_MS: u64 = 120;
+/// Sends that a request is allowed.
+const MAX_SENDS: u32 = 2;
 /// Capacity of a target's own queue, beyond which it sheds requests.
 const TARGET_QUEUE_CAPACITY: usize = 16;
 
@@ -400,6 +402,7 @@
             deadline: time(req.arrived + kind.deadline_ms),
             objective: time(req.arrived + kind.objective_ms),
             tried: &tried,
+            is_last_send: req.sends + 1 >= MAX_SENDS,
         };
         let gateway = &mut self.gateways[req.gateway];
         match gateway.place(time(self.now), &placement_request, || request) {
@@ -436,6 +439,7 @@
 
     fn refuse(&mut self, request: usize, retry_after: Millis) {
         let req = &self.requests[request];
+        self.gateways[req.gateway].record_outcome(time(self.now), false);
         self.outcome.lost_ms.push(req.arrived);
         if !self.is_counted(req.arrived) {
             return;
@@ -600,6 +604,7 @@
 
     fn answer(&mut self, request: usize) {
         let req = &self.requests[request];
+        self.gateways[req.gateway].record_outcome(time(self.now), true);
         if !self.is_counted(req.arrived) {
             return;
         }
@@ -623,9 +628,11 @@
             && kind.class == RequestClass::Once;
         let is_over = self.now >= req.arrived + kind.deadline_ms;
         let (sends, gateway) = (req.sends, req.gateway);
-        let mut may_resend =
-            || sends == 0 || (sends < 2 && self.gateways[gateway].try_resend(time(self.now)));
+        let mut may_resend = || {
+            sends == 0 || (sends < MAX_SENDS && self.gateways[gateway].try_resend(time(self.now)))
+        };
         if is_lost || is_over || !may_resend() {
+            self.gateways[gateway].record_outcome(time(self.now), false);
             self.outcome.lost_ms.push(req.arrived);
             if self.is_counted(req.arrived) {
                 self.outcome.tallies[req.kind].failed += 1;
--- a/crates/auburnbridge_policy/tests/resend_budget.rs
+++ b/crates/auburnbridge_policy/tests/resend_budget.rs
@@ -119,6 +119,7 @@
         deadline: time(now + 1_500),
         objective: time(now + 800),
         tried: &[],
+        is_last_send: false,
     };
     match dispatcher.place(time(now), &request, || ()) {
         Placement::Start(pick) => pick.target.to_string(),
@@ -149,6 +150,7 @@
         deadline: time(3_000),
         objective: time(2_300),
         tried: &[],
+        is_last_send: false,
     };
     for _ in 0..6 {
         let hedge = dispatcher.pick_hedge(time(1_500), &request).unwrap();
