Try due targets with orders only from the share at which the floor binds

Ruled out: leaving out weakly suspected targets; 3 windows of the pattern then fall below the floor. Change: the share that counts as heavy is a tenth, and an order takes a due target after 1.2 s without use instead of 0.7 s.

--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -20,9 +20,9 @@
 const PROOF_AGE_STEP_MS: u64 = 8;
 /// Share of the slots in use from which a service counts as crowded.
 const CROWDED_SLOT_SHARE: f64 = 0.6;
-/// Share of lost requests from which a service counts as losing many: somewhat less than the tenth
+/// Share of lost requests from which a service counts as losing many, and
 /// from which operators expect the floor's share of the targets to receive requests.
-const HEAVY_LOSS_SHARE: f64 = 0.09;
+const HEAVY_LOSS_SHARE: f64 = 0.1;
 /// Share of its own requests whose loss makes a gateway try the targets that nobody uses, and the number
 /// of recent losses below which the share says nothing.
 const HEAVY_OWN_LOSS_SHARE: f64 = 0.2;
--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -22,6 +22,8 @@
 const UNUSED_AFTER: Millis = Millis(700);
 /// The same for a strongly suspected target.
 const STRONG_UNUSED_AFTER: Millis = Millis(1_000);
+/// The same for an at-most-once request, which is lost if the target fails.
+const ONCE_UNUSED_AFTER: Millis = Millis(1_200);
 /// Longest addition to these times.
 const UNUSED_SPREAD: Millis = Millis(400);
 /// Age from which even the newest proof in its subset makes a gateway prefer other targets of its data
@@ -160,7 +162,7 @@
         !self.prefers_subset
             && self.loses_own(now)
             && self.is_local(target)
-            && self.is_unused(now, target)
+            && self.is_unused(now, RequestClass::Idempotent, target)
     }
 
     fn is_local(&self, target: &BalancedTarget) -> bool {
@@ -294,14 +296,16 @@
             && now >= target.shed_until
             && target.free_slots(now) > 0
             && target.suspicion(now) < max_suspicion
-            && self.is_unused(now, target)
+            && self.is_unused(now, class, target)
     }
 
     /// Whether no gateway has used the target for [`UNUSED_AFTER`], as far as it is known. The time
     /// differs by gateway and target, so that not all gateways try it at once.
-    fn is_unused(&self, now: Timestamp, target: &BalancedTarget) -> bool {
+    fn is_unused(&self, now: Timestamp, class: RequestClass, target: &BalancedTarget) -> bool {
         let after = if target.suspicion(now) >= STRONG_THRESHOLD {
             STRONG_UNUSED_AFTER
+        } else if class == RequestClass::Once {
+            ONCE_UNUSED_AFTER
         } else {
             UNUSED_AFTER
         };
