Let the gateway of the subset try a due target first

Cause: several gateways tried the same due target before they heard of each other's requests. Change: the gateway that has it in its subset comes 100 to 500 ms before the others.

--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -20,8 +20,8 @@
 const PROOF_AGE_STEP_MS: u64 = 8;
 /// Share of the slots in use from which a service counts as crowded.
 const CROWDED_SLOT_SHARE: f64 = 0.6;
-/// Share of lost requests from which a service counts as losing many, and
-/// from which operators expect the floor's share of the targets to receive requests.
+/// Share of lost requests from which a service counts as losing many: operators expect the floor's share
+/// of the targets to receive requests from there on.
 const HEAVY_LOSS_SHARE: f64 = 0.1;
 /// Share of its own requests whose loss makes a gateway try the targets that nobody uses, and the number
 /// of recent losses below which the share says nothing.
--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -18,13 +18,14 @@
 const WEAK_TRIAL_INTERVAL: Millis = Millis(150);
 /// The same for a strongly suspected target.
 const STRONG_TRIAL_INTERVAL: Millis = Millis(700);
-/// Time without use after which a target is tried by any gateway of its data centre.
-const UNUSED_AFTER: Millis = Millis(700);
+/// Time without use after which a target is tried by the gateway that has it in its subset.
+const UNUSED_AFTER: Millis = Millis(600);
 /// The same for a strongly suspected target.
 const STRONG_UNUSED_AFTER: Millis = Millis(1_000);
 /// The same for an at-most-once request, which is lost if the target fails.
-const ONCE_UNUSED_AFTER: Millis = Millis(1_200);
-/// Longest addition to these times.
+const ONCE_UNUSED_AFTER: Millis = Millis(1_000);
+/// Addition to these times for the other gateways of the data centre, and the longest further one.
+const OTHERS_DELAY: Millis = Millis(100);
 const UNUSED_SPREAD: Millis = Millis(400);
 /// Age from which even the newest proof in its subset makes a gateway prefer other targets of its data
 /// centre, if they have given a recent proof.
@@ -299,8 +300,9 @@
             && self.is_unused(now, class, target)
     }
 
-    /// Whether no gateway has used the target for [`UNUSED_AFTER`], as far as it is known. The time
-    /// differs by gateway and target, so that not all gateways try it at once.
+    /// Whether no gateway has used the target for some time, as far as it is known. The gateway that has
+    /// it in its subset comes first, and the time of the others differs, so that they don't all try it
+    /// before they hear of each other's requests.
     fn is_unused(&self, now: Timestamp, class: RequestClass, target: &BalancedTarget) -> bool {
         let after = if target.suspicion(now) >= STRONG_THRESHOLD {
             STRONG_UNUSED_AFTER
@@ -309,8 +311,12 @@
         } else {
             UNUSED_AFTER
         };
-        let spread = (self.options.seed ^ u64::from(target.hash.0)) % UNUSED_SPREAD.0;
-        now.since(target.last_used) >= Millis(after.0 + spread)
+        let delay = if target.in_subset {
+            0
+        } else {
+            OTHERS_DELAY.0 + (self.options.seed ^ u64::from(target.hash.0)) % UNUSED_SPREAD.0
+        };
+        now.since(target.last_used) >= Millis(after.0 + delay)
     }
 
     fn tier(
