--- a/crates/auburnbridge/tests/processes/platform.rs
+++ b/crates/auburnbridge/tests/processes/platform.rs
@@ -2,6 +2,8 @@
 //! keepers and gateways are killed, lose their data or are stopped.
 
 use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -204,6 +206,87 @@
     }
 }
 
+/// Guards against a process that ends or stops serving because one of its ports receives something
+/// malformed.
+#[test]
+fn malformed_input_on_any_port_ends_no_process() {
+    let (fleet, target) = serving_fleet(23, 3);
+    let nested = format!("{}{}", "[".repeat(300_000), "]".repeat(300_000));
+    let put = |path: &str, body: &str| {
+        let length = body.len();
+        format!("PUT {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}")
+            .into_bytes()
+    };
+    let payloads: Vec<Vec<u8>> = vec![
+        vec![0; 3_000],
+        vec![0xff; 3_000],
+        b"\0\0\0\x01\x01".to_vec(),
+        // A frame that states a length of 4 GiB, and one of the right version with a cut value.
+        [&[0xff, 0xff, 0xff, 0xff][..], &[1; 64]].concat(),
+        [&[0, 0, 0, 3][..], &[1, 7, 0xff]].concat(),
+        vec![1, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1],
+        b"GET / HTTP/9.9\r\n\r\n".to_vec(),
+        b"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 99999999999999999999\r\n\r\n"
+            .to_vec(),
+        b"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"
+            .to_vec(),
+        b"GET /a/x HTTP/1.1\r\nHost: shop.example\r\nDeadline-Ms: 99999999999999999999999\r\n\r\n".to_vec(),
+        [b"GET /".as_slice(), &[b'x'; 200_000], b" HTTP/1.1\r\n\r\n"].concat(),
+        put(CONFIG, &nested),
+        put(CONFIG, r#"{"version":"ffffffffffffffff"}"#),
+        put(&target_path("i-7"), &nested),
+        put(&target_path("i-8"), &target.announcement(READY, 1).replace(":4}", ":4294967295}")),
+        put(&target_path("i-9"), &target.announcement(READY, 1).replace("127.0.0.1", "127.0.0.1:1")),
+        put(&target_path(&"i".repeat(10_000)), &target.announcement(READY, 1)),
+        b"DELETE /instances/%ff%00 HTTP/1.1\r\nHost: x\r\n\r\n".to_vec(),
+    ];
+    let (tcp, udp) = fleet.ports();
+    for payload in &payloads {
+        for address in &tcp {
+            send_bytes(*address, payload);
+        }
+        for address in &udp {
+            let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+            let _ = socket.send_to(&payload[..payload.len().min(2_000)], address);
+        }
+    }
+    for gateway in 0..2 {
+        assert!(is_served(&fleet, gateway, "/a/x"));
+        assert!(fleet.is_ready(gateway));
+    }
+    fleet.publish(&document(2, "/b/"));
+    eventually("version 2 is not in force", || is_served(&fleet, 1, "/b/x"));
+    for process in [
+        "control-0",
+        "control-1",
+        "control-2",
+        "gateway-0",
+        "gateway-1",
+    ] {
+        let log = fleet.log(process);
+        assert!(!log.contains("panicked"), "{log}");
+        let starts = log.matches("\"message\":\"gateway started\"").count()
+            + log.matches("listens on").count();
+        assert_eq!(starts, 1, "{process} was restarted");
+    }
+}
+
+/// Sends bytes on a connection of their own and waits shortly for a reaction.
+fn send_bytes(address: SocketAddr, bytes: &[u8]) {
+    let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
+        panic!("{address} accepts no connection");
+    };
+    stream
+        .set_read_timeout(Some(Duration::from_millis(20)))
+        .unwrap();
+    stream
+        .set_write_timeout(Some(Duration::from_secs(1)))
+        .unwrap();
+    // The process may close the connection at any byte.
+    let _ = stream.write_all(bytes);
+    let _ = stream.read(&mut [0; 256]);
+}
+
 /// Guards against a planned stop that cuts off a request, and against a stopping gateway that stays
 /// ready.
 #[test]
--- a/crates/auburnbridge/tests/processes/platform_fleet.rs
+++ b/crates/auburnbridge/tests/processes/platform_fleet.rs
@@ -155,6 +155,23 @@
         }
     }
 
+    /// TCP addresses of all processes, and UDP addresses of the gateways.
+    pub fn ports(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let (mut tcp, mut udp) = (Vec::new(), Vec::new());
+        for number in 0..u8::try_from(self.controls.len()).unwrap() {
+            tcp.push(self.control(number));
+            tcp.push((self.control_vm(number), self.keeper_port).into());
+        }
+        for number in 0..u8::try_from(self.gateways.len()).unwrap() {
+            let vm = self.gateway_vm(number);
+            tcp.push(self.caller(number));
+            tcp.push((vm, self.readiness_port).into());
+            tcp.push((vm, self.keeper_port).into());
+            udp.push((vm, self.keeper_port).into());
+        }
+        (tcp, udp)
+    }
+
     /// Keeps settings, data and logs after the test; returns their folder.
     pub fn keep_files(&mut self) -> &std::path::Path {
         self.folder.disable_cleanup(true);
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -126,6 +126,11 @@
         &self.services
     }
 
+    /// Memory that the bodies of requests and responses use.
+    pub fn body_memory(&self) -> ByteSize {
+        self.budget.used()
+    }
+
     /// Puts `routes` in force if their version is newer than the current one, since versions never go
     /// back. Returns whether it did.
     pub fn install_routes(&self, routes: RouteSet) -> bool {
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -42,6 +42,8 @@
     DisconnectAfter(u64),
     /// Responds like `Respond` after a time in milliseconds.
     RespondAfter(u64, &'static str),
+    /// Sends the first text once and the second one over and over, until the gateway closes.
+    Endless(&'static str, &'static str),
     /// Sends no response and keeps the connection open.
     Hang,
 }
@@ -56,6 +58,9 @@
 pub const SERVER_ERROR: &str =
     "HTTP/1.1 500 Internal Server Error\r\nAttempt: {id}\r\nSeal: e\r\nContent-Length: 1\r\n\r\ne";
 
+/// Memory for the bodies of all requests and responses of a gateway.
+pub const BODY_MEMORY: ByteSize = ByteSize(1 << 20);
+
 /// A target and the requests that it received.
 pub struct Target {
     pub name: &'static str,
@@ -102,6 +107,10 @@
                 task::sleep(Duration::from_millis(time_ms)).await;
                 return;
             }
+            Behaviour::Endless(start, repeated) => {
+                send_endlessly(connection.get_mut(), &start.replace("{id}", &id), repeated).await;
+                return;
+            }
             Behaviour::Hang => {
                 task::sleep(Duration::from_secs(30)).await;
                 return;
@@ -122,6 +131,14 @@
     }
 }
 
+async fn send_endlessly(stream: &mut TcpStream, start: &str, repeated: &str) {
+    let block = repeated.repeat(64 * 1024 / repeated.len().max(1));
+    if stream.write_all(start.as_bytes()).await.is_err() {
+        return;
+    }
+    while stream.write_all(block.as_bytes()).await.is_ok() {}
+}
+
 /// Dialect with header names of its own.
 struct TestDialect;
 
@@ -227,7 +244,7 @@
         clock: Arc::clone(&clock),
         dialect: Arc::new(TestDialect),
         pool,
-        budget: MemoryBudget::new(ByteSize(1 << 20)),
+        budget: MemoryBudget::new(BODY_MEMORY),
         metrics: Arc::default(),
         seed: 1,
     };
--- a/crates/auburnbridge_messages/src/lib.rs
+++ b/crates/auburnbridge_messages/src/lib.rs
@@ -22,6 +22,9 @@
 /// Maximum size of a message: the complete rules text at design scale, or one log message.
 pub const MESSAGE_LIMIT: ByteSize = ByteSize(48 << 20);
 
+/// Maximum size of a configuration document before its compression.
+pub const DOCUMENT_LIMIT: ByteSize = ByteSize(64 << 20);
+
 /// A request or one-way message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -150,10 +153,24 @@
 
 /// Decompresses the output of [`compress_document`].
 ///
-/// Returns [`CodecError::Malformed`] if the data is corrupt.
+/// Returns [`CodecError::TooLarge`] if the data states a size above [`DOCUMENT_LIMIT`], for which no
+/// memory is allocated, and [`CodecError::Malformed`] if it is corrupt.
 pub fn decompress_document(compressed: &[u8]) -> Result<Vec<u8>, CodecError> {
-    lz4_flex::decompress_size_prepended(compressed)
-        .map_err(|error| CodecError::Malformed(error.to_string()))
+    let malformed = |reason: &dyn std::fmt::Display| CodecError::Malformed(reason.to_string());
+    let (size, block) =
+        lz4_flex::block::uncompressed_size(compressed).map_err(|error| malformed(&error))?;
+    let stated = ByteSize(size as u64);
+    if stated > DOCUMENT_LIMIT {
+        return Err(CodecError::TooLarge {
+            size: stated,
+            limit: DOCUMENT_LIMIT,
+        });
+    }
+    let document = lz4_flex::decompress(block, size).map_err(|error| malformed(&error))?;
+    if document.len() != size {
+        return Err(malformed(&"the document is shorter than it states"));
+    }
+    Ok(document)
 }
 
 /// Evidence about the targets of one service.
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -407,10 +407,10 @@
                 continue;
             }
             if target.is_paused(now) {
-                summary.paused_slots += target.member.slots.0;
+                summary.paused_slots = summary.paused_slots.saturating_add(target.member.slots.0);
             } else {
                 summary.unsuspected += 1;
-                summary.slots += target.member.slots.0;
+                summary.slots = summary.slots.saturating_add(target.member.slots.0);
             }
         }
         summary
--- a/crates/auburnbridge_policy/tests/balancer.rs
+++ b/crates/auburnbridge_policy/tests/balancer.rs
@@ -360,3 +360,23 @@
     let report = balancer.load_report(time(301));
     assert_eq!(report.in_flight[0].proof_age, u8::MAX);
 }
+
+/// Guards against overflows where a target states an absurd number of slots.
+#[test]
+fn absurd_number_of_slots_is_harmless() {
+    let members: Vec<BalancedMember> = ["t-1", "t-2", "t-3"]
+        .iter()
+        .map(|name| BalancedMember {
+            slots: Slots(u32::MAX),
+            ..member(name, "north")
+        })
+        .collect();
+    let mut balancer = balancer(&members);
+    for now in 0..50 {
+        for class in [RequestClass::Once, RequestClass::Idempotent] {
+            assert!(pick(&mut balancer, now, class).is_some());
+        }
+    }
+    assert_eq!(balancer.summary(time(50)).in_flight, 100);
+    assert!(!balancer.is_crowded(time(50)));
+}
