--- a/crates/auburnbridge/tests/processes/platform.rs
+++ b/crates/auburnbridge/tests/processes/platform.rs
@@ -231,7 +231,7 @@
         b"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"
             .to_vec(),
         b"GET /a/x HTTP/1.1\r\nHost: shop.example\r\nDeadline-Ms: 99999999999999999999999\r\n\r\n".to_vec(),
-        [b"GET /".as_slice(), &[b'x'; 200_000], b" HTTP/1.1\r\n\r\n"].concat(),
+        [b"GET /".as_slice(), &vec![b'x'; 200_000], b" HTTP/1.1\r\n\r\n"].concat(),
         put(CONFIG, &nested),
         put(CONFIG, r#"{"version":"ffffffffffffffff"}"#),
         put(&target_path("i-7"), &nested),
