--- a/crates/auburnbridge_policy/tests/balance_load/main.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/main.rs
@@ -170,10 +170,8 @@
     }
 }
 
-/// A burst to about twice the capacity for three seconds. Lookups must not take the slots of orders
-/// or delay them.
-#[test]
-fn burst_serves_higher_priorities_first() {
+/// A burst to about twice the capacity for three seconds.
+fn burst() -> Scenario {
     fn lookups(at_ms: u64) -> f64 {
         if (6_000..9_000).contains(&at_ms) {
             250.0
@@ -188,11 +186,16 @@
             110.0
         }
     }
+    scenario(lookups, orders)
+}
+
+/// Checks that lookups neither take the slots of orders nor delay them.
+fn assert_orders_come_first(make: impl Fn() -> Scenario) {
     let light: Vec<f64> = run_seeds(light_load)
         .iter()
         .map(|outcome| outcome.tallies[ORDER].mean_answer_ms())
         .collect();
-    for (outcome, light) in run_seeds(|| scenario(lookups, orders)).iter().zip(light) {
+    for (outcome, light) in run_seeds(make).iter().zip(light) {
         let (lookups, orders) = (&outcome.tallies[LOOKUP], &outcome.tallies[ORDER]);
         assert!(
             orders.served_share() >= lookups.served_share(),
@@ -208,6 +211,22 @@
     }
 }
 
+/// Lookups must not take the slots of orders or delay them in a burst.
+#[test]
+fn burst_serves_higher_priorities_first() {
+    assert_orders_come_first(burst);
+}
+
+/// Requests that wait in a target's own queue in a burst must not count as its silence and take the
+/// target out of use.
+#[test]
+fn burst_with_silence_serves_higher_priorities_first() {
+    assert_orders_come_first(|| Scenario {
+        finds_silence: true,
+        ..burst()
+    });
+}
+
 /// Lookups alone at 1.2 times the capacity throughout. Refusals must not be delayed or allow an
 /// immediate retry.
 #[test]
