--- a/crates/auburnbridge/tests/processes/platform.rs
+++ b/crates/auburnbridge/tests/processes/platform.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::platform_fleet::{PlatformFleet, SealingTarget, eventually};
-use crate::wire::{CONFIG, INVALID_ANNOUNCEMENT, LEAVING, READY, document, target_path};
+use crate::wire::{CONFIG, DEADLINE, INVALID_ANNOUNCEMENT, LEAVING, READY, document, target_path};
 
 fn is_served(fleet: &PlatformFleet, gateway: u8, path: &str) -> bool {
     fleet.send(gateway, "POST", path) == Some(200)
@@ -230,7 +230,10 @@
             .to_vec(),
         b"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"
             .to_vec(),
-        b"GET /a/x HTTP/1.1\r\nHost: shop.example\r\nDeadline-Ms: 99999999999999999999999\r\n\r\n".to_vec(),
+        format!(
+            "GET /a/x HTTP/1.1\r\nHost: shop.example\r\n{DEADLINE}: 99999999999999999999999\r\n\r\n"
+        )
+        .into_bytes(),
         [b"GET /".as_slice(), &vec![b'x'; 200_000], b" HTTP/1.1\r\n\r\n"].concat(),
         put(CONFIG, &nested),
         put(CONFIG, r#"{"version":"ffffffffffffffff"}"#),
@@ -238,7 +241,11 @@
         put(&target_path("i-8"), &target.announcement(READY, 1).replace(":4}", ":4294967295}")),
         put(&target_path("i-9"), &target.announcement(READY, 1).replace("127.0.0.1", "127.0.0.1:1")),
         put(&target_path(&"i".repeat(10_000)), &target.announcement(READY, 1)),
-        b"DELETE /instances/%ff%00 HTTP/1.1\r\nHost: x\r\n\r\n".to_vec(),
+        format!(
+            "DELETE {} HTTP/1.1\r\nHost: x\r\n\r\n",
+            target_path("%ff%00")
+        )
+        .into_bytes(),
     ];
     let (tcp, udp) = fleet.ports();
     for payload in &payloads {
