--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -35,8 +35,8 @@
 /// Requests that a target receives beyond its slots. The target's own queue ignores priorities, and
 /// a request that waits there delays all requests behind it.
 const MAX_QUEUED: u32 = 1;
-/// Free slots beyond which a target gets no more weight, which keeps the sum of weights in range.
-const MAX_WEIGHTED_SLOTS: u32 = 1 << 14;
+/// Free slots beyond which a target gets no more weight, which keeps its weight in range.
+const MAX_WEIGHTED_SLOTS: u32 = 1 << 9;
 /// Exponent with which the weight of a target decreases with its proof age, for requests that must
 /// not fail.
 const PROOF_AGE_EXPONENT: u32 = 3;
@@ -233,11 +233,13 @@
             }
             best = Tier::LocalFree;
         }
-        let weights: Vec<u64> = candidates
+        let weights: Vec<u32> = candidates
             .iter()
             .map(|key| weight(now, explores, best, &self.targets[*key]))
             .collect();
-        let total: u64 = weights.iter().sum();
+        let total = weights
+            .iter()
+            .fold(0_u32, |total, weight| total.saturating_add(*weight));
         if total == 0 {
             return None;
         }
@@ -378,7 +380,7 @@
 /// For a request that explores it increases with the proof age, otherwise it decreases with the
 /// proof age (see [`PROOF_AGE_EXPONENT`]). The factor of 1,024 keeps precision in the integer
 /// divisions.
-fn weight(now: Timestamp, explores: bool, tier: Tier, target: &BalancedTarget) -> u64 {
+fn weight(now: Timestamp, explores: bool, tier: Tier, target: &BalancedTarget) -> u32 {
     match tier {
         Tier::Due
         | Tier::SubsetFree
@@ -387,11 +389,11 @@
         | Tier::FloorFree
         | Tier::SuspectFree
         | Tier::Risky => {
-            let free = u64::from(target.free_slots(now).min(MAX_WEIGHTED_SLOTS));
+            let free = target.free_slots(now).min(MAX_WEIGHTED_SLOTS);
             // Load of other gateways is known with a delay, so targets that they use get less
             // weight: it is divided by the square of one plus the number of their requests, of which
             // at most seven count.
-            let crowding = u64::from((1 + target.others_in_flight).min(8));
+            let crowding = (1 + target.others_in_flight).min(8);
             let weight = free * free * 1_024 / (crowding * crowding);
             let steps = proof_steps(target.proof_age(now));
             if explores {
@@ -406,7 +408,7 @@
 
 /// Proof age in steps of 60 ms, at most 15. Targets begin to fail at any moment, so the probability
 /// that one has done so grows with the time since its last proof.
-fn proof_steps(age: Millis) -> u64 {
+fn proof_steps(age: Millis) -> u32 {
     const STEP: Millis = Millis(60);
-    (age.0 / STEP.0).min(15)
+    u32::try_from(age.0 / STEP.0).unwrap_or(u32::MAX).min(15)
 }
