Remove keepers that don't reply from the group

Cause: a lost member was removed only if the joining keeper had the same VM. One at another address was added beside it, so that the lost ones stayed voters. After four replacements 4 of 8 voters ran and no quorum was left, with which a new keeper could have joined.

Ruled out: seeds that are lost (each earlier replacement became a voter); too short a wait (calls were repeated for 30 s).

Change: the leader removes a member that has not replied for three quarters of `replacement_limit`, down to 2n+1 voters for n tolerated losses. A voter that no leader contacts asks to join again, which changes nothing if it is a member. Joining keepers ask all known keepers at the same time: one lost seed cost a second of the time in which a replacement must count.

Why it works: a replacement adds one voter and the loss takes one away within the limit, so the number of voters that run stays the majority that the tolerated losses need.

--- a/crates/auburnbridge/src/commands/control.rs
+++ b/crates/auburnbridge/src/commands/control.rs
@@ -11,6 +11,7 @@
 use auburnbridge_operator::OperatorKeys;
 use auburnbridge_peer::PeerAddress;
 use auburnbridge_settings::{ControlSettings, Settings};
+use auburnbridge_types::Millis;
 use auburnbridge_utility::UtilityDialect;
 use log::info;
 use parking_lot::Mutex;
@@ -45,6 +46,7 @@
         membership_policy: MembershipPolicy {
             admits_new_vms: true,
             min_voters: 2 * settings.tolerated_losses as usize + 1,
+            reply_limit: Some(reply_limit(settings.replacement_limit)),
         },
         vms_named_by_ip: true,
         heartbeat_interval: settings.heartbeat_interval,
@@ -76,6 +78,12 @@
     Ok(())
 }
 
+/// Time without a reply after which a keeper is removed. The rest of `replacement_limit` is for the
+/// election that its loss may cause, and for the commit of the removal.
+fn reply_limit(replacement_limit: Millis) -> Millis {
+    Millis(replacement_limit.0 * 3 / 4)
+}
+
 /// Peer addresses of the keepers with these control addresses.
 fn keeper_addresses(seeds: &[SocketAddr], peer_port: u16) -> Vec<PeerAddress> {
     seeds
--- a/crates/auburnbridge/tests/processes/platform.rs
+++ b/crates/auburnbridge/tests/processes/platform.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::platform_fleet::{PlatformFleet, SealingTarget, eventually};
+use crate::platform_fleet::{PlatformFleet, REPLACEMENT_LIMIT, SealingTarget, eventually};
 use crate::wire::{CONFIG, DEADLINE, INVALID_ANNOUNCEMENT, LEAVING, READY, document, target_path};
 
 fn is_served(fleet: &PlatformFleet, gateway: u8, path: &str) -> bool {
@@ -206,6 +206,92 @@
     }
 }
 
+/// Whether a keeper returns the newest configuration.
+fn reads_configuration(fleet: &PlatformFleet, number: u8) -> bool {
+    let response = fleet.call(number, "GET", CONFIG, "");
+    response.is_some_and(|response| response.status == 200)
+}
+
+/// Replaces keepers of a group of five at other addresses, one at a time, and publishes a
+/// configuration after each replacement. `replace` ends the keeper with the given number and adds one.
+fn replace_keepers(
+    first_vm: u8,
+    replacements: u8,
+    mut replace: impl FnMut(&mut PlatformFleet, u8, Vec<u8>),
+) {
+    let (mut fleet, _target) = serving_fleet(first_vm, 5);
+    for lost in 0..replacements {
+        let seeds = (lost + 1..lost + 4).collect();
+        replace(&mut fleet, lost, seeds);
+        thread::sleep(2 * REPLACEMENT_LIMIT);
+        let version = 2 + u32::from(lost);
+        fleet.publish(&document(version, "/a/"));
+        eventually("the new keeper reads no configuration", || {
+            reads_configuration(&fleet, lost + 5)
+        });
+    }
+    // The loss of one more is tolerated.
+    fleet.controls[usize::from(replacements)].kill();
+    fleet.publish(&document(20, "/b/"));
+    for gateway in 0..2 {
+        eventually("the last version is not in force", || {
+            is_served(&fleet, gateway, "/b/x")
+        });
+    }
+}
+
+/// Guards against a group without a quorum for good, because keepers that were lost and replaced at
+/// other addresses still counted as voters.
+#[test]
+fn group_outlives_lost_keepers_that_are_replaced_at_other_addresses() {
+    replace_keepers(56, 5, |fleet, lost, seeds| {
+        fleet.controls[usize::from(lost)].kill();
+        fleet.add_control(seeds);
+    });
+}
+
+/// Guards against the same after planned replacements, in which the new keeper starts before the old
+/// one is stopped.
+#[test]
+fn group_outlives_planned_replacements_at_other_addresses() {
+    replace_keepers(96, 6, |fleet, lost, seeds| {
+        let added = fleet.add_control(seeds);
+        eventually("the new keeper is no voter", || {
+            fleet
+                .log(&format!("control-{added}"))
+                .contains("is a voter")
+        });
+        fleet.controls[usize::from(lost)].terminate();
+        assert!(fleet.controls[usize::from(lost)].wait());
+    });
+}
+
+/// Guards against a keeper that stays out of the group after it was removed for its silence.
+#[test]
+fn removed_keeper_that_runs_again_rejoins() {
+    let (mut fleet, _target) = serving_fleet(156, 5);
+    eventually("the keeper is no voter", || {
+        fleet.log("control-4").contains("is a voter")
+    });
+    fleet.controls[4].freeze();
+    eventually("the frozen keeper is not removed", || {
+        let controls = fleet.controls[..4].iter();
+        controls
+            .map(crate::fleet::Process::log)
+            .any(|log| log.contains("removing a keeper that does not reply"))
+    });
+    fleet.publish(&document(2, "/b/"));
+    fleet.controls[4].thaw();
+    eventually("the keeper doesn't return to the group", || {
+        fleet.log("control-4").matches("is a voter").count() == 2
+    });
+    // With it, the group tolerates two more losses.
+    fleet.controls[0].kill();
+    fleet.controls[1].kill();
+    fleet.publish(&document(3, "/c/"));
+    assert!(reads_configuration(&fleet, 4));
+}
+
 /// Guards against a process that ends or stops serving because one of its ports receives something
 /// malformed.
 #[test]
--- a/crates/auburnbridge/tests/processes/platform_fleet.rs
+++ b/crates/auburnbridge/tests/processes/platform_fleet.rs
@@ -18,6 +18,8 @@
 use crate::wire;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a keeper that is lost no longer counts as a member of the group.
+pub const REPLACEMENT_LIMIT: Duration = Duration::from_secs(2);
 
 /// Address of the VM with this number, which is the last octet.
 fn vm_address(number: u8) -> IpAddr {
@@ -41,6 +43,8 @@
     readiness_port: u16,
     keeper_port: u16,
     first_vm: u8,
+    /// Numbers of the control keepers that the settings name as seeds.
+    seeds: Vec<u8>,
 }
 
 impl Drop for PlatformFleet {
@@ -62,6 +66,7 @@
             readiness_port: free_port(),
             keeper_port: free_port(),
             first_vm,
+            seeds: vec![0, 1, 2],
         };
         for number in 0..controls {
             fleet.write_control_settings(number, true);
@@ -79,6 +84,18 @@
         fleet
     }
 
+    /// Starts another control keeper without data; the settings that are written from now on name
+    /// `seeds`. Returns its number.
+    pub fn add_control(&mut self, seeds: Vec<u8>) -> u8 {
+        self.seeds = seeds;
+        let number = u8::try_from(self.controls.len()).unwrap();
+        self.write_control_settings(number, false);
+        let mut process = self.process("control", number);
+        process.start();
+        self.controls.push(process);
+        number
+    }
+
     fn process(&self, role: &'static str, number: u8) -> Process {
         let name = format!("{role}-{number}");
         let path = self.folder.path();
@@ -95,8 +112,10 @@
     }
 
     fn seeds(&self) -> String {
-        let seeds: Vec<String> = (0..3)
-            .map(|number| format!("\"{}:{}\"", self.control_vm(number), self.control_port))
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .map(|number| format!("\"{}:{}\"", self.control_vm(*number), self.control_port))
             .collect();
         seeds.join(", ")
     }
@@ -105,10 +124,11 @@
         let text = format!(
             r#"{{"vm_address": "{ip}", "data_centre": "north", "peer_port": {},
 "control_address": "{ip}:{}", "data_folder": "data-{number}", "seeds": [{}],
-"founds_group": {founds_group}, "tolerated_losses": 1}}"#,
+"founds_group": {founds_group}, "tolerated_losses": 1, "replacement_limit": "{}ms"}}"#,
             self.keeper_port,
             self.control_port,
             self.seeds(),
+            REPLACEMENT_LIMIT.as_millis(),
             ip = self.control_vm(number),
         );
         fs::write(
--- a/crates/auburnbridge_keeper/src/core.rs
+++ b/crates/auburnbridge_keeper/src/core.rs
@@ -18,7 +18,7 @@
 use auburnbridge_metrics::{Counter, Metrics};
 use auburnbridge_rules::Rules;
 use auburnbridge_store::{Store, StoreError};
-use auburnbridge_types::{Clock, Revision, Timestamp, VmId};
+use auburnbridge_types::{Clock, Millis, Revision, Timestamp, VmId};
 use log::{debug, info, warn};
 
 use crate::state::{KeeperState, StateCommand, StateReply};
@@ -108,7 +108,7 @@
     fn current_as_of(&self, time: Timestamp);
 }
 
-/// Who may join the group, and how many voters it needs to accept commands.
+/// Who may join the group, how many voters it needs to accept commands, and who is removed from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MembershipPolicy {
     /// Whether keepers on VMs without a member may join.
@@ -116,6 +116,25 @@
     /// Minimum number of voters for the group to accept commands; `2 * n + 1` voters tolerate the
     /// loss of `n`.
     pub min_voters: usize,
+    /// Time without a reply after which the leader removes a member; `None` if only an operator
+    /// removes members.
+    pub reply_limit: Option<Millis>,
+}
+
+impl MembershipPolicy {
+    /// Picks the member to remove among the `silent` members of a group with `voters` voters.
+    ///
+    /// A removed keeper may join again. Learners are removed first, since they count for nothing,
+    /// and no voter is removed without which fewer than `min_voters` would remain.
+    pub fn pick_lost<'a>(
+        &self,
+        voters: usize,
+        silent: impl Iterator<Item = &'a Member>,
+    ) -> Option<&'a Member> {
+        silent
+            .filter(|member| member.role == MemberRole::Learner || voters > self.min_voters)
+            .min_by_key(|member| member.role == MemberRole::Voter)
+    }
 }
 
 /// Status of a keeper, as reported to other threads.
@@ -284,11 +303,38 @@
                 outputs.extend(self.handle_event(event));
             }
             outputs.extend(self.step(Input::Tick));
+            outputs.extend(self.remove_lost_member());
             self.handle_outputs(outputs)?;
             self.notify_current();
         }
     }
 
+    /// Proposes the removal of a member that has stopped to reply. Without it, members that are
+    /// replaced at other addresses would remain voters until those that run are no majority.
+    fn remove_lost_member(&mut self) -> Vec<Output> {
+        let policy = self.membership_policy;
+        let Some(limit) = policy.reply_limit else {
+            return Vec::new();
+        };
+        if !self.replica.accepts_member_changes() {
+            return Vec::new();
+        }
+        let voters = self.replica.members().voters().count();
+        let Some(lost) = policy.pick_lost(voters, self.replica.silent_members(limit)) else {
+            return Vec::new();
+        };
+        let replica = lost.replica;
+        warn!(
+            vm = lost.vm.as_str(), replica:% = replica, limit_ms = limit.0;
+            "removing a keeper that does not reply"
+        );
+        self.next_token += 1;
+        self.step(Input::ChangeMembers {
+            token: Token(self.next_token),
+            change: MemberChange::Remove(replica),
+        })
+    }
+
     /// Tells the observer the time for [`CommitObserver::current_as_of`].
     fn notify_current(&self) {
         let Some(observer) = &self.observer else {
--- a/crates/auburnbridge_keeper/src/formation.rs
+++ b/crates/auburnbridge_keeper/src/formation.rs
@@ -9,6 +9,10 @@
 //! A keeper that starts with an empty data folder gets a new replica id, which is in no member
 //! list. It is therefore never mistaken for an earlier member on its VM, and asks the leader to add
 //! it as a learner.
+//!
+//! The leader removes members that don't reply. One that runs again isn't told, and in its own list it
+//! may still be a voter. A voter that no leader contacts therefore asks to join again, which changes
+//! nothing if it is still a member.
 
 use std::sync::Arc;
 
@@ -16,13 +20,19 @@
 use auburnbridge_messages::{self as messages, KeeperHello, Reply, Request};
 use auburnbridge_peer::{PeerAddress, Transport};
 use auburnbridge_types::{Clock, Millis, VmId};
+use futures_util::future::join_all;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use log::{debug, info};
 use parking_lot::Mutex;
 
-use crate::core::{CoreHandle, Event};
+use crate::core::{CoreHandle, Event, KeeperStatus};
 use crate::directory::PeerDirectory;
 
 const RETRY_INTERVAL: Millis = Millis(200);
+/// Interval at which a voter checks whether a leader still contacts it.
+const MEMBERSHIP_CHECK_INTERVAL: Millis = Millis(500);
+/// Time without a message from a leader after which a voter asks to join.
+const LEADER_SILENCE_LIMIT: Millis = Millis(1_000);
 const CALL_TIMEOUT: Millis = Millis(1_000);
 
 /// Task that makes a keeper a voting member of its group.
@@ -40,50 +50,70 @@
     pub(crate) core: CoreHandle,
 }
 
-enum Step {
-    Done,
-    Retry,
+/// Whether a keeper takes part in its group.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// It votes, and a leader contacts it.
+    Voter,
+    /// It has no group, is a learner, or may have been removed.
+    Outside,
 }
 
 impl Formation {
-    /// Repeats the steps until this keeper is a voting member.
+    /// Makes this keeper a voting member, and again each time that it has been removed.
     pub(crate) async fn run(self) {
-        while let Step::Retry = self.step().await {
-            self.clock.sleep(RETRY_INTERVAL).await;
+        let mut previous = Standing::Outside;
+        loop {
+            let standing = self.step().await;
+            if standing == Standing::Voter && previous == Standing::Outside {
+                info!("keeper vm={} replica={} is a voter", self.vm, self.replica);
+            }
+            previous = standing;
+            let interval = match standing {
+                Standing::Voter => MEMBERSHIP_CHECK_INTERVAL,
+                Standing::Outside => RETRY_INTERVAL,
+            };
+            self.clock.sleep(interval).await;
         }
-        info!("keeper vm={} replica={} is a voter", self.vm, self.replica);
     }
 
-    async fn step(&self) -> Step {
+    async fn step(&self) -> Standing {
         let Some(status) = self.core.ask(|reply| Event::Status { reply }).await else {
-            return Step::Retry;
+            return Standing::Outside;
         };
         let own_role = status
             .members
             .iter()
             .find(|member| member.replica == self.replica)
             .map(|member| member.role);
-        if own_role == Some(MemberRole::Voter) {
-            return Step::Done;
+        if own_role == Some(MemberRole::Voter) && self.has_leader(&status) {
+            return Standing::Voter;
         }
         let keepers = self.keepers.lock().clone();
-        let hellos = self.exchange_hellos(&keepers, status.members.clone()).await;
-        if own_role.is_none()
-            && let Some(members) = self
-                .find_own_group(&hellos)
-                .or_else(|| self.new_group(&keepers, &hellos))
-        {
-            self.core.send(Event::Bootstrap(members));
-            return Step::Retry;
+        let mut members = status.members.clone();
+        if own_role != Some(MemberRole::Learner) {
+            let hellos = self.exchange_hellos(&keepers, status.members).await;
+            if own_role.is_none()
+                && let Some(members) = self
+                    .find_own_group(&hellos)
+                    .or_else(|| self.new_group(&keepers, &hellos))
+            {
+                self.core.send(Event::Bootstrap(members));
+                return Standing::Outside;
+            }
+            members.extend(hellos.into_iter().flatten().flat_map(|hello| hello.members));
         }
-        if hellos
-            .iter()
-            .flatten()
-            .any(|hello| !hello.members.is_empty())
-        {
-            self.request_join(&keepers, &hellos).await;
+        if !members.is_empty() {
+            self.request_join(keepers, &members).await;
         }
-        Step::Retry
+        Standing::Outside
+    }
+
+    /// Whether this keeper leads or has recently heard from a leader.
+    fn has_leader(&self, status: &KeeperStatus) -> bool {
+        let replica = &status.replica_status;
+        let is_recent = |contact| self.clock.now().since(contact) < LEADER_SILENCE_LIMIT;
+        replica.role == "leader" || replica.leader_contact.is_some_and(is_recent)
     }
 
     /// Asks every other keeper for its replica id and member list; `None` for one that doesn't
@@ -93,20 +123,19 @@
         keepers: &[PeerAddress],
         members: Vec<Member>,
     ) -> Vec<Option<KeeperHello>> {
-        let hello = KeeperHello {
+        let request = Request::Hello(KeeperHello {
             replica: self.replica,
             members,
-        };
-        let mut hellos = Vec::new();
-        for keeper in keepers.iter().filter(|keeper| keeper.vm != self.vm) {
-            hellos.push(
-                match self.call(keeper, &Request::Hello(hello.clone())).await {
-                    Some(Reply::Hello(hello)) => Some(hello),
-                    _ => None,
-                },
-            );
-        }
-        hellos
+        });
+        let others = keepers.iter().filter(|keeper| keeper.vm != self.vm);
+        let replies = join_all(others.map(|keeper| self.call(keeper, &request))).await;
+        replies
+            .into_iter()
+            .map(|reply| match reply {
+                Some(Reply::Hello(hello)) => Some(hello),
+                _ => None,
+            })
+            .collect()
     }
 
     /// Returns the member list of a group in which this replica is already a voter. A learner
@@ -144,35 +173,37 @@
         Members::new(members)
     }
 
-    async fn request_join(&self, keepers: &[PeerAddress], hellos: &[Option<KeeperHello>]) {
-        let request = Request::Join {
-            replica: self.replica,
-        };
-        let mut candidates: Vec<PeerAddress> = keepers.to_vec();
-        for member in hellos.iter().flatten().flat_map(|hello| &hello.members) {
+    /// Asks the keepers in the settings and the members to add this keeper, all at the same time,
+    /// since some of them may be lost. Only the leader does.
+    async fn request_join(&self, keepers: Vec<PeerAddress>, members: &[Member]) {
+        let mut candidates = keepers;
+        for member in members {
             let is_known = candidates.iter().any(|keeper| keeper.vm == member.vm);
             if !is_known && let Some(keeper) = self.directory.find(&member.vm) {
                 candidates.push(keeper);
             }
         }
-        for keeper in candidates.iter().filter(|keeper| keeper.vm != self.vm) {
-            match self.call(keeper, &request).await {
-                Some(Reply::Done) => {
-                    debug!("keeper {} accepted the join request", keeper.vm);
-                    return;
-                }
-                Some(Reply::NotLeader {
-                    leader: Some(leader),
-                }) => {
-                    let Some(leader) = self.directory.find(&leader) else {
-                        continue;
-                    };
-                    if let Some(Reply::Done) = self.call(&leader, &request).await {
-                        debug!("keeper {} accepted the join request", leader.vm);
-                    }
-                    return;
-                }
-                _ => {}
+        candidates.retain(|keeper| keeper.vm != self.vm);
+        let request = Request::Join {
+            replica: self.replica,
+        };
+        let mut replies: FuturesUnordered<_> = candidates
+            .iter()
+            .map(|keeper| self.call(keeper, &request))
+            .collect();
+        while let Some(reply) = replies.next().await {
+            let leader = match reply {
+                Some(Reply::Done) => return,
+                Some(Reply::NotLeader { leader }) => leader,
+                _ => None,
+            };
+            let Some(leader) = leader else {
+                continue;
+            };
+            let is_asked = candidates.iter().any(|keeper| keeper.vm == leader);
+            if !is_asked && let Some(leader) = self.directory.find(&leader) {
+                self.call(&leader, &request).await;
+                return;
             }
         }
     }
--- a/crates/auburnbridge_keeper/src/run.rs
+++ b/crates/auburnbridge_keeper/src/run.rs
@@ -117,6 +117,7 @@
             membership_policy: MembershipPolicy {
                 admits_new_vms: false,
                 min_voters: 1,
+                reply_limit: None,
             },
             vms_named_by_ip: false,
             heartbeat_interval: DEFAULT_HEARTBEAT_INTERVAL,
--- a/crates/auburnbridge_log/src/replica/leader.rs
+++ b/crates/auburnbridge_log/src/replica/leader.rs
@@ -3,14 +3,14 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use auburnbridge_types::Timestamp;
+use auburnbridge_types::{Millis, Timestamp};
 
 use super::reads::PendingRead;
 use super::{Replica, Role};
 use crate::message::HeartbeatRound;
 use crate::{
-    Body, LogIndex, MAX_APPEND_RECORDS, MAX_DATA_BYTES, Members, Output, Payload, RejectReason,
-    ReplicaId, Term, Token,
+    Body, LogIndex, MAX_APPEND_RECORDS, MAX_DATA_BYTES, Member, Members, Output, Payload,
+    RejectReason, ReplicaId, Term, Token,
 };
 
 /// Maximum number of records sent to a follower that it has not acknowledged.
@@ -50,6 +50,8 @@
     pub(super) acked_round: HeartbeatRound,
     /// Whether the member counted towards the quorum according to its latest reply.
     pub(super) counts_in_quorum: bool,
+    /// Time of the latest reply, or of the start of this entry if there was none.
+    last_reply: Timestamp,
 }
 
 /// How records are sent to a member.
@@ -64,19 +66,26 @@
 }
 
 impl Progress {
-    fn new(next: LogIndex) -> Self {
+    fn new(next: LogIndex, now: Timestamp) -> Self {
         Self {
             matched: LogIndex(0),
             next,
             mode: ReplicationMode::Probe,
             acked_round: HeartbeatRound::default(),
             counts_in_quorum: false,
+            last_reply: now,
         }
     }
 
     /// Records a reply. One from a replica that doesn't count towards the quorum acknowledges
     /// nothing.
-    pub(super) fn record_reply(&mut self, counts_in_quorum: bool, round: HeartbeatRound) {
+    pub(super) fn record_reply(
+        &mut self,
+        now: Timestamp,
+        counts_in_quorum: bool,
+        round: HeartbeatRound,
+    ) {
+        self.last_reply = now;
         self.counts_in_quorum = counts_in_quorum;
         if counts_in_quorum && round.number > self.acked_round.number {
             self.acked_round = round;
@@ -123,7 +132,7 @@
 
     /// Updates the progress table to the member list; new members are sent records from `next` on.
     pub(super) fn update_progress(&mut self, next: LogIndex) {
-        let id = self.id;
+        let (id, now) = (self.id, self.monotonic_now);
         let members = self.members().clone();
         let Some(leader) = self.leader_state() else {
             return;
@@ -135,7 +144,7 @@
             leader
                 .progress
                 .entry(member.replica)
-                .or_insert_with(|| Progress::new(next));
+                .or_insert_with(|| Progress::new(next, now));
         }
     }
 
@@ -289,11 +298,11 @@
         counts_in_quorum: bool,
         round: HeartbeatRound,
     ) {
-        let base = self.log.base_index();
+        let (base, now) = (self.log.base_index(), self.monotonic_now);
         let Some(progress) = self.progress_mut(sender) else {
             return;
         };
-        progress.record_reply(counts_in_quorum, round);
+        progress.record_reply(now, counts_in_quorum, round);
         let Some(matched) = matched else {
             if !matches!(progress.mode, ReplicationMode::Snapshot { .. }) {
                 progress.mode = ReplicationMode::Probe;
@@ -353,6 +362,20 @@
         })
     }
 
+    /// Returns the members that have not replied to this leader for `limit`; none unless this replica
+    /// leads.
+    pub fn silent_members(&self, limit: Millis) -> impl Iterator<Item = &Member> {
+        let progress = match &self.role {
+            Role::Leader(leader) => Some(&leader.progress),
+            Role::Follower | Role::PreCandidate(_) | Role::Candidate(_) => None,
+        };
+        self.members().iter().filter(move |member| {
+            progress
+                .and_then(|progress| progress.get(&member.replica))
+                .is_some_and(|progress| self.monotonic_now.since(progress.last_reply) >= limit)
+        })
+    }
+
     /// Steps down if a quorum has not replied within an election timeout. Links may fail in one
     /// direction only, in which case followers still receive heartbeats from a leader that can't
     /// commit anything.
--- a/crates/auburnbridge_log/src/replica/membership.rs
+++ b/crates/auburnbridge_log/src/replica/membership.rs
@@ -24,15 +24,23 @@
         });
     }
 
-    pub(super) fn change_members(&mut self, token: Token, change: MemberChange) {
+    /// Whether this replica leads and no membership change is in progress.
+    pub fn accepts_member_changes(&self) -> bool {
         let Role::Leader(leader) = &self.role else {
-            return self.reject_not_leader(token);
+            return false;
         };
         // Without a committed record of this term, two leaders could each have an uncommitted list
         // whose quorums don't overlap.
         let term_committed = self.commit >= leader.first_index;
         let (last_change, _) = self.log.members();
-        if !term_committed || last_change > self.commit {
+        term_committed && last_change <= self.commit
+    }
+
+    pub(super) fn change_members(&mut self, token: Token, change: MemberChange) {
+        if !self.is_leader() {
+            return self.reject_not_leader(token);
+        }
+        if !self.accepts_member_changes() {
             return self.reject(token, RejectReason::ChangeInProgress);
         }
         match self.changed_members(change) {
--- a/crates/auburnbridge_log/tests/scenarios.rs
+++ b/crates/auburnbridge_log/tests/scenarios.rs
@@ -9,7 +9,7 @@
     MESSAGE_VERSION, Member, MemberChange, MemberRole, Members, Message, Output, Payload, PeerBoot,
     Record, RecoveredState, RejectReason, Replica, ReplicaId, SnapshotMeta, Status, Term, Token,
 };
-use auburnbridge_types::Timestamp;
+use auburnbridge_types::{Millis, Timestamp};
 use cluster::{Cluster, config};
 
 fn cluster_with_leader(nodes: usize, voters: usize) -> Cluster {
@@ -158,6 +158,40 @@
     assert!(cluster.run_until_accepted(40));
 }
 
+/// Guards against a leader that removes a working member, and against one that never notices a lost
+/// member because it has left the list of those that reply.
+#[test]
+fn leader_names_the_members_that_do_not_reply() {
+    const LIMIT: Millis = Millis(1_000);
+    let silent = |cluster: &Cluster, node: usize| -> Vec<ReplicaId> {
+        let process = cluster.nodes[node].process.as_ref().unwrap();
+        let members = process.replica.silent_members(LIMIT);
+        members.map(|member| member.replica).collect()
+    };
+    let mut cluster = cluster_with_leader(4, 3);
+    let leader = cluster.leader().unwrap();
+    let lost = (leader + 1) % 3;
+    let lost_id = cluster.nodes[lost].id;
+    cluster.run(100);
+    assert_eq!(silent(&cluster, leader), []);
+    cluster.crash(lost);
+    cluster.run(40);
+    assert_eq!(silent(&cluster, leader), []);
+    cluster.run(20);
+    assert_eq!(silent(&cluster, leader), [lost_id]);
+    assert_eq!(silent(&cluster, 3 - leader - lost), []);
+    // A learner that never replied counts from the time at which it was added.
+    cluster.crash(3);
+    cluster.add_learner(leader, 3);
+    cluster.run(20);
+    assert_eq!(silent(&cluster, leader), [lost_id]);
+    cluster.run(60);
+    assert_eq!(silent(&cluster, leader).len(), 2);
+    cluster.start(lost);
+    cluster.run(20);
+    assert_eq!(silent(&cluster, leader), [cluster.nodes[3].id]);
+}
+
 fn status(cluster: &Cluster, node: usize) -> Status {
     let process = cluster.nodes[node].process.as_ref().unwrap();
     process.replica.status()
--- a/crates/auburnbridge_settings/src/control.rs
+++ b/crates/auburnbridge_settings/src/control.rs
@@ -33,6 +33,11 @@
         /// accepts no commands until the remaining voters would still be a majority, that is until
         /// it has `2 * tolerated_losses + 1` voters.
         tolerated_losses: u32 [default "1"] ["0" to "7"],
+        /// Time from the loss of a keeper until it no longer counts as a member of the group. The
+        /// leader removes a keeper that has not replied for three quarters of it, unless fewer than
+        /// `2 * tolerated_losses + 1` voters would remain. A removed keeper that runs again joins
+        /// again.
+        replacement_limit: Millis [default "4s"] ["100ms" to "1h"],
         /// Largest body of a request to the control interface.
         body_limit: ByteSize [default "16MiB"] ["64KiB" to "32MiB"],
         /// Number of log entries between two snapshots.
