Refuse departures of incarnations that the keeper does not know

Cause: the look-up of a leaving target compared the stated incarnation with later ones only. A keeper that was cut off when the target started again took the departure of the earlier incarnation for that of the later one and acknowledged it without a record. The same held for a call that states no incarnation, which is the form on the platform's pages.

Ruled out: a record that was not passed on; the keeper that acknowledged the departure reached no other one and could commit nothing.

Change: 503 for a later incarnation than the known one, and for a call without an incarnation at a keeper that has heard from no leader for a second.

Why it works: a departure is acknowledged only by a keeper that has the announcement of that incarnation, and for it only after a quorum has recorded it.

--- a/crates/auburnbridge_keeper/src/catalogue.rs
+++ b/crates/auburnbridge_keeper/src/catalogue.rs
@@ -28,6 +28,8 @@
 const MAX_RECENT_CHANGES: usize = 4_096;
 /// Time after which a gateway that watches no keeper is no longer listed.
 const GATEWAY_EXPIRY: Millis = Millis(4_000);
+/// Time after which a keeper that hears from no leader may lack announcements.
+const LEADER_CONTACT_LIMIT: Millis = Millis(1_000);
 
 /// Targets, gateways and the published document, as known to one keeper.
 pub struct Catalogue {
@@ -69,7 +71,7 @@
     Present(Announcement),
     /// The departure is already recorded, or a later incarnation has started.
     Departed,
-    /// No announcement of the target has arrived.
+    /// No announcement of this incarnation has arrived, or a later one may have started without one.
     Unknown,
 }
 
@@ -109,13 +111,21 @@
         verdict
     }
 
-    /// Looks up a target that announces its departure, for a given incarnation if one is stated.
+    /// Looks up a target that announces its departure, for a given incarnation if one is stated, or
+    /// else for its newest one.
+    ///
+    /// This keeper may have been cut off when a later incarnation than the known one started. It then
+    /// knows nothing of the departure of that one, whatever it knows of the earlier ones.
     pub fn find_leaving(
         &self,
         target: &TargetId,
         incarnation: Option<Incarnation>,
     ) -> LeavingTarget {
+        let now = self.clock.now();
         let state = self.state.lock();
+        if incarnation.is_none() && !state.has_leader_contact(now) {
+            return LeavingTarget::Unknown;
+        }
         let known = state
             .members
             .iter()
@@ -123,6 +133,9 @@
             .max_by_key(|known| known.incarnation);
         match known {
             None => LeavingTarget::Unknown,
+            Some(known) if incarnation.is_some_and(|stated| stated > known.incarnation) => {
+                LeavingTarget::Unknown
+            }
             Some(known) if incarnation.is_some_and(|stated| stated < known.incarnation) => {
                 // A later incarnation has started, so this one gets no more requests.
                 LeavingTarget::Departed
@@ -312,6 +325,11 @@
         !self.unconfirmed_departures.contains(&departure)
     }
 
+    fn has_leader_contact(&self, now: Timestamp) -> bool {
+        self.current_as_of
+            .is_some_and(|contact| now.since(contact) < LEADER_CONTACT_LIMIT)
+    }
+
     fn has_updates(&self, watch: &WatchRequest) -> bool {
         let is_list_current = watch
             .position
--- a/crates/auburnbridge_keeper/src/control.rs
+++ b/crates/auburnbridge_keeper/src/control.rs
@@ -120,7 +120,13 @@
             LeavingTarget::Present(announcement) => self.record_departure(announcement).await,
             LeavingTarget::Departed => json(b"{}".to_vec()),
             // Another keeper may know the target; the caller retries there.
-            LeavingTarget::Unknown => text(503, "no announcement of this target has arrived here"),
+            LeavingTarget::Unknown => {
+                info!(
+                    target_id = target.as_str(), incarnation:? = incarnation.map(|stated| stated.0);
+                    "departure not acknowledged: the incarnation is not known here"
+                );
+                text(503, "no announcement of this target has arrived here")
+            }
         }
     }
 
