Attribute answers on reused connections only by the request's id

Cause: an answer with another request's id was skipped, but one without any id counted as the answer to the request in flight.

Evidence: on the former code the new test fails: 3 requests received for 2 orders, with a repeated 503 that has no id. The copy with an id passed before.

Change: only the first answer on a connection needs no id; a later one without it ends the exchange as one that may have run. The refusals of the stand-in targets now repeat the id, as the platform's targets do; what the tests assert is unchanged.

--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod neighbours;
 mod notices;
+mod refusals;
 mod targets;
 
 use std::time::{Duration, Instant};
--- a/crates/auburnbridge_gateway/tests/forwarding/notices.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/notices.rs
@@ -10,12 +10,11 @@
     Behaviour, LEAVING, OK, SHED, announcement, listen, send, start_gateway, start_target,
 };
 
-const SHED_WITH_PAUSE: &str = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n";
+const SHED_WITH_PAUSE: &str = "HTTP/1.1 503 Service Unavailable\r\nAttempt: {id}\r\nNot-Run: 1\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n";
 const LEAVING_ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nAttempt: {id}\r\nSeal: e\r\nLeaving: 1\r\nContent-Length: 1\r\n\r\ne";
-const LEAVING_SHED: &str =
-    "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
+const LEAVING_SHED: &str = "HTTP/1.1 503 Service Unavailable\r\nAttempt: {id}\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
 const LEAVING_MISDIRECTED: &str =
-    "HTTP/1.1 421 Misdirected Request\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
+    "HTTP/1.1 421 Misdirected Request\r\nAttempt: {id}\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
 
 /// Guards against new requests to a target after it stated in any response that it is leaving, also
 /// if it is the only one, and against a target that returns because it announces itself again in
@@ -160,7 +159,7 @@
     for value in ["", "-5", "nan", "inf", "1e9", "soon", "0x10", "1.2.3"] {
         block_on(async {
             let text = format!(
-                "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRetry-After: {value}\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 503 Service Unavailable\r\nAttempt: {{id}}\r\nNot-Run: 1\r\nRetry-After: {value}\r\nContent-Length: 0\r\n\r\n"
             );
             let shed: &'static str = Box::leak(text.into_boxed_str());
             let target =
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -52,9 +52,9 @@
 pub const LEAVING: &str =
     "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nSeal: s\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok";
 pub const SHED: &str =
-    "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    "HTTP/1.1 503 Service Unavailable\r\nAttempt: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 pub const MISDIRECTED: &str =
-    "HTTP/1.1 421 Misdirected Request\r\nInstance: x\r\nContent-Length: 0\r\n\r\n";
+    "HTTP/1.1 421 Misdirected Request\r\nAttempt: {id}\r\nInstance: x\r\nContent-Length: 0\r\n\r\n";
 pub const SERVER_ERROR: &str =
     "HTTP/1.1 500 Internal Server Error\r\nAttempt: {id}\r\nSeal: e\r\nContent-Length: 1\r\n\r\ne";
 
--- a/crates/auburnbridge_target/src/exchange.rs
+++ b/crates/auburnbridge_target/src/exchange.rs
@@ -62,6 +62,10 @@
     /// Servers close idle connections in this way, so the 408 may have been sent before the
     /// request arrived, and is not treated as its answer.
     IdleTimeout,
+    /// A reused connection returned an answer without the request's id.
+    ///
+    /// It may be another copy of the answer to an earlier request.
+    Unattributed,
     /// The deadline passed.
     Deadline,
 }
@@ -99,7 +103,7 @@
     pub const fn kind(self) -> ErrorKind {
         match self {
             Self::Framing(error) => error.response_kind(),
-            Self::IdleTimeout => ErrorKind::AnswerIncomplete,
+            Self::IdleTimeout | Self::Unattributed => ErrorKind::AnswerIncomplete,
             Self::Deadline => ErrorKind::DeadlineAfterDispatch,
         }
     }
@@ -110,7 +114,7 @@
         match self {
             Self::Framing(error) => matches!(error, FramingError::MemoryExhausted),
             Self::IdleTimeout => true,
-            Self::Deadline => false,
+            Self::Unattributed | Self::Deadline => false,
         }
     }
 }
@@ -121,18 +125,30 @@
     pub(crate) info: RequestInfo,
     /// Name and value of the request header that the target repeats in its answer.
     pub(crate) echo: Option<(&'static str, &'a [u8])>,
+    pub(crate) on_reused_connection: bool,
+}
+
+/// The request to which a response belongs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Attribution {
+    This,
+    Earlier,
+    Unknown,
 }
 
 impl OutgoingRequest<'_> {
-    /// Whether the response belongs to another request.
-    fn answers_other_request(&self, response: &Response) -> bool {
+    /// Determines the request that a response answers. Only the first response on a connection needs
+    /// no id.
+    fn attribute(&self, response: &Response, is_first: bool) -> Attribution {
         let Some((name, value)) = self.echo else {
-            return false;
+            return Attribution::This;
         };
-        response
-            .headers
-            .get(name)
-            .is_some_and(|echoed| echoed != value)
+        match response.headers.get(name) {
+            Some(echoed) if echoed == value => Attribution::This,
+            Some(_) => Attribution::Earlier,
+            None if is_first => Attribution::This,
+            None => Attribution::Unknown,
+        }
     }
 }
 
@@ -144,14 +160,20 @@
     connection: &mut Connection<TcpStream>,
     request: &OutgoingRequest<'_>,
     limits: &Limits,
-) -> Result<(Response, bool), FramingError> {
+) -> Result<(Response, bool), UnknownReason> {
     for strays in 0..=MAX_STRAY_ANSWERS {
-        let response = connection.read_response(request.info, limits).await?;
-        if !request.answers_other_request(&response) {
-            return Ok((response, strays > 0));
+        let response = connection
+            .read_response(request.info, limits)
+            .await
+            .map_err(UnknownReason::Framing)?;
+        let is_first = !request.on_reused_connection && strays == 0;
+        match request.attribute(&response, is_first) {
+            Attribution::This => return Ok((response, strays > 0)),
+            Attribution::Earlier => {}
+            Attribution::Unknown => return Err(UnknownReason::Unattributed),
         }
     }
-    Err(FramingError::TooManyInterim)
+    Err(UnknownReason::Framing(FramingError::TooManyInterim))
 }
 
 /// The outcome of writing a request and reading its answer on one connection.
@@ -161,7 +183,7 @@
     /// The connection was closed before a byte was written.
     Closed,
     /// A byte was written, then the answer failed.
-    Failed(FramingError),
+    Failed(UnknownReason),
 }
 
 /// Writes the encoded request and reads the answer at the same time, since a target may answer
@@ -176,7 +198,7 @@
 ) -> RoundTrip {
     enum Step {
         Wrote(io::Result<()>),
-        Read(Result<(Response, bool), FramingError>),
+        Read(Result<(Response, bool), UnknownReason>),
     }
 
     let stream = connection.get_ref().clone();
@@ -201,7 +223,7 @@
             RoundTrip::Answered(response, keep_alive)
         }
         Ok((response, _)) => RoundTrip::Answered(response, KeepAlive::Close),
-        Err(error) => RoundTrip::Failed(error),
+        Err(reason) => RoundTrip::Failed(reason),
     }
 }
 
--- a/crates/auburnbridge_target/src/pool.rs
+++ b/crates/auburnbridge_target/src/pool.rs
@@ -68,7 +68,8 @@
 
     /// Sets the request header whose value targets repeat in the answer (default none).
     ///
-    /// An answer that repeats another value is a late answer to an earlier request and is skipped.
+    /// An answer that repeats another value is a late answer to an earlier request and is skipped. One
+    /// without a value is taken for the answer only if it is the first on its connection.
     #[must_use]
     pub fn echo_header(mut self, name: &'static str) -> Self {
         self.echo_header = Some(name);
@@ -191,6 +192,7 @@
                     .options
                     .echo_header
                     .and_then(|name| Some((name, request.headers.get(name)?))),
+                on_reused_connection: is_reused,
             };
             let exchange = self
                 .exchange_on_lease(lease, &target, &outgoing, limits, deadline)
@@ -294,7 +296,7 @@
                 ExchangeResult::Answered(response)
             }
             Some(RoundTrip::Closed) => ExchangeResult::NotSent(NotSentReason::Closed),
-            Some(RoundTrip::Failed(error)) => unknown(UnknownReason::Framing(error)),
+            Some(RoundTrip::Failed(reason)) => unknown(reason),
             None if written.load(Ordering::Relaxed) => unknown(UnknownReason::Deadline),
             None => ExchangeResult::NotSent(NotSentReason::Deadline),
         };
