Fit a gateway's planned stop into the time until the kill

Cause: the gateway took requests for 2.5 s after the signal and completed them for 3 s, whatever the grace of the deployment.

Change: `stop_limit`, filled from the platform's grace, bounds both phases. With the 6 s of the sites at hand they stay as they were.

--- a/crates/auburnbridge/src/commands/gateway.rs
+++ b/crates/auburnbridge/src/commands/gateway.rs
@@ -6,7 +6,7 @@
 
 use argh::FromArgs;
 use async_std::task;
-use auburnbridge_gateway::{GatewayOptions, RunningGateway};
+use auburnbridge_gateway::{GatewayOptions, RunningGateway, StopTimes};
 use auburnbridge_policy::balance::ResendBudgetOptions;
 use auburnbridge_settings::{GatewaySettings, Settings};
 use auburnbridge_utility::UtilityDialect;
@@ -31,6 +31,7 @@
     init_json_log(settings.log_lines_per_second)?;
     let mut signals = StopAndReloadSignals::new()?;
     let seeds = Arc::new(Mutex::new(ip_addresses(&settings.seeds)));
+    let stop_times = stop_times(&settings);
     let options = GatewayOptions {
         vm: settings.vm_address.into(),
         data_centre: settings.data_centre,
@@ -40,8 +41,7 @@
         seeds: Arc::clone(&seeds),
         keeper_port: port(settings.keeper_port)?,
         dialect: Arc::new(UtilityDialect),
-        balancer_lag: settings.balancer_lag,
-        shutdown_limit: settings.shutdown_limit,
+        stop_times,
         body_memory: settings.body_memory,
         connections_per_target: settings.connections_per_target as usize,
         floor_share: settings.floor_share.0,
@@ -73,6 +73,17 @@
     })
 }
 
+fn stop_times(settings: &GatewaySettings) -> StopTimes {
+    let times = StopTimes {
+        balancer_lag: settings.balancer_lag,
+        shutdown_limit: settings.shutdown_limit,
+    };
+    match settings.stop_limit {
+        Some(limit) => times.within(limit),
+        None => times,
+    }
+}
+
 fn ip_addresses(seeds: &[SocketAddr]) -> Vec<IpAddr> {
     seeds.iter().map(SocketAddr::ip).collect()
 }
--- a/crates/auburnbridge/tests/processes/platform.rs
+++ b/crates/auburnbridge/tests/processes/platform.rs
@@ -8,8 +8,13 @@
 use std::thread;
 use std::time::Duration;
 
+use async_std::task;
+use auburnbridge_http::{Connection, Limits, Request, RequestInfo};
+
 use crate::platform_fleet::{PlatformFleet, REPLACEMENT_LIMIT, SealingTarget, eventually};
-use crate::wire::{CONFIG, DEADLINE, INVALID_ANNOUNCEMENT, LEAVING, READY, document, target_path};
+use crate::wire::{
+    ATTEMPT, CONFIG, DEADLINE, INVALID_ANNOUNCEMENT, LEAVING, READY, document, target_path,
+};
 
 fn is_served(fleet: &PlatformFleet, gateway: u8, path: &str) -> bool {
     fleet.send(gateway, "POST", path) == Some(200)
@@ -380,6 +385,60 @@
     let _ = stream.read(&mut [0; 256]);
 }
 
+/// Sends slow orders, one after the other, until the gateway accepts no connections; returns the number
+/// of responses.
+fn send_until_refused(gateway: SocketAddr) -> u32 {
+    let mut req = Request::new("POST", "/a/slow");
+    req.headers.append("Host", "shop.example");
+    req.headers.append(ATTEMPT, "a-1");
+    req.headers.append(DEADLINE, "2000");
+    let mut responses = 0;
+    task::block_on(async {
+        while let Ok(stream) = async_std::net::TcpStream::connect(gateway).await {
+            let mut connection = Connection::new(stream);
+            if connection.write_request(&req).await.is_err() {
+                continue;
+            }
+            let limits = Limits::default();
+            let info = RequestInfo::from(&req);
+            if let Ok(response) = connection.read_response(info, &limits).await {
+                assert_eq!(response.status, 200);
+                responses += 1;
+            }
+        }
+    });
+    responses
+}
+
+/// Guards against a stopping gateway that takes orders for which there is no time before it is killed, so
+/// that they run and their callers get no answer.
+#[test]
+fn stopping_gateway_takes_no_request_that_the_kill_would_cut_off() {
+    const GRACE: Duration = Duration::from_secs(2);
+    let (mut fleet, target) = serving_fleet(120, 3);
+    fleet.gateways[0].kill();
+    fleet.write_gateway_settings_with(0, r#""stop_limit": "2s""#);
+    fleet.gateways[0].start();
+    eventually("the gateway serves nothing", || {
+        is_served(&fleet, 0, "/a/x")
+    });
+    let before = *target.runs.lock();
+    let gateway = fleet.addresses().gateways[0];
+    let callers: Vec<_> = (0..3)
+        .map(|_| thread::spawn(move || send_until_refused(gateway)))
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    fleet.gateways[0].terminate();
+    thread::sleep(GRACE);
+    fleet.gateways[0].kill();
+    let responses: u32 = callers
+        .into_iter()
+        .map(|caller| caller.join().unwrap())
+        .sum();
+    assert!(responses >= 3);
+    assert_eq!(*target.runs.lock() - before, responses);
+}
+
 /// Guards against a planned stop that cuts off a request, and against a stopping gateway that stays
 /// ready.
 #[test]
--- a/crates/auburnbridge/tests/processes/platform_fleet.rs
+++ b/crates/auburnbridge/tests/processes/platform_fleet.rs
@@ -144,10 +144,15 @@
     }
 
     fn write_gateway_settings(&self, number: u8) {
+        self.write_gateway_settings_with(number, r#""balancer_lag": "300ms""#);
+    }
+
+    /// Writes the settings of a gateway with the options of a stop, as members of a JSON object.
+    pub fn write_gateway_settings_with(&self, number: u8, stop_options: &str) {
         let text = format!(
             r#"{{"vm_address": "{ip}", "data_centre": "north", "caller_address": "{ip}:{}",
 "readiness_address": "{ip}:{}", "peer_port": {}, "keeper_port": {}, "seeds": [{}],
-"balancer_lag": "300ms", "metrics_address": "{ip}:{}"}}"#,
+{stop_options}, "metrics_address": "{ip}:{}"}}"#,
             self.caller_port,
             self.readiness_port,
             self.keeper_port,
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod run;
 mod service_dispatcher;
 mod service_table;
+mod stop_times;
 
 pub use feed::KeeperWatcher;
 pub use gateway::{CallerService, Gateway, GatewayDependencies, request_digest};
@@ -24,3 +25,4 @@
 pub use run::{GatewayError, GatewayOptions, RunningGateway};
 pub use service_dispatcher::{Assignment, ServiceDispatcher};
 pub use service_table::ServiceTable;
+pub use stop_times::StopTimes;
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -29,6 +29,7 @@
 use crate::gateway::{CallerService, Gateway, GatewayDependencies};
 use crate::neighbours::GatewayReporter;
 use crate::service_table::ServiceTable;
+use crate::stop_times::StopTimes;
 
 /// Maximum number of pipelined requests of one connection that are handled concurrently.
 const PIPELINE_DEPTH: usize = 16;
@@ -72,11 +73,8 @@
     pub keeper_port: u16,
     /// Header names, paths and document formats of the platform.
     pub dialect: Arc<dyn Dialect>,
-    /// Time that the platform's load balancer in front of the gateways needs to notice that the
-    /// gateway is not ready.
-    pub balancer_lag: Millis,
-    /// Longest time that in-flight requests get to complete after `balancer_lag`.
-    pub shutdown_limit: Millis,
+    /// Lengths of the phases of a planned stop.
+    pub stop_times: StopTimes,
     /// Memory budget for the bodies of all requests and responses.
     pub body_memory: ByteSize,
     /// Maximum number of connections to one target.
@@ -106,8 +104,7 @@
 pub struct RunningGateway {
     lifecycle: Arc<Lifecycle>,
     clock: Arc<dyn Clock>,
-    balancer_lag: Millis,
-    shutdown_limit: Millis,
+    stop_times: StopTimes,
 }
 
 impl RunningGateway {
@@ -179,8 +176,7 @@
         Ok(Self {
             lifecycle,
             clock,
-            balancer_lag: options.balancer_lag,
-            shutdown_limit: options.shutdown_limit,
+            stop_times: options.stop_times,
         })
     }
 
@@ -189,10 +185,10 @@
     pub async fn stop(self) -> usize {
         info!(phase = "draining", in_flight = self.lifecycle.in_flight(); "shutdown");
         self.lifecycle.begin_draining();
-        self.clock.sleep(self.balancer_lag).await;
+        self.clock.sleep(self.stop_times.balancer_lag).await;
         info!(phase = "closing", in_flight = self.lifecycle.in_flight(); "shutdown");
         self.lifecycle.begin_closing();
-        let limit = self.shutdown_limit;
+        let limit = self.stop_times.shutdown_limit;
         let remaining = self.lifecycle.wait_idle(self.clock.as_ref(), limit).await;
         info!(phase = "done", in_flight = remaining; "shutdown");
         remaining
--- a/crates/auburnbridge_settings/src/gateway.rs
+++ b/crates/auburnbridge_settings/src/gateway.rs
@@ -30,6 +30,10 @@
         balancer_lag: Millis [default "2500ms"] ["0s" to "5min"],
         /// Longest time after `balancer_lag` for requests in progress, until the process ends.
         shutdown_limit: Millis [default "3s"] ["100ms" to "10min"],
+        /// Time after the signal to stop at which the platform kills the process. If it is set,
+        /// `balancer_lag` lasts at most five twelfths of it, and requests in progress have until a
+        /// twelfth before its end instead of `shutdown_limit`.
+        stop_limit: Option<Millis> [optional],
         /// Memory for the bodies of all requests in progress and of their responses.
         body_memory: ByteSize [default "128MiB"] ["1MiB" to "4GiB"],
         /// Largest number of connections to one target.
