--- a/crates/auburnbridge/tests/processes/platform_fleet.rs
+++ b/crates/auburnbridge/tests/processes/platform_fleet.rs
@@ -13,6 +13,7 @@
 use async_std::task;
 use auburnbridge_http::{Connection, Limits, Request, RequestInfo, Response};
 use parking_lot::Mutex;
+use rand::Rng;
 
 use crate::fleet::{POLL_INTERVAL, Process, WAIT_TIMEOUT, end_processes, free_port};
 use crate::wire;
@@ -29,10 +30,19 @@
 /// Addresses at which the processes of a fleet take requests.
 #[derive(Clone, Debug)]
 pub struct FleetAddresses {
-    pub controls: Vec<SocketAddr>,
+    /// Control addresses, which change when keepers are replaced.
+    controls: Arc<Mutex<Vec<SocketAddr>>>,
     pub gateways: Vec<SocketAddr>,
 }
 
+impl FleetAddresses {
+    /// Draws the address of a control keeper.
+    pub fn pick_control(&self, rng: &mut impl Rng) -> SocketAddr {
+        let controls = self.controls.lock();
+        controls[rng.random_range(0..controls.len())]
+    }
+}
+
 /// Control keepers and gateways as processes, with their settings, data and logs.
 pub struct PlatformFleet {
     pub controls: Vec<Process>,
@@ -45,6 +55,9 @@
     first_vm: u8,
     /// Numbers of the control keepers that the settings name as seeds.
     seeds: Vec<u8>,
+    /// Offsets of the VMs on which the control keepers run.
+    control_vms: Vec<u8>,
+    control_addresses: Arc<Mutex<Vec<SocketAddr>>>,
 }
 
 impl Drop for PlatformFleet {
@@ -67,6 +80,8 @@
             keeper_port: free_port(),
             first_vm,
             seeds: vec![0, 1, 2],
+            control_vms: (0..controls).collect(),
+            control_addresses: Arc::default(),
         };
         for number in 0..controls {
             fleet.write_control_settings(number, true);
@@ -81,14 +96,26 @@
         for process in fleet.controls.iter_mut().chain(&mut fleet.gateways) {
             process.start();
         }
+        fleet.update_control_addresses();
         fleet
     }
 
+    fn update_control_addresses(&self) {
+        let numbers = 0..u8::try_from(self.control_vms.len()).unwrap();
+        *self.control_addresses.lock() = numbers.map(|number| self.control(number)).collect();
+    }
+
+    fn next_control_vm(&self) -> u8 {
+        self.control_vms.iter().max().map_or(0, |last| last + 1)
+    }
+
     /// Starts another control keeper without data; the settings that are written from now on name
     /// `seeds`. Returns its number.
     pub fn add_control(&mut self, seeds: Vec<u8>) -> u8 {
         self.seeds = seeds;
         let number = u8::try_from(self.controls.len()).unwrap();
+        self.control_vms.push(self.next_control_vm());
+        self.update_control_addresses();
         self.write_control_settings(number, false);
         let mut process = self.process("control", number);
         process.start();
@@ -96,6 +123,21 @@
         number
     }
 
+    /// Kills a control keeper and removes its data; its next start is at another address. Other processes
+    /// learn of that by their next start.
+    pub fn move_control(&mut self, number: u8) {
+        self.controls[usize::from(number)].kill();
+        fs::remove_dir_all(self.data_folder(number)).unwrap();
+        self.control_vms[usize::from(number)] = self.next_control_vm();
+        self.update_control_addresses();
+        for control in 0..u8::try_from(self.controls.len()).unwrap() {
+            self.write_control_settings(control, false);
+        }
+        for gateway in 0..u8::try_from(self.gateways.len()).unwrap() {
+            self.write_gateway_settings(gateway);
+        }
+    }
+
     fn process(&self, role: &'static str, number: u8) -> Process {
         let name = format!("{role}-{number}");
         let path = self.folder.path();
@@ -104,7 +146,7 @@
     }
 
     fn control_vm(&self, number: u8) -> IpAddr {
-        vm_address(self.first_vm + number)
+        vm_address(self.first_vm + self.control_vms[usize::from(number)])
     }
 
     fn gateway_vm(&self, number: u8) -> IpAddr {
@@ -172,10 +214,9 @@
 
     /// Addresses at which the processes take requests.
     pub fn addresses(&self) -> FleetAddresses {
-        let controls = 0..u8::try_from(self.controls.len()).unwrap();
         let gateways = 0..u8::try_from(self.gateways.len()).unwrap();
         FleetAddresses {
-            controls: controls.map(|number| self.control(number)).collect(),
+            controls: Arc::clone(&self.control_addresses),
             gateways: gateways.map(|number| self.caller(number)).collect(),
         }
     }
--- a/crates/auburnbridge/tests/processes/soak/mod.rs
+++ b/crates/auburnbridge/tests/processes/soak/mod.rs
@@ -1,10 +1,10 @@
 //! Randomized soak test: a fleet of real processes under overlapping faults, injected from outside.
 //!
-//! Signals kill, freeze, stop and reload processes, and data folders are removed. The connections to
-//! targets pass through loopback proxies that delay, reset or silence them, in one direction or both.
-//! Meanwhile callers send lookups and orders, an operator publishes versions, and targets announce
-//! themselves and leave. [`record::Record`] holds what callers received and what targets ran, and
-//! lists all violated guarantees.
+//! Signals kill, freeze, stop and reload processes, data folders are removed, and keepers are replaced
+//! at other addresses. The connections to targets pass through loopback proxies that delay, reset or
+//! silence them, in one direction or both. Meanwhile callers send lookups and orders, an operator
+//! publishes versions, and targets announce themselves and leave. [`record::Record`] holds what callers
+//! received and what targets ran, and lists all violated guarantees.
 //!
 //! `SOAK_SEEDS=20 SOAK_FIRST_SEED=1000 cargo test -p auburnbridge --test processes -- --ignored
 //! fresh_seeds` runs other seeds. A seed that fails is added to [`CI_SEEDS`] with its cause.
@@ -146,6 +146,10 @@
         fleet.write_control_settings(step.number, false);
         return;
     }
+    if step.action == Action::Move {
+        fleet.move_control(step.number);
+        return;
+    }
     let process = match step.role {
         Role::Control => &mut fleet.controls[number],
         Role::Gateway | Role::Target => &mut fleet.gateways[number],
@@ -163,7 +167,9 @@
                     .record_violation("a process that was asked to stop ended with an error");
             }
         }
-        Action::Link(_) | Action::Leave | Action::RemoveData => unreachable!("handled above"),
+        Action::Link(_) | Action::Leave | Action::RemoveData | Action::Move => {
+            unreachable!("handled above")
+        }
     }
 }
 
--- a/crates/auburnbridge/tests/processes/soak/operator.rs
+++ b/crates/auburnbridge/tests/processes/soak/operator.rs
@@ -44,7 +44,7 @@
 fn publish(soak: &Soak, addresses: &FleetAddresses, rng: &mut ChaCha8Rng, version: u32) {
     let document = wire::versioned_document(version);
     while !soak.is_over() {
-        let control = addresses.controls[rng.random_range(0..addresses.controls.len())];
+        let control = addresses.pick_control(rng);
         let status = call(control, "PUT", wire::CONFIG, &document).map(|response| response.status);
         match status {
             Some(200) => {
@@ -65,7 +65,7 @@
 /// before the request.
 fn read_back(soak: &Soak, addresses: &FleetAddresses, rng: &mut ChaCha8Rng) {
     let acknowledged = soak.record.newest_acknowledged();
-    let control = addresses.controls[rng.random_range(0..addresses.controls.len())];
+    let control = addresses.pick_control(rng);
     let Some(response) = call(control, "GET", wire::CONFIG, "") else {
         return;
     };
--- a/crates/auburnbridge/tests/processes/soak/schedule.rs
+++ b/crates/auburnbridge/tests/processes/soak/schedule.rs
@@ -36,6 +36,8 @@
     Reload,
     /// Kills the process and removes its data folder.
     RemoveData,
+    /// Kills the process and removes its data folder; it starts at another address.
+    Move,
     Link(Link),
     /// The target announces its departure and comes back under another name.
     Leave,
@@ -143,7 +145,12 @@
             5 => (Action::Reload, None),
             6 if role == Role::Control && others_run && self.data_loss_blocked_until < at => {
                 self.data_loss_blocked_until = end + CATCH_UP_MS;
-                (Action::RemoveData, Some(Action::Start))
+                let action = if self.rng.random() {
+                    Action::RemoveData
+                } else {
+                    Action::Move
+                };
+                (action, Some(Action::Start))
             }
             _ => (Action::Terminate, Some(Action::Start)),
         };
--- a/crates/auburnbridge/tests/processes/soak/targets.rs
+++ b/crates/auburnbridge/tests/processes/soak/targets.rs
@@ -10,7 +10,7 @@
 use async_std::task;
 use auburnbridge_http::{Connection, Limits, Request};
 use parking_lot::Mutex;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use super::Soak;
@@ -106,7 +106,7 @@
         };
         let body = wire::announcement(address, state, sequence);
         let is_acknowledged = (0..3).any(|_| {
-            let control = addresses.controls[rng.random_range(0..addresses.controls.len())];
+            let control = addresses.pick_control(&mut rng);
             call(control, "PUT", &path, &body).is_some_and(|response| response.status == 200)
         });
         if is_leaving && is_acknowledged {
