Keep the 408 of idle connections local and wait for transfers

A target that closes an idle connection with a 408, which has no id, was blamed for a broken answer. A leader that hands over logged the removal of a silent member at each tick, since the change is rejected until then.

Change: a 408 without an id on a reused connection remains an idle timeout, and a leader proposes no removal while it hands over.

--- a/crates/auburnbridge_log/src/replica/membership.rs
+++ b/crates/auburnbridge_log/src/replica/membership.rs
@@ -24,7 +24,8 @@
         });
     }
 
-    /// Whether this replica leads and no membership change is in progress.
+    /// Whether this replica leads and neither a membership change nor a transfer of the leadership is
+    /// in progress.
     pub fn accepts_member_changes(&self) -> bool {
         let Role::Leader(leader) = &self.role else {
             return false;
@@ -33,7 +34,7 @@
         // whose quorums don't overlap.
         let term_committed = self.commit >= leader.first_index;
         let (last_change, _) = self.log.members();
-        term_committed && last_change <= self.commit
+        term_committed && last_change <= self.commit && !self.is_transferring_leadership()
     }
 
     pub(super) fn change_members(&mut self, token: Token, change: MemberChange) {
--- a/crates/auburnbridge_target/src/exchange.rs
+++ b/crates/auburnbridge_target/src/exchange.rs
@@ -152,6 +152,7 @@
     }
 }
 
+pub(crate) const REQUEST_TIMEOUT_STATUS: u16 = 408;
 /// Most late answers to earlier requests that are skipped before the answer to this one.
 const MAX_STRAY_ANSWERS: usize = 4;
 
@@ -170,6 +171,9 @@
         match request.attribute(&response, is_first) {
             Attribution::This => return Ok((response, strays > 0)),
             Attribution::Earlier => {}
+            Attribution::Unknown if response.status == REQUEST_TIMEOUT_STATUS => {
+                return Err(UnknownReason::IdleTimeout);
+            }
             Attribution::Unknown => return Err(UnknownReason::Unattributed),
         }
     }
--- a/crates/auburnbridge_target/src/pool.rs
+++ b/crates/auburnbridge_target/src/pool.rs
@@ -14,7 +14,8 @@
 
 use crate::connect::connect;
 use crate::exchange::{
-    Exchange, ExchangeResult, NotSentReason, OutgoingRequest, RoundTrip, UnknownReason, round_trip,
+    Exchange, ExchangeResult, NotSentReason, OutgoingRequest, REQUEST_TIMEOUT_STATUS, RoundTrip,
+    UnknownReason, round_trip,
 };
 use crate::idle::TargetConnections;
 
@@ -25,8 +26,6 @@
 /// A target accepts about 350 connections, which 13 to 16 entries share.
 const DEFAULT_CONNECTIONS_PER_TARGET: usize = 20;
 
-const REQUEST_TIMEOUT_STATUS: u16 = 408;
-
 /// Settings of a [`Pool`].
 pub struct PoolBuilder {
     clock: Arc<dyn Clock>,
--- a/crates/auburnbridge_target/tests/exchange.rs
+++ b/crates/auburnbridge_target/tests/exchange.rs
@@ -227,6 +227,7 @@
     let unknown = [
         (UnknownReason::Deadline, false),
         (UnknownReason::IdleTimeout, true),
+        (UnknownReason::Unattributed, false),
         (UnknownReason::Framing(FramingError::ClosedInBody), false),
         (UnknownReason::Framing(FramingError::BodyTooLarge), false),
         (UnknownReason::Framing(FramingError::MemoryExhausted), true),
