--- a/crates/auburnbridge/tests/processes/soak/mod.rs
+++ b/crates/auburnbridge/tests/processes/soak/mod.rs
@@ -43,8 +43,12 @@
 /// Time within which everything must be served again after the faults; the operators require it.
 const RECOVERY: Duration = Duration::from_secs(15);
 
-/// Seeds that CI runs. A seed that fails is added with its cause; none has failed yet.
-const CI_SEEDS: [u64; 1] = [1];
+/// Seeds that CI runs. A seed that fails is added with its cause.
+const CI_SEEDS: [u64; 2] = [
+    1,
+    // Two keepers are replaced at other addresses, and both stayed voters of the group.
+    4001,
+];
 
 /// State that the threads of one run share.
 pub struct Soak {
--- a/crates/auburnbridge/tests/processes/soak/schedule.rs
+++ b/crates/auburnbridge/tests/processes/soak/schedule.rs
@@ -83,11 +83,12 @@
 impl Schedule<'_> {
     fn draw_fault(&mut self, at: u64) {
         let end = at + self.rng.random_range(100..2_500);
-        match self.rng.random_range(0..12) {
+        match self.rng.random_range(0..14) {
             0..=3 => self.draw_link(at, end),
             4..=6 => self.draw_process(at, end, Role::Gateway),
             7..=9 => self.draw_process(at, end, Role::Control),
             10 => self.kill_all_controls(at, end),
+            11 | 12 => self.move_control(at, end),
             _ => self.draw_departure(at),
         }
     }
@@ -145,12 +146,7 @@
             5 => (Action::Reload, None),
             6 if role == Role::Control && others_run && self.data_loss_blocked_until < at => {
                 self.data_loss_blocked_until = end + CATCH_UP_MS;
-                let action = if self.rng.random() {
-                    Action::RemoveData
-                } else {
-                    Action::Move
-                };
-                (action, Some(Action::Start))
+                (Action::RemoveData, Some(Action::Start))
             }
             _ => (Action::Terminate, Some(Action::Start)),
         };
@@ -177,6 +173,21 @@
         }
     }
 
+    /// Replaces a keeper at another address, unless another one has a fault or is still catching up after
+    /// the loss of its data.
+    fn move_control(&mut self, at: u64, end: u64) {
+        let all_free = (0..CONTROLS).all(|number| self.is_free(Role::Control, number, at));
+        if !all_free || self.data_loss_blocked_until >= at {
+            return;
+        }
+        let number = self.rng.random_range(0..CONTROLS);
+        self.data_loss_blocked_until = end + CATCH_UP_MS;
+        self.push(at, Role::Control, number, Action::Move);
+        self.push(end, Role::Control, number, Action::Start);
+        self.fault_ends
+            .push((Role::Control, number, end + STARTUP_MS));
+    }
+
     fn draw_departure(&mut self, at: u64) {
         let number = self.target();
         if self.is_free(Role::Target, number, at) {
