Authenticate client accounts by API key

Ruled out: a check in the adapter. It holds names and formats only, and the decision which route needs a key belongs to the gateway.

Change: the routing crate keeps accounts with the digests of their keys; a gateway finds the account of each request when it arrives, answers 401 without a valid key, removes the key, sets the account's name for the target, and lets the account's priority replace that of the route. Without accounts in the configuration the headers of a request stay as they were.

--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use futures_lite::FutureExt;
 use log::info;
 
+use crate::authentication::set_account;
 use crate::failure::Failure;
 use crate::gateway::{Gateway, Incoming};
 use crate::retry_after::parse_retry_after;
@@ -155,6 +156,9 @@
         request
             .headers
             .set(headers.expected_target, assignment.target().as_str());
+        if self.incoming.has_accounts {
+            set_account(&mut request, headers, self.incoming.account.as_deref());
+        }
         request
     }
 
--- a/crates/auburnbridge_gateway/src/failure.rs
+++ b/crates/auburnbridge_gateway/src/failure.rs
@@ -12,6 +12,8 @@
     NoConfiguration,
     /// No route matches.
     NoRoute,
+    /// The route requires the API key of a client account, and the request has no valid one.
+    UnknownKey,
     /// No target of the service can take the request in time; it did not run.
     NoRoom,
     /// The request crashed the targets that ran it before, and was not run again.
@@ -26,7 +28,11 @@
     /// Whether the request certainly did not run.
     pub(crate) fn is_not_run(self) -> bool {
         match self {
-            Self::NoConfiguration | Self::NoRoute | Self::NoRoom | Self::Poisoned => true,
+            Self::NoConfiguration
+            | Self::NoRoute
+            | Self::UnknownKey
+            | Self::NoRoom
+            | Self::Poisoned => true,
             Self::Broken | Self::TimedOut => false,
         }
     }
@@ -34,6 +40,7 @@
     fn status(self) -> u16 {
         match self {
             Self::NoConfiguration | Self::NoRoom | Self::Poisoned => 503,
+            Self::UnknownKey => 401,
             Self::NoRoute => 404,
             Self::Broken => 502,
             Self::TimedOut => 504,
--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -59,7 +59,7 @@
     /// Serves the request. If the caller disconnects, the request is cancelled at the target as well.
     pub(crate) async fn run(mut self) -> Response {
         let (exchanger, disconnect) = (self.exchanger, self.disconnect);
-        let priority = exchanger.incoming.route.priority.0;
+        let priority = exchanger.incoming.priority.0;
         exchanger.dispatcher.record_request(priority);
         let disconnected = async {
             disconnect.wait().await;
@@ -166,7 +166,7 @@
         let incoming = self.exchanger.incoming;
         PlacementRequest {
             class: incoming.route.class,
-            priority: incoming.route.priority.0,
+            priority: incoming.priority.0,
             deadline: incoming.deadline,
             objective: incoming.objective,
             tried: &self.tried,
@@ -224,11 +224,8 @@
         } else {
             Failure::NoRoom
         };
-        let refusal = refusal.unwrap_or_else(|| {
-            exchanger
-                .dispatcher
-                .refusal(exchanger.incoming.route.priority.0)
-        });
+        let refusal =
+            refusal.unwrap_or_else(|| exchanger.dispatcher.refusal(exchanger.incoming.priority.0));
         let response = failure.to_response(Some(refusal.retry_after));
         self.log_request(response.status, failure.into(), Some(refusal.retry_after));
         response
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -10,12 +10,13 @@
 use auburnbridge_policy::balance::Pick;
 use auburnbridge_policy::{CrashReport, PoisonTable};
 use auburnbridge_routing::{
-    CallerLimits, Dialect, HeaderNames, PublishedRoute, RouteSet, TrafficSplits,
+    CallerLimits, ClientAccount, Dialect, HeaderNames, PublishedRoute, RouteSet, TrafficSplits,
 };
 use auburnbridge_target::Pool;
 use auburnbridge_telemetry::ProcessMetrics;
 use auburnbridge_types::{
-    BoxFuture, ByteSize, Clock, ConfigVersion, Millis, RequestDigest, ServiceName, Timestamp,
+    BoxFuture, ByteSize, Clock, ConfigVersion, Millis, Priority, RequestDigest, ServiceName,
+    Timestamp,
 };
 use event_listener::Event;
 use log::info;
@@ -24,6 +25,7 @@
 use rand::{Rng, SeedableRng};
 use sha2::{Digest, Sha256};
 
+use crate::authentication::{authenticate, priority};
 use crate::departures::UnreportedDepartures;
 use crate::failure::Failure;
 use crate::forward::Forwarder;
@@ -86,6 +88,13 @@
     /// Version of the configuration that the route is from.
     pub(crate) version: ConfigVersion,
     pub(crate) route: Arc<PublishedRoute>,
+    /// Whether the configuration has client accounts.
+    pub(crate) has_accounts: bool,
+    /// Client account that the request belongs to, unless the route is public or the configuration has no
+    /// accounts.
+    pub(crate) account: Option<Arc<ClientAccount>>,
+    /// Priority of the account, or of the route if the account has none.
+    pub(crate) priority: Priority,
     pub(crate) digest: RequestDigest,
     pub(crate) arrived: Timestamp,
     /// Arrival time plus the route's timeout, or the caller's deadline if that is earlier.
@@ -225,6 +234,9 @@
         let Some(route) = routes.find(host, &request.path).cloned() else {
             return refuse(Failure::NoRoute, None);
         };
+        let Ok(account) = authenticate(&request, self.headers, &routes, &route) else {
+            return refuse(Failure::UnknownKey, None);
+        };
         let digest = request_digest(&request);
         if self.is_poisoned(&digest) {
             return refuse(Failure::Poisoned, Some(POISON_RETRY_AFTER));
@@ -239,10 +251,13 @@
             .map_or(route.timeout, |wait| wait.min(route.timeout));
         let incoming = Incoming {
             version: routes.version(),
+            has_accounts: routes.accounts().is_some(),
             digest,
             arrived,
             deadline: arrived.after(wait),
             objective: arrived.after(route.latency_objective.min(wait)),
+            priority: priority(&route, account.as_deref()),
+            account,
             route,
             request,
         };
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! targets. The gateway watches them for both, and reports its findings about targets to the other
 //! gateways.
 
+mod authentication;
 mod departures;
 mod exchange;
 mod failure;
--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -1,6 +1,7 @@
 //! Tests the response that a caller gets for each behaviour of a target, and how often targets receive
 //! the request.
 
+mod accounts;
 mod endless;
 mod neighbours;
 mod notices;
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -17,7 +17,7 @@
 };
 use auburnbridge_routing::{
     CallError, CallerLimits, ControlCall, Destination, Dialect, DocumentError, HeaderNames,
-    PublishedRoute, PublishedService, RouteSet,
+    PublishedRoute, PublishedService, RouteSet, RouteSetBuilder,
 };
 use auburnbridge_target::Pool;
 use auburnbridge_types::{
@@ -151,6 +151,8 @@
             seal: "Seal",
             not_run: "Not-Run",
             leaving: "Leaving",
+            api_key: "Key",
+            account: "Account",
         }
     }
 
@@ -186,6 +188,7 @@
         prefix: prefix.to_owned(),
         class,
         priority: Priority(0),
+        is_public: false,
         latency_objective: Millis(800),
         timeout: Millis(1_200),
         max_attempts: 2,
@@ -196,14 +199,20 @@
     }
 }
 
+/// Routes of version 1 without client accounts.
 fn routes() -> RouteSet {
+    routes_builder(ConfigVersion(1)).build()
+}
+
+/// Routes of this version: public ones under `/public/`, lookups and orders under their names.
+pub fn routes_builder(version: ConfigVersion) -> RouteSetBuilder {
     let limits = CallerLimits {
         head: ByteSize(16_384),
         body: ByteSize(1 << 20),
         head_timeout: Millis(1_000),
         idle_timeout: Millis(5_000),
     };
-    let mut routes = RouteSet::builder(ConfigVersion(1), limits);
+    let mut routes = RouteSet::builder(version, limits);
     let service = PublishedService {
         name: "stock".parse().unwrap(),
         health_path: "/health".to_owned(),
@@ -213,8 +222,13 @@
     let lookups = route("lookups", "/lookup/", RequestClass::Idempotent);
     let orders = route("orders", "/order/", RequestClass::Once);
     routes.route("h", lookups).unwrap();
+    let public = PublishedRoute {
+        is_public: true,
+        ..route("public", "/public/", RequestClass::Idempotent)
+    };
     routes.route("h", orders).unwrap();
-    routes.build()
+    routes.route("h", public).unwrap();
+    routes
 }
 
 /// Creates a gateway in front of `targets`.
@@ -278,7 +292,27 @@
 
 /// Sends a request for `path` with a deadline of `wait_ms`, and returns the response.
 pub async fn send(address: SocketAddr, path: &str, wait_ms: u64) -> Response {
+    send_with(address, path, wait_ms, &[]).await
+}
+
+/// Sends a request like [`send`], with further headers.
+pub async fn send_with(
+    address: SocketAddr,
+    path: &str,
+    wait_ms: u64,
+    headers: &[(&'static str, &str)],
+) -> Response {
     let mut connection = Connection::new(TcpStream::connect(address).await.unwrap());
+    exchange(&mut connection, path, wait_ms, headers).await
+}
+
+/// Sends a request on an open connection, and returns the response.
+pub async fn exchange(
+    connection: &mut Connection<TcpStream>,
+    path: &str,
+    wait_ms: u64,
+    headers: &[(&'static str, &str)],
+) -> Response {
     let method = if path.starts_with("/order/") {
         "POST"
     } else {
@@ -288,6 +322,9 @@
     req.headers.append("Host", "h");
     req.headers.append("Attempt", "a-7");
     req.headers.append("Wait-Ms", wait_ms.to_string());
+    for (name, value) in headers {
+        req.headers.append(name, value);
+    }
     connection.write_request(&req).await.unwrap();
     connection
         .read_response(RequestInfo::from(&req), &Limits::default())
--- a/crates/auburnbridge_routing/src/dialect.rs
+++ b/crates/auburnbridge_routing/src/dialect.rs
@@ -24,6 +24,10 @@
     pub not_run: &'static str,
     /// Marks with the value `1` each response of a target that is leaving.
     pub leaving: &'static str,
+    /// API key of a client account, from the caller.
+    pub api_key: &'static str,
+    /// Name of the client account that a request belongs to, for the target.
+    pub account: &'static str,
 }
 
 /// An unparsed configuration document with its version.
--- a/crates/auburnbridge_routing/src/lib.rs
+++ b/crates/auburnbridge_routing/src/lib.rs
@@ -4,11 +4,13 @@
 //! received; each process parses it through a [`Dialect`], the only place that knows the names and
 //! formats of a platform.
 
+mod account;
 mod dialect;
 mod route;
 mod routes;
 mod split;
 
+pub use account::{AccountLimit, AccountSet, ApiKeyDigest, ClientAccount};
 pub use dialect::{
     AnnouncementError, CallError, ControlCall, Dialect, DocumentError, HeaderNames,
     PublishedDocument,
--- a/crates/auburnbridge_routing/src/route.rs
+++ b/crates/auburnbridge_routing/src/route.rs
@@ -21,6 +21,8 @@
     pub prefix: String,
     /// Whether a request may run more than once.
     pub class: RequestClass,
+    /// Whether requests need no API key even if the configuration has client accounts.
+    pub is_public: bool,
     /// Priority among requests that wait for the same service.
     pub priority: Priority,
     /// Latency objective: the time within which a response is of full use to the caller.
--- a/crates/auburnbridge_routing/src/routes.rs
+++ b/crates/auburnbridge_routing/src/routes.rs
@@ -4,10 +4,10 @@
 use std::fmt;
 use std::sync::Arc;
 
-use auburnbridge_types::{ConfigVersion, Millis, ServiceName};
+use auburnbridge_types::{AccountId, ConfigVersion, Millis, ServiceName};
 use indexmap::IndexMap;
 
-use crate::{CallerLimits, PublishedRoute, PublishedService};
+use crate::{AccountSet, CallerLimits, PublishedRoute, PublishedService};
 
 /// Longest timeout that a route may have.
 const MAX_ROUTE_TIMEOUT: Millis = Millis(10 * 60 * 1000);
@@ -19,6 +19,7 @@
     limits: CallerLimits,
     hosts: HashMap<String, HostRoutes>,
     services: IndexMap<ServiceName, PublishedService>,
+    accounts: Option<AccountSet>,
 }
 
 /// Routes of one host, by prefix.
@@ -44,6 +45,7 @@
                 limits,
                 hosts: HashMap::new(),
                 services: IndexMap::new(),
+                accounts: None,
             },
         }
     }
@@ -83,6 +85,12 @@
         self.services.values()
     }
 
+    /// The client accounts; `None` if the configuration doesn't use any. A configuration whose last
+    /// account was removed still requires keys.
+    pub fn accounts(&self) -> Option<&AccountSet> {
+        self.accounts.as_ref()
+    }
+
     /// Names of all routes.
     pub fn route_names(&self) -> impl Iterator<Item = &str> {
         let routes = self.hosts.values().flat_map(|routes| routes.0.values());
@@ -164,6 +172,11 @@
         Ok(())
     }
 
+    /// Replaces the client accounts.
+    pub fn accounts(&mut self, accounts: AccountSet) {
+        self.routes.accounts = Some(accounts);
+    }
+
     /// Returns the finished route set.
     pub fn build(self) -> RouteSet {
         self.routes
@@ -173,6 +186,17 @@
 /// Reason for refusing a configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RouteSetError {
+    /// Two client accounts have the same name.
+    DuplicateAccount(AccountId),
+    /// A key of the client account is empty or too long.
+    InvalidKey(AccountId),
+    /// Two client accounts have the same key.
+    SharedKey {
+        /// The account that is listed first.
+        first: AccountId,
+        /// The account that is listed later.
+        second: AccountId,
+    },
     /// Two services have the same name.
     DuplicateService(ServiceName),
     /// The prefix of the route doesn't begin and end with a slash.
@@ -193,6 +217,18 @@
 impl fmt::Display for RouteSetError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::DuplicateAccount(account) => {
+                write!(f, "client account `{account}` is listed twice")
+            }
+            Self::InvalidKey(account) => {
+                write!(f, "client account `{account}`: a key is empty or too long")
+            }
+            Self::SharedKey { first, second } => {
+                write!(
+                    f,
+                    "client accounts `{first}` and `{second}` have the same key"
+                )
+            }
             Self::DuplicateService(service) => write!(f, "service `{service}` is listed twice"),
             Self::InvalidPrefix(route) => write!(
                 f,
--- a/crates/auburnbridge_routing/tests/routes.rs
+++ b/crates/auburnbridge_routing/tests/routes.rs
@@ -28,6 +28,7 @@
         prefix: prefix.to_owned(),
         class: RequestClass::Idempotent,
         priority: Priority(2),
+        is_public: false,
         latency_objective: Millis(800),
         timeout: Millis(1_500),
         max_attempts: 2,
--- a/crates/auburnbridge_types/src/quantities.rs
+++ b/crates/auburnbridge_types/src/quantities.rs
@@ -68,7 +68,10 @@
     /// Rate per second.
     RatePerSecond(u32), "/s", "a rate per second, such as `50/s`"
 );
-
+quantity!(
+    /// Rate of requests, in thousandths of a request per second.
+    RequestRate(u64), "m/s", "a rate in thousandths of a request per second, such as `500m/s`"
+);
 quantity!(
     /// Version of a published configuration; the highest one takes effect.
     ConfigVersion(u64), "", "a whole number"
