--- a/crates/auburnbridge_gateway/tests/forwarding/accounts.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/accounts.rs
@@ -27,11 +27,14 @@
     routes.build()
 }
 
+/// Path, further headers and expected status of a request.
+type Case<'a> = (&'a str, &'a [(&'static str, &'a str)], u16);
+
 /// Guards against requests without a valid key that run, and against a refusal of valid ones.
 #[test]
 fn requests_need_a_key_unless_their_route_is_public() {
     let long = "k".repeat(4_000);
-    let cases: &[(&str, &[(&'static str, &str)], u16)] = &[
+    let cases: &[Case<'_>] = &[
         ("/order/1", &[("Key", KEY)], 200),
         ("/lookup/1", &[("key", "k-ben-1")], 200),
         ("/order/1", &[], 401),
