Test that a status out of range is never passed on

Cause: operators of similar systems saw an answer with the status 000 reach the client. Asked: whether this system does the same.

Ruled out: it doesn't. The response head is rejected unless its status is within 100 to 599; the exchange counts as broken, the caller gets 502 and the connection is closed. An order may have run and is not sent again.

Measured: they pass on the code as it is.

--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -6,6 +6,7 @@
 mod neighbours;
 mod notices;
 mod refusals;
+mod statuses;
 mod targets;
 
 use std::time::{Duration, Instant};
