Decide on requests with bodies from their head, and end slow bodies

The time for the head also covered the body: 360 KB at 300 KB/s were cut off after the 400 ms of the test. A body was read, and a caller told to send it, before anything but its length was checked. One connection could hold sixteen bodies, and each response was copied when it was encoded.

The listener asks the service with the head (Service::admit) before it reads a body or sends 100 Continue, skips the body of a refused request up to 256 KiB so that the connection stays usable, and drains a closed connection while its caller still sends (at most 1 MiB or 3 s). A body has a pace of its own: no pause over the head's time, a minimum rate after it, and the request's deadline; then 408. A response is written as long as its caller accepts bytes at that rate. A connection reads the next body only if it holds less than its limit; an interim response waits for its turn.

Ruled out: closing after each refusal, which costs callers a connection and those behind it a resend.

--- a/crates/auburnbridge_caller/src/lib.rs
+++ b/crates/auburnbridge_caller/src/lib.rs
@@ -5,17 +5,21 @@
 //! targets. [`Lifecycle`] coordinates the graceful shutdown of all connections.
 
 mod disconnect;
+mod held_bytes;
 mod lifecycle;
 mod listener;
 mod pipeline;
 mod problem;
 mod tide_service;
 mod tracker;
+mod transfer;
 
 pub use disconnect::{Disconnect, DisconnectSignal};
+pub use held_bytes::{ConnectionMemory, HeldBody};
 pub use lifecycle::{Lifecycle, Phase};
 pub use listener::{Listener, ListenerOptions, ListenerOptionsBuilder, Service};
 pub use pipeline::LimitSource;
 pub use problem::{OUTCOME_HEADER, Problem};
 pub use tide_service::TideService;
 pub use tracker::{TaskGuard, TaskTracker};
+pub use transfer::{Transfer, TransferPace};
--- a/crates/auburnbridge_caller/src/listener.rs
+++ b/crates/auburnbridge_caller/src/listener.rs
@@ -8,9 +8,9 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use auburnbridge_http::{
-    Connection, FramingError, KeepAlive, Limits, Request, RequestInfo, Response,
+    Connection, FramingError, KeepAlive, Limits, Request, RequestInfo, Response, UnreadRequest,
 };
-use auburnbridge_types::{BoxFuture, Clock, ErrorKind, Millis, RuntimeClock};
+use auburnbridge_types::{BoxFuture, Clock, ErrorKind, Millis, RuntimeClock, Timestamp};
 use futures_lite::FutureExt;
 use log::{debug, info, warn};
 
@@ -22,6 +22,12 @@
 /// transit gets a response, and for which a closed connection's input is drained.
 pub(crate) const LINGER_TIMEOUT: Millis = Millis(500);
 
+/// Longest time for which a closed connection's input is drained.
+const MAX_DRAIN_TIME: Millis = Millis(3_000);
+/// Most input of a closed connection that is drained.
+const MAX_DRAINED_BYTES: usize = 1024 * 1024;
+const DRAIN_READ_BYTES: usize = 4 * 1024;
+
 /// Handles whole requests.
 pub trait Service: Send + Sync + 'static {
     /// Returns the response to `req`; `disconnect` completes when the caller disconnects.
@@ -31,6 +37,28 @@
         caller: SocketAddr,
         disconnect: Disconnect,
     ) -> BoxFuture<'_, Response>;
+
+    /// Decides from its head whether a request's body is read, on a pipelined connection. Returns
+    /// the instant by which the body must have arrived, if there is one, or the response that
+    /// refuses the request.
+    fn admit(
+        &self,
+        _head: &UnreadRequest,
+        _arrived: Timestamp,
+    ) -> Result<Option<Timestamp>, Box<Response>> {
+        Ok(None)
+    }
+
+    /// Like [`Service::respond`], for a request whose head arrived at `arrived`.
+    fn respond_since(
+        &self,
+        req: Request,
+        _arrived: Timestamp,
+        caller: SocketAddr,
+        disconnect: Disconnect,
+    ) -> BoxFuture<'_, Response> {
+        self.respond(req, caller, disconnect)
+    }
 }
 
 /// Settings of a [`Listener`].
@@ -87,14 +115,15 @@
         self
     }
 
-    /// Sets the time within which a whole request must arrive.
+    /// Sets the time within which a whole request must arrive, unless the connection is pipelined.
     #[must_use]
     pub fn request_timeout(mut self, timeout: Millis) -> Self {
         self.0.request_timeout = timeout;
         self
     }
 
-    /// Sets the time within which the caller must accept a whole response.
+    /// Sets the time within which the caller must accept a whole response. On a pipelined
+    /// connection, a caller that accepts bytes at the minimum rate has longer.
     #[must_use]
     pub fn write_timeout(mut self, timeout: Millis) -> Self {
         self.0.write_timeout = timeout;
@@ -294,7 +323,7 @@
     }
 
     /// Reads a request within `timeout`; an error without a kind gets no response.
-    pub(crate) async fn read_request(
+    async fn read_request(
         &self,
         connection: &mut Connection<TcpStream>,
         caller: SocketAddr,
@@ -305,10 +334,7 @@
             connection
                 .read_request(limits)
                 .await
-                .map_err(|error: FramingError| {
-                    info!("request refused caller={caller} framing={error}");
-                    error.request_kind()
-                })
+                .map_err(|error| log_unread(caller, error))
         };
         let timer = async {
             self.options.clock.sleep(timeout).await;
@@ -344,6 +370,12 @@
     }
 }
 
+/// Logs why a request could not be read, and returns the error kind for the caller.
+pub(crate) fn log_unread(caller: SocketAddr, error: FramingError) -> Option<ErrorKind> {
+    info!("request refused caller={caller} framing={error}");
+    error.request_kind()
+}
+
 /// The response to a request that could not be read. The request may be a resend of one that ran:
 /// its idempotency key is unknown, and another process may have other limits.
 pub(crate) fn unread_response(kind: ErrorKind) -> Response {
@@ -362,8 +394,23 @@
 
 /// Reads and discards input in transit, since the kernel would otherwise reset the connection
 /// before the caller has read the last response.
+///
+/// Ends when the caller closes its side or pauses, and after a part of a body that is too large.
 pub(crate) async fn drain_input(stream: &mut TcpStream, clock: &dyn Clock) {
-    let mut buf = [0; 1024];
-    let reading = async { while let Ok(1..) = stream.read(&mut buf).await {} };
-    reading.or(clock.sleep(LINGER_TIMEOUT)).await;
+    let mut buf = vec![0; DRAIN_READ_BYTES];
+    let mut drained = 0;
+    let draining = async {
+        while drained < MAX_DRAINED_BYTES {
+            let reading = async { stream.read(&mut buf).await.unwrap_or(0) };
+            let pause = async {
+                clock.sleep(LINGER_TIMEOUT).await;
+                0
+            };
+            match reading.or(pause).await {
+                0 => return,
+                read => drained += read,
+            }
+        }
+    };
+    draining.or(clock.sleep(MAX_DRAIN_TIME)).await;
 }
--- a/crates/auburnbridge_http/src/body.rs
+++ b/crates/auburnbridge_http/src/body.rs
@@ -37,6 +37,19 @@
         ByteSize(self.shared.used.load(Ordering::Relaxed))
     }
 
+    /// The largest number of bytes that may be charged to the budget.
+    pub fn limit(&self) -> ByteSize {
+        ByteSize(self.shared.limit)
+    }
+
+    /// Whether a further body of this size could be charged to the budget now.
+    pub fn has_room(&self, bytes: ByteSize) -> bool {
+        self.used()
+            .0
+            .checked_add(bytes.0)
+            .is_some_and(|total| total <= self.shared.limit)
+    }
+
     fn reserve(&self, bytes: u64) -> Result<(), FramingError> {
         self.shared
             .used
@@ -118,13 +131,16 @@
 /// Charging the whole `Content-Length` up front would let idle senders exhaust the budget.
 pub(crate) struct BodyBuilder {
     bytes: Vec<u8>,
+    /// `Content-Length` of the body, up to which the buffer grows at most.
+    announced_length: Option<usize>,
     reservation: Option<Reservation>,
 }
 
 impl BodyBuilder {
-    pub(crate) fn new(budget: Option<&MemoryBudget>) -> Self {
+    pub(crate) fn new(budget: Option<&MemoryBudget>, announced_length: Option<u64>) -> Self {
         Self {
             bytes: Vec::new(),
+            announced_length: announced_length.and_then(|length| usize::try_from(length).ok()),
             reservation: budget.map(|budget| Reservation {
                 budget: budget.clone(),
                 bytes: 0,
@@ -138,6 +154,7 @@
 
     pub(crate) fn append(&mut self, bytes: &[u8]) -> Result<(), FramingError> {
         self.charge(bytes.len())?;
+        self.grow(bytes.len());
         self.bytes.extend_from_slice(bytes);
         Ok(())
     }
@@ -145,15 +162,30 @@
     /// Appends `count` zero bytes and returns them for a read to overwrite.
     pub(crate) fn extend_zeroed(&mut self, count: usize) -> Result<&mut [u8], FramingError> {
         self.charge(count)?;
+        self.grow(count);
         let start = self.bytes.len();
         self.bytes.resize(start + count, 0);
         Ok(&mut self.bytes[start..])
     }
 
-    pub(crate) fn finish(self) -> Body {
+    pub(crate) fn finish(mut self) -> Body {
+        // A chunked body may leave up to half of its buffer unused.
+        self.bytes.shrink_to_fit();
         Body::from_parts(self.bytes, self.reservation)
     }
 
+    /// Doubles the buffer when it is full, but not beyond the announced length.
+    fn grow(&mut self, count: usize) {
+        let length = self.bytes.len();
+        if let Some(announced) = self.announced_length
+            && self.bytes.capacity() < length + count
+        {
+            let doubled = length.saturating_mul(2).min(announced);
+            self.bytes
+                .reserve_exact(doubled.max(length + count) - length);
+        }
+    }
+
     fn charge(&mut self, count: usize) -> Result<(), FramingError> {
         if let Some(reservation) = &mut self.reservation {
             reservation.budget.reserve(count as u64)?;
--- a/crates/auburnbridge_http/src/connection.rs
+++ b/crates/auburnbridge_http/src/connection.rs
@@ -2,6 +2,8 @@
 
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::Poll;
 
 use async_std::io::{Read, ReadExt, Write, WriteExt};
@@ -10,7 +12,7 @@
 use crate::chunked::parse_chunk_size;
 use crate::encode::{CONTINUE, encode_request, encode_response};
 use crate::head::{self, Framing};
-use crate::{Body, FramingError, KeepAlive, Limits, Request, RequestInfo, Response};
+use crate::{Body, FramingError, KeepAlive, Limits, Request, RequestInfo, Response, UnreadRequest};
 
 const READ_BYTES: usize = 8 * 1024;
 /// Increment in which a body buffer grows; the budget is charged for it before its bytes arrive.
@@ -24,6 +26,22 @@
 /// Most interim (1xx) responses skipped before the final one.
 const MAX_INTERIM_RESPONSES: usize = 8;
 
+/// A number of bytes that grows while a message is transferred; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct ByteCounter(Arc<AtomicU64>);
+
+impl ByteCounter {
+    /// The number of bytes so far.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Adds bytes.
+    pub fn add(&self, bytes: u64) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
 /// A byte stream with a buffer of the bytes read beyond the last message.
 ///
 /// Reading a message is not cancellation safe: a read that is dropped before it completes leaves
@@ -34,7 +52,7 @@
     stream: S,
     buf: Vec<u8>,
     start: usize,
-    bytes_received: u64,
+    bytes_received: ByteCounter,
 }
 
 impl<S> Connection<S> {
@@ -44,7 +62,7 @@
             stream,
             buf: Vec::new(),
             start: 0,
-            bytes_received: 0,
+            bytes_received: ByteCounter::default(),
         }
     }
 
@@ -65,7 +83,12 @@
 
     /// The number of bytes read from the stream so far.
     pub fn bytes_received(&self) -> u64 {
-        self.bytes_received
+        self.bytes_received.get()
+    }
+
+    /// The count behind [`Connection::bytes_received`], to watch a read in progress.
+    pub fn received_counter(&self) -> ByteCounter {
+        self.bytes_received.clone()
     }
 
     fn consume(&mut self, count: usize) {
@@ -113,26 +136,56 @@
 impl<S: Read + Write + Unpin> Connection<S> {
     /// Reads a whole request. Answers `Expect: 100-continue` once the head is validated.
     pub async fn read_request(&mut self, limits: &Limits) -> Result<Request, FramingError> {
-        let length = self.read_head(limits, true).await?;
-        let head = head::parse_request_head(&self.leftover()[..length], limits)?;
-        self.consume(length);
-        check_announced_length(head.framing, limits)?;
-        let awaits_continue = head.expects_continue && head.framing != Framing::Empty;
-        if awaits_continue && self.leftover().is_empty() {
+        let head = self.read_request_head(limits).await?;
+        self.read_request_body(head, limits).await
+    }
+
+    /// Reads the body of a request whose head was just read. Sends `100 Continue` if the caller
+    /// waits for it.
+    pub async fn read_request_body(
+        &mut self,
+        head: UnreadRequest,
+        limits: &Limits,
+    ) -> Result<Request, FramingError> {
+        if head.awaits_continue() && self.leftover().is_empty() {
             self.write(CONTINUE).await?;
         }
         let body = self.read_body(head.framing, limits).await?;
-        Ok(Request {
-            method: head.method,
-            path: head.path,
-            headers: head.headers,
-            body,
-            keep_alive: head.keep_alive,
-        })
+        Ok(head.with_body(body))
     }
 }
 
 impl<S: Read + Unpin> Connection<S> {
+    /// Reads the head of a request, and rejects a body whose announced length exceeds the limit.
+    ///
+    /// [`Connection::read_request_body`] or [`Connection::skip_bytes`] must follow if there is a
+    /// body.
+    pub async fn read_request_head(
+        &mut self,
+        limits: &Limits,
+    ) -> Result<UnreadRequest, FramingError> {
+        let length = self.read_head(limits, true).await?;
+        let head = head::parse_request_head(&self.leftover()[..length], limits)?;
+        self.consume(length);
+        check_announced_length(head.framing, limits)?;
+        Ok(UnreadRequest::new(head))
+    }
+
+    /// Reads and discards exactly `count` bytes.
+    pub async fn skip_bytes(&mut self, count: u64) -> Result<(), FramingError> {
+        let mut remaining = count;
+        loop {
+            let buffered = self.leftover().len();
+            let taken = usize::try_from(remaining).map_or(buffered, |left| left.min(buffered));
+            self.consume(taken);
+            remaining -= taken as u64;
+            if remaining == 0 {
+                return Ok(());
+            }
+            self.fill_within_body().await?;
+        }
+    }
+
     /// Reads the whole final response to the request of `info` and skips interim responses.
     pub async fn read_response(
         &mut self,
@@ -225,7 +278,7 @@
     }
 
     async fn read_body(&mut self, framing: Framing, limits: &Limits) -> Result<Body, FramingError> {
-        let mut body = BodyBuilder::new(limits.budget.as_ref());
+        let mut body = BodyBuilder::new(limits.budget.as_ref(), framing.announced_length());
         match framing {
             Framing::Empty => {}
             Framing::Sized(length) => self.read_bytes(length, &mut body).await?,
@@ -348,7 +401,7 @@
                 if read == 0 {
                     return Err(FramingError::ClosedInBody);
                 }
-                self.bytes_received += read as u64;
+                self.bytes_received.add(read as u64);
                 unfilled = &mut unfilled[read..];
             }
             remaining -= step as u64;
@@ -380,7 +433,7 @@
                 Poll::Ready(Err(_)) | Poll::Pending => 0,
             };
             self.buf.truncate(filled + read);
-            self.bytes_received += read as u64;
+            self.bytes_received.add(read as u64);
             polled
         })
         .await
--- a/crates/auburnbridge_http/src/encode.rs
+++ b/crates/auburnbridge_http/src/encode.rs
@@ -16,6 +16,8 @@
 /// Methods whose requests usually have no body; `Content-Length: 0` is omitted for them.
 const BODILESS_METHODS: [&str; 5] = ["GET", "HEAD", "OPTIONS", "DELETE", "TRACE"];
 
+/// Most bytes of a body that are copied behind the head.
+const MAX_JOINED_BODY_BYTES: usize = 16 * 1024;
 const ESTIMATED_START_LINE_BYTES: usize = 64;
 const ESTIMATED_HEADER_BYTES: usize = 48;
 
@@ -23,11 +25,21 @@
 ///
 /// A request without `Host`, which only HTTP/1.0 allows, gets an empty `Host`.
 pub fn encode_request(request: &Request, buf: &mut Vec<u8>) {
+    let rest = encode_request_start(request, buf);
+    buf.extend_from_slice(rest);
+}
+
+/// Appends the head and the first 16 KiB of the body to `buf`, and returns the rest of the body,
+/// which is to be written from where it is.
+///
+/// A small request thus takes one write, and a large body isn't copied.
+pub fn encode_request_start<'a>(request: &'a Request, buf: &mut Vec<u8>) -> &'a [u8] {
+    let (start, rest) = split_body(&request.body);
     buf.reserve(
         ESTIMATED_START_LINE_BYTES
             + request.path.len()
             + request.headers.len() * ESTIMATED_HEADER_BYTES
-            + request.body.len(),
+            + start.len(),
     );
     buf.extend_from_slice(request.method.as_bytes());
     buf.push(b' ');
@@ -44,7 +56,8 @@
         buf.extend_from_slice(b"Connection: close\r\n");
     }
     buf.extend_from_slice(b"\r\n");
-    buf.extend_from_slice(&request.body);
+    buf.extend_from_slice(start);
+    rest
 }
 
 /// Appends the encoded response to the request of `info` to `buf`.
@@ -57,10 +70,25 @@
     keep_alive: KeepAlive,
     buf: &mut Vec<u8>,
 ) {
+    let rest = encode_response_start(response, info, keep_alive, buf);
+    buf.extend_from_slice(rest);
+}
+
+/// Like [`encode_response`], but returns the body beyond its first 16 KiB instead of copying it.
+pub fn encode_response_start<'a>(
+    response: &'a Response,
+    info: RequestInfo,
+    keep_alive: KeepAlive,
+    buf: &mut Vec<u8>,
+) -> &'a [u8] {
+    let body = if Response::is_bodiless(response.status, info) {
+        &[]
+    } else {
+        &response.body[..]
+    };
+    let (start, rest) = split_body(body);
     buf.reserve(
-        ESTIMATED_START_LINE_BYTES
-            + response.headers.len() * ESTIMATED_HEADER_BYTES
-            + response.body.len(),
+        ESTIMATED_START_LINE_BYTES + response.headers.len() * ESTIMATED_HEADER_BYTES + start.len(),
     );
     let reason = reason_phrase(response.status);
     write!(buf, "HTTP/1.1 {} {reason}\r\n", response.status)
@@ -73,9 +101,13 @@
         buf.extend_from_slice(b"Connection: close\r\n");
     }
     buf.extend_from_slice(b"\r\n");
-    if !Response::is_bodiless(response.status, info) {
-        buf.extend_from_slice(&response.body);
-    }
+    buf.extend_from_slice(start);
+    rest
+}
+
+/// Divides a body into the part that is sent in one write with the head, and the rest.
+fn split_body(body: &[u8]) -> (&[u8], &[u8]) {
+    body.split_at(body.len().min(MAX_JOINED_BODY_BYTES))
 }
 
 /// The reason phrase of a status, empty for an unregistered one.
--- a/crates/auburnbridge_http/src/head.rs
+++ b/crates/auburnbridge_http/src/head.rs
@@ -22,6 +22,17 @@
     UntilClose,
 }
 
+impl Framing {
+    /// The length that the head announces, if it does.
+    pub(crate) fn announced_length(self) -> Option<u64> {
+        match self {
+            Self::Empty => Some(0),
+            Self::Sized(length) => Some(length),
+            Self::Chunked | Self::UntilClose => None,
+        }
+    }
+}
+
 /// A parsed request head.
 pub(crate) struct RequestHead {
     pub(crate) method: String,
--- a/crates/auburnbridge_http/src/lib.rs
+++ b/crates/auburnbridge_http/src/lib.rs
@@ -20,9 +20,11 @@
 mod message;
 
 pub use body::{Body, MemoryBudget};
-pub use connection::Connection;
-pub use encode::{CONTINUE, encode_request, encode_response};
+pub use connection::{ByteCounter, Connection};
+pub use encode::{
+    CONTINUE, encode_request, encode_request_start, encode_response, encode_response_start,
+};
 pub use error::FramingError;
 pub use headers::Headers;
 pub use limits::Limits;
-pub use message::{KeepAlive, Request, RequestInfo, Response};
+pub use message::{KeepAlive, Request, RequestInfo, Response, UnreadRequest};
--- a/crates/auburnbridge_http/src/message.rs
+++ b/crates/auburnbridge_http/src/message.rs
@@ -1,5 +1,8 @@
 //! Whole requests and responses.
 
+use auburnbridge_types::ByteSize;
+
+use crate::head::{Framing, RequestHead};
 use crate::{Body, Headers};
 
 /// Whether the connection may carry another message after this one.
@@ -39,6 +42,57 @@
     }
 }
 
+/// A request whose head has been read and whose body has not.
+#[derive(Debug)]
+pub struct UnreadRequest {
+    request: Request,
+    pub(crate) framing: Framing,
+    expects_continue: bool,
+}
+
+impl UnreadRequest {
+    pub(crate) fn new(head: RequestHead) -> Self {
+        Self {
+            request: Request {
+                method: head.method,
+                path: head.path,
+                headers: head.headers,
+                body: Body::default(),
+                keep_alive: head.keep_alive,
+            },
+            framing: head.framing,
+            expects_continue: head.expects_continue,
+        }
+    }
+
+    /// The request without its body.
+    pub fn request(&self) -> &Request {
+        &self.request
+    }
+
+    /// Whether a body follows the head.
+    pub fn has_body(&self) -> bool {
+        self.framing != Framing::Empty
+    }
+
+    /// The length of the body; `None` if it is chunked.
+    pub fn body_length(&self) -> Option<ByteSize> {
+        self.framing.announced_length().map(ByteSize)
+    }
+
+    /// Whether the caller waits for `100 Continue` before it sends the body.
+    pub fn awaits_continue(&self) -> bool {
+        self.expects_continue && self.has_body()
+    }
+
+    pub(crate) fn with_body(self, body: Body) -> Request {
+        Request {
+            body,
+            ..self.request
+        }
+    }
+}
+
 /// The properties of a request that the framing of its response depends on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RequestInfo {
--- a/crates/auburnbridge_types/src/quantities.rs
+++ b/crates/auburnbridge_types/src/quantities.rs
@@ -68,6 +68,10 @@
     /// Rate per second.
     RatePerSecond(u32), "/s", "a rate per second, such as `50/s`"
 );
+quantity!(
+    /// Rate of a transfer in bytes per second.
+    ByteRate(u64), "B/s", "a rate in bytes per second, such as `8192B/s`"
+);
 quantity!(
     /// Rate of requests, in thousandths of a request per second.
     RequestRate(u64), "m/s", "a rate in thousandths of a request per second, such as `500m/s`"
