Write large requests without copying their body

A request was encoded into one buffer, so that each exchange held the body twice, the copy outside of the budget. Small requests are sent as before.

--- a/crates/auburnbridge_target/src/exchange.rs
+++ b/crates/auburnbridge_target/src/exchange.rs
@@ -121,7 +121,10 @@
 
 /// An encoded request with what is needed to read its answer.
 pub(crate) struct OutgoingRequest<'a> {
-    pub(crate) encoded: &'a [u8],
+    /// Head and start of the body, which take one write.
+    pub(crate) start: &'a [u8],
+    /// Rest of a large body.
+    pub(crate) rest: &'a [u8],
     pub(crate) info: RequestInfo,
     /// Name and value of the request header that the target repeats in its answer.
     pub(crate) echo: Option<(&'static str, &'a [u8])>,
@@ -206,7 +209,7 @@
     }
 
     let stream = connection.get_ref().clone();
-    let mut write = pin!(write_all(stream, request.encoded, written));
+    let mut write = pin!(write_request(stream, request, written));
     let mut read = pin!(read_answer(connection, request, limits));
     let step = or(async { Step::Wrote(write.as_mut().await) }, async {
         Step::Read(read.as_mut().await)
@@ -231,8 +234,17 @@
     }
 }
 
-async fn write_all(
+async fn write_request(
     mut stream: TcpStream,
+    request: &OutgoingRequest<'_>,
+    written: &AtomicBool,
+) -> io::Result<()> {
+    write_all(&mut stream, request.start, written).await?;
+    write_all(&mut stream, request.rest, written).await
+}
+
+async fn write_all(
+    stream: &mut TcpStream,
     mut bytes: &[u8],
     written: &AtomicBool,
 ) -> io::Result<()> {
--- a/crates/auburnbridge_target/src/pool.rs
+++ b/crates/auburnbridge_target/src/pool.rs
@@ -7,7 +7,9 @@
 
 use async_lock::SemaphoreGuardArc;
 use async_std::net::TcpStream;
-use auburnbridge_http::{Connection, KeepAlive, Limits, Request, RequestInfo, encode_request};
+use auburnbridge_http::{
+    Connection, KeepAlive, Limits, Request, RequestInfo, encode_request_start,
+};
 use auburnbridge_types::{Clock, Millis, Timestamp};
 use futures_lite::future::or;
 use parking_lot::Mutex;
@@ -175,8 +177,8 @@
         deadline: Timestamp,
         max_idle_time: Millis,
     ) -> Exchange {
-        let mut encoded = Vec::new();
-        encode_request(request, &mut encoded);
+        let mut start = Vec::new();
+        let rest = encode_request_start(request, &mut start);
         let target = self.target(address);
         loop {
             let lease = match self.lease(address, &target, deadline, max_idle_time).await {
@@ -185,7 +187,8 @@
             };
             let is_reused = lease.is_reused;
             let outgoing = OutgoingRequest {
-                encoded: &encoded,
+                start: &start,
+                rest,
                 info: RequestInfo::from(request),
                 echo: self
                     .options
