Limit the memory of bodies by the VM's, and the bytes in flight on a target

The budget was 128 MiB whatever the VM's memory, and uploads and responses shared it. A request that was refused in any case was read whole first, and several uploads could pile up on one target.

A gateway decides on route, key, targets and memory from the head. A target over its bytes in flight is treated like one that was tried; if no other one is free, the upload waits without a slot until its objective. Deadlines count from the head.

--- a/crates/auburnbridge/src/commands/gateway.rs
+++ b/crates/auburnbridge/src/commands/gateway.rs
@@ -6,9 +6,10 @@
 
 use argh::FromArgs;
 use async_std::task;
-use auburnbridge_gateway::{GatewayOptions, RunningGateway, StopTimes};
+use auburnbridge_gateway::{BodyOptions, GatewayOptions, RunningGateway, StopTimes, body_memory};
 use auburnbridge_policy::balance::ResendBudgetOptions;
 use auburnbridge_settings::{GatewaySettings, Settings};
+use auburnbridge_types::ByteRate;
 use auburnbridge_utility::UtilityDialect;
 use log::info;
 use parking_lot::Mutex;
@@ -42,7 +43,11 @@
         keeper_port: port(settings.keeper_port)?,
         dialect: Arc::new(UtilityDialect),
         stop_times,
-        body_memory: settings.body_memory,
+        body_memory: body_memory(settings.body_memory, settings.vm_memory),
+        bodies: BodyOptions {
+            min_rate: ByteRate(settings.min_body_rate.0),
+            in_flight_per_target: settings.body_bytes_per_target,
+        },
         connections_per_target: settings.connections_per_target as usize,
         floor_share: settings.floor_share.0,
         resend_budget: ResendBudgetOptions {
--- /dev/null
+++ b/crates/auburnbridge_gateway/src/admission.rs
@@ -0,0 +1,82 @@
+//! Decisions about a request with a body that need only its head.
+//!
+//! They are made before the body is read, so that a body is neither sent nor kept for a request that
+//! is refused in any case. The request is checked again when it is whole, since the configuration may
+//! have changed meanwhile.
+
+use auburnbridge_http::{Request, Response, UnreadRequest};
+use auburnbridge_routing::PublishedRoute;
+use auburnbridge_types::{ByteSize, ErrorKind, Millis, Timestamp};
+
+use crate::authentication::{authenticate, priority};
+use crate::failure::Failure;
+use crate::gateway::{CONFIGURATION_RETRY_AFTER, Gateway, refuse};
+
+/// `Retry-After` if the memory for bodies is in use, which the requests in progress release.
+const MEMORY_RETRY_AFTER: Millis = Millis(500);
+/// Room that a chunked body needs, whose length isn't known.
+const CHUNKED_BODY_ROOM: ByteSize = ByteSize(64 * 1024);
+
+impl Gateway {
+    /// Admits the body of a request, until the instant that is returned, or refuses the request.
+    pub(crate) fn admit_head(
+        &self,
+        head: &UnreadRequest,
+        arrived: Timestamp,
+    ) -> Result<Timestamp, Response> {
+        let request = head.request();
+        let refuse = |failure, retry_after| refuse(request, self.headers, failure, retry_after);
+        let Some(routes) = self.routes() else {
+            return Err(refuse(
+                Failure::NoConfiguration,
+                Some(CONFIGURATION_RETRY_AFTER),
+            ));
+        };
+        let host = request.headers.text("Host").unwrap_or_default();
+        let Some(route) = routes.find(host, &request.path) else {
+            return Err(refuse(Failure::NoRoute, None));
+        };
+        let Ok(account) = authenticate(request, self.headers, &routes, route) else {
+            return Err(refuse(Failure::UnknownKey, None));
+        };
+        if let Some(retry_after) =
+            self.wait_for_targets(route, priority(route, account.as_deref()).0)
+        {
+            return Err(refuse(Failure::NoRoom, Some(retry_after)));
+        }
+        let room = head.body_length().unwrap_or(CHUNKED_BODY_ROOM);
+        if !self.budgets.requests.has_room(room) {
+            self.metrics
+                .record_unread_request(ErrorKind::Overloaded.into());
+            return Err(refuse(Failure::NoMemory, Some(MEMORY_RETRY_AFTER)));
+        }
+        Ok(arrived.after(self.wait(request, route)))
+    }
+
+    /// Time for which the caller of a request waits, at most the route's timeout.
+    pub(crate) fn wait(&self, request: &Request, route: &PublishedRoute) -> Millis {
+        request
+            .headers
+            .text(self.headers.deadline)
+            .and_then(|text| text.parse::<Millis>().ok())
+            .map_or(route.timeout, |wait| wait.min(route.timeout))
+    }
+
+    /// `Retry-After` of a request whose services have no target at all.
+    fn wait_for_targets(&self, route: &PublishedRoute, priority: u32) -> Option<Millis> {
+        let services = || {
+            route
+                .destinations
+                .iter()
+                .map(|destination| &destination.service)
+        };
+        if services().any(|service| self.services.has_target(service)) {
+            return None;
+        }
+        let dispatcher = services().find_map(|service| self.services.get(service))?;
+        // The request counts as demand, although it is refused early.
+        dispatcher.record_request(priority);
+        dispatcher.record_outcome(false);
+        Some(dispatcher.refusal(priority).retry_after)
+    }
+}
--- /dev/null
+++ b/crates/auburnbridge_gateway/src/body_placement.rs
@@ -0,0 +1,71 @@
+//! Choice of a target that has room for a large body.
+//!
+//! A target over its limit of bytes in flight is treated like one that the request was already sent
+//! to. If no other target is free, the request waits without a slot until a body in flight ends, so
+//! that small requests use the slots meanwhile.
+
+use auburnbridge_policy::balance::{BalancedKey, PlacementRequest, Refusal};
+use auburnbridge_types::ByteSize;
+use futures_lite::FutureExt;
+
+use crate::bodies::{BodyInFlight, TargetBodies};
+use crate::exchange::Exchanger;
+use crate::service_dispatcher::Assignment;
+
+impl Exchanger<'_> {
+    /// Waits for a target that may take the body of the request, if it is a large one.
+    pub(crate) async fn acquire(
+        self,
+        placement: PlacementRequest<'_>,
+    ) -> Result<(Assignment, Option<BodyInFlight>), Refusal> {
+        let bytes = ByteSize(self.incoming.request.body.len() as u64);
+        if !TargetBodies::is_counted(bytes) {
+            return Ok((self.dispatcher.acquire(placement).await?, None));
+        }
+        loop {
+            // Listening first, so that no release is missed.
+            let released = self.gateway.target_bodies.listen();
+            let assignment = self.dispatcher.acquire(placement).await?;
+            if let Some(placed) = self.place_body(assignment, placement, bytes) {
+                return Ok(placed);
+            }
+            let left = placement.objective.since(self.gateway.clock.now());
+            let is_released = async {
+                released.await;
+                true
+            };
+            let timed_out = async {
+                self.gateway.clock.sleep(left).await;
+                false
+            };
+            if !is_released.or(timed_out).await {
+                return Err(self.dispatcher.refusal(placement.priority));
+            }
+        }
+    }
+
+    /// Assigns the body to this target, or to another free one that has room for it.
+    fn place_body(
+        self,
+        mut assignment: Assignment,
+        placement: PlacementRequest<'_>,
+        bytes: ByteSize,
+    ) -> Option<(Assignment, Option<BodyInFlight>)> {
+        let mut excluded: Vec<BalancedKey> = placement.tried.to_vec();
+        loop {
+            let in_flight = self
+                .gateway
+                .target_bodies
+                .begin(assignment.address(), bytes);
+            if in_flight.is_some() {
+                return Some((assignment, in_flight));
+            }
+            excluded.push(assignment.key());
+            let others = PlacementRequest {
+                tried: &excluded,
+                ..placement
+            };
+            assignment = self.dispatcher.pick_hedge(&others)?;
+        }
+    }
+}
--- a/crates/auburnbridge_gateway/src/failure.rs
+++ b/crates/auburnbridge_gateway/src/failure.rs
@@ -16,6 +16,8 @@
     UnknownKey,
     /// No target of the service can take the request in time; it did not run.
     NoRoom,
+    /// The memory for bodies is in use; the body was not read.
+    NoMemory,
     /// The request crashed the targets that ran it before, and was not run again.
     Poisoned,
     /// A target may have run the request and sent no complete response.
@@ -32,6 +34,7 @@
             | Self::NoRoute
             | Self::UnknownKey
             | Self::NoRoom
+            | Self::NoMemory
             | Self::Poisoned => true,
             Self::Broken | Self::TimedOut => false,
         }
@@ -39,7 +42,7 @@
 
     fn status(self) -> u16 {
         match self {
-            Self::NoConfiguration | Self::NoRoom | Self::Poisoned => 503,
+            Self::NoConfiguration | Self::NoRoom | Self::NoMemory | Self::Poisoned => 503,
             Self::UnknownKey => 401,
             Self::NoRoute => 404,
             Self::Broken => 502,
--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -73,11 +73,11 @@
     }
 
     async fn serve(&mut self) -> Response {
-        let dispatcher = self.exchanger.dispatcher;
         let mut last_error = None;
         loop {
-            let assignment = match dispatcher.acquire(self.placement_request()).await {
-                Ok(assignment) => assignment,
+            let placed = self.exchanger.acquire(self.placement_request()).await;
+            let (assignment, _body_in_flight) = match placed {
+                Ok(placed) => placed,
                 Err(refusal) => return self.give_up(last_error, Some(refusal)),
             };
             self.tried.push(assignment.key());
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwapOption;
-use auburnbridge_caller::{Disconnect, LimitSource, Service};
-use auburnbridge_http::{Limits, MemoryBudget, Request, Response};
+use auburnbridge_caller::{Disconnect, LimitSource, Service, TransferPace};
+use auburnbridge_http::{Limits, MemoryBudget, Request, Response, UnreadRequest};
 use auburnbridge_membership::Announcement;
 use auburnbridge_policy::balance::Pick;
 use auburnbridge_policy::{CrashReport, PoisonTable};
@@ -15,8 +15,8 @@
 use auburnbridge_target::Pool;
 use auburnbridge_telemetry::ProcessMetrics;
 use auburnbridge_types::{
-    BoxFuture, ByteSize, Clock, ConfigVersion, Millis, Priority, RequestDigest, ServiceName,
-    Timestamp,
+    BoxFuture, ByteSize, Clock, ConfigVersion, ErrorKind, Millis, Priority, RequestDigest,
+    ServiceName, Timestamp,
 };
 use event_listener::Event;
 use log::info;
@@ -26,6 +26,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::authentication::{authenticate, priority};
+use crate::bodies::{BodyBudgets, BodyOptions, TargetBodies};
 use crate::departures::UnreportedDepartures;
 use crate::failure::Failure;
 use crate::forward::Forwarder;
@@ -33,7 +34,7 @@
 use crate::service_table::ServiceTable;
 
 /// `Retry-After` while no configuration has been received, which takes a few round trips.
-const CONFIGURATION_RETRY_AFTER: Millis = Millis(500);
+pub(crate) const CONFIGURATION_RETRY_AFTER: Millis = Millis(500);
 /// `Retry-After` of a request that crashes targets: the time after which its crashes expire.
 const POISON_RETRY_AFTER: Millis = auburnbridge_policy::POISON_TIME;
 /// Maximum body size of a target's response.
@@ -72,7 +73,9 @@
     pub(crate) pool: Pool,
     pub(crate) services: ServiceTable,
     pub(crate) metrics: Arc<ProcessMetrics>,
-    budget: MemoryBudget,
+    pub(crate) budgets: BodyBudgets,
+    body_options: BodyOptions,
+    pub(crate) target_bodies: Arc<TargetBodies>,
     routes: ArcSwapOption<RouteSet>,
     splits: Mutex<(TrafficSplits, StdRng)>,
     poison: Mutex<PoisonTable>,
@@ -112,7 +115,11 @@
             pool: dependencies.pool,
             services,
             metrics: dependencies.metrics,
-            budget: dependencies.budget,
+            budgets: BodyBudgets::new(&dependencies.budget),
+            body_options: BodyOptions::default(),
+            target_bodies: Arc::new(TargetBodies::new(
+                BodyOptions::default().in_flight_per_target,
+            )),
             routes: ArcSwapOption::empty(),
             splits: Mutex::new((
                 TrafficSplits::default(),
@@ -125,6 +132,14 @@
         }
     }
 
+    /// Sets the limits on bodies.
+    #[must_use]
+    pub fn with_body_options(mut self, options: BodyOptions) -> Self {
+        self.target_bodies = Arc::new(TargetBodies::new(options.in_flight_per_target));
+        self.body_options = options;
+        self
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> Option<Arc<RouteSet>> {
         self.routes.load_full()
@@ -137,7 +152,17 @@
 
     /// Memory that the bodies of requests and responses use.
     pub fn body_memory(&self) -> ByteSize {
-        self.budget.used()
+        self.budgets.used()
+    }
+
+    /// Sets the metrics of the memory that bodies use.
+    pub(crate) fn record_body_bytes(&self) {
+        let BodyBudgets {
+            requests,
+            responses,
+        } = &self.budgets;
+        self.metrics
+            .set_body_bytes(requests.used().0, responses.used().0);
     }
 
     /// Puts `routes` in force if their version is newer than the current one, since versions never go
@@ -220,12 +245,17 @@
     pub(crate) fn response_limits(&self) -> Limits {
         Limits::default()
             .with_body_bytes(RESPONSE_BODY_LIMIT)
-            .with_budget(self.budget.clone())
+            .with_budget(self.budgets.responses.clone())
             .with_unframed_responses()
     }
 
-    async fn handle(self: Arc<Self>, request: Request, disconnect: Disconnect) -> Response {
-        let arrived = self.clock.now();
+    /// Serves a request whose head arrived at `arrived`.
+    async fn handle(
+        self: Arc<Self>,
+        request: Request,
+        arrived: Timestamp,
+        disconnect: Disconnect,
+    ) -> Response {
         let refuse = |failure, retry_after| refuse(&request, self.headers, failure, retry_after);
         let Some(routes) = self.routes() else {
             return refuse(Failure::NoConfiguration, Some(CONFIGURATION_RETRY_AFTER));
@@ -244,11 +274,7 @@
         let Some(dispatcher) = self.dispatcher_for(&route) else {
             return refuse(Failure::NoConfiguration, Some(CONFIGURATION_RETRY_AFTER));
         };
-        let wait = request
-            .headers
-            .text(self.headers.deadline)
-            .and_then(|text| text.parse::<Millis>().ok())
-            .map_or(route.timeout, |wait| wait.min(route.timeout));
+        let wait = self.wait(&request, &route);
         let incoming = Incoming {
             version: routes.version(),
             has_accounts: routes.accounts().is_some(),
@@ -279,7 +305,7 @@
 }
 
 /// Logs the refusal of a request that was assigned to no service, and returns the response.
-fn refuse(
+pub(crate) fn refuse(
     request: &Request,
     headers: HeaderNames,
     failure: Failure,
@@ -321,7 +347,26 @@
         _caller: SocketAddr,
         disconnect: Disconnect,
     ) -> BoxFuture<'_, Response> {
-        Box::pin(Arc::clone(&self.0).handle(req, disconnect))
+        let arrived = self.0.clock.now();
+        Box::pin(Arc::clone(&self.0).handle(req, arrived, disconnect))
+    }
+
+    fn admit(
+        &self,
+        head: &UnreadRequest,
+        arrived: Timestamp,
+    ) -> Result<Option<Timestamp>, Box<Response>> {
+        self.0.admit_head(head, arrived).map(Some).map_err(Box::new)
+    }
+
+    fn respond_since(
+        &self,
+        req: Request,
+        arrived: Timestamp,
+        _caller: SocketAddr,
+        disconnect: Disconnect,
+    ) -> BoxFuture<'_, Response> {
+        Box::pin(Arc::clone(&self.0).handle(req, arrived, disconnect))
     }
 }
 
@@ -331,7 +376,7 @@
         Limits::default()
             .with_head_bytes(limits.head)
             .with_body_bytes(limits.body)
-            .with_budget(self.budget.clone())
+            .with_budget(self.budgets.requests.clone())
     }
 
     fn request_timeout(&self) -> Millis {
@@ -341,4 +386,19 @@
     fn idle_timeout(&self) -> Millis {
         self.caller_limits().idle_timeout
     }
+
+    fn body_pace(&self) -> TransferPace {
+        TransferPace {
+            max_pause: self.caller_limits().head_timeout,
+            min_rate: self.body_options.min_rate,
+        }
+    }
+
+    fn connection_memory(&self) -> ByteSize {
+        self.budgets.connection_limit()
+    }
+
+    fn record_unread(&self, kind: ErrorKind) {
+        self.metrics.record_unread_request(kind.into());
+    }
 }
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -6,7 +6,10 @@
 //! targets. The gateway watches them for both, and reports its findings about targets to the other
 //! gateways.
 
+mod admission;
 mod authentication;
+mod bodies;
+mod body_placement;
 mod departures;
 mod exchange;
 mod failure;
@@ -20,6 +23,7 @@
 mod service_table;
 mod stop_times;
 
+pub use bodies::{BodyBudgets, BodyInFlight, BodyOptions, TargetBodies, body_memory};
 pub use feed::KeeperWatcher;
 pub use gateway::{CallerService, Gateway, GatewayDependencies, request_digest};
 pub use neighbours::{GatewayReport, GatewayReporter};
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -25,6 +25,7 @@
 use log::info;
 use parking_lot::Mutex;
 
+use crate::bodies::BodyOptions;
 use crate::feed::KeeperWatcher;
 use crate::gateway::{CallerService, Gateway, GatewayDependencies};
 use crate::neighbours::GatewayReporter;
@@ -75,8 +76,10 @@
     pub dialect: Arc<dyn Dialect>,
     /// Lengths of the phases of a planned stop.
     pub stop_times: StopTimes,
-    /// Memory budget for the bodies of all requests and responses.
+    /// Memory for the bodies of all requests and responses.
     pub body_memory: ByteSize,
+    /// Limits on bodies.
+    pub bodies: BodyOptions,
     /// Maximum number of connections to one target.
     pub connections_per_target: usize,
     /// Minimum share of the targets that aren't down to use: the least suspected ones are used up
@@ -227,6 +230,7 @@
         ServiceTable::new(Arc::clone(clock), dispatcher_options),
         dependencies,
     )
+    .with_body_options(options.bodies)
 }
 
 fn build_watcher(
@@ -288,6 +292,7 @@
         }
         if tick.is_multiple_of(TICKS_PER_POOL_CLEANUP) {
             gateway.pool.close_expired();
+            gateway.record_body_bytes();
         }
         tick = tick.wrapping_add(1);
         gateway.clock.sleep(MAINTENANCE_INTERVAL).await;
--- a/crates/auburnbridge_gateway/src/service_table.rs
+++ b/crates/auburnbridge_gateway/src/service_table.rs
@@ -105,6 +105,12 @@
         Some(departure)
     }
 
+    /// Whether a service has a target that accepts requests.
+    pub(crate) fn has_target(&self, service: &ServiceName) -> bool {
+        let now = self.clock.now();
+        self.members.lock().view(service, now).next().is_some()
+    }
+
     /// Number of targets that accept requests.
     pub fn targets(&self) -> usize {
         self.members.lock().len()
--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -7,6 +7,7 @@
 mod notices;
 mod refusals;
 mod targets;
+mod uploads;
 
 use std::time::{Duration, Instant};
 
--- a/crates/auburnbridge_settings/src/gateway.rs
+++ b/crates/auburnbridge_settings/src/gateway.rs
@@ -34,8 +34,17 @@
         /// `balancer_lag` lasts at most five twelfths of it, and requests in progress have until a
         /// twelfth before its end instead of `shutdown_limit`.
         stop_limit: Option<Millis> [optional],
-        /// Memory for the bodies of all requests in progress and of their responses.
-        body_memory: ByteSize [default "128MiB"] ["1MiB" to "4GiB"],
+        /// Memory of this VM, of which bodies get a quarter unless `body_memory` is set.
+        vm_memory: Option<ByteSize> [optional] ["16MiB" to "16384GiB"],
+        /// Memory for bodies, half of it for those of requests in progress and half for those of
+        /// responses. Without it, a quarter of `vm_memory`, or 128 MiB if that isn't set either.
+        body_memory: Option<ByteSize> [optional] ["1MiB" to "4GiB"],
+        /// Bytes per second below which the body of a request is no longer waited for, and a
+        /// response no longer written.
+        min_body_rate: ByteSize [default "8KiB"] ["1B" to "1GiB"],
+        /// Largest number of bytes of bodies over 16 KiB that this gateway has in flight on one
+        /// target; a single body may be larger.
+        body_bytes_per_target: ByteSize [default "512KiB"] ["16KiB" to "4GiB"],
         /// Largest number of connections to one target.
         connections_per_target: u32 [default "20"] ["1" to "350"],
         /// Share of a service's targets that receive requests even if they are suspected to be
--- a/crates/auburnbridge_telemetry/src/metrics.rs
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -42,6 +42,16 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct UnreadLabels {
+    reason: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BodyLabels {
+    direction: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ServiceLabels {
     service: String,
@@ -57,6 +67,8 @@
     configuration_version: Gauge,
     control_calls: Family<CallLabels, Counter>,
     stated_departures: Family<ServiceLabels, Counter>,
+    unread_requests: Family<UnreadLabels, Counter>,
+    body_bytes: Family<BodyLabels, Gauge>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -73,6 +85,8 @@
         let configuration_version = Gauge::default();
         let control_calls = Family::default();
         let stated_departures = Family::default();
+        let unread_requests = Family::default();
+        let body_bytes = Family::default();
         registry.register("requests", "Requests of callers", requests.clone());
         registry.register(
             "request_seconds",
@@ -100,6 +114,16 @@
             "Targets that stated in a response that they are leaving",
             stated_departures.clone(),
         );
+        registry.register(
+            "unread_requests",
+            "Requests that were refused before they were read whole",
+            unread_requests.clone(),
+        );
+        registry.register(
+            "body_bytes",
+            "Bytes of the bodies in memory",
+            body_bytes.clone(),
+        );
         Self {
             registry,
             requests,
@@ -109,6 +133,8 @@
             configuration_version,
             control_calls,
             stated_departures,
+            unread_requests,
+            body_bytes,
         }
     }
 }
@@ -153,6 +179,26 @@
         self.stated_departures.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was refused before it was read whole.
+    pub fn record_unread_request(&self, reason: &str) {
+        let labels = UnreadLabels {
+            reason: reason.to_owned(),
+        };
+        self.unread_requests.get_or_create(&labels).inc();
+    }
+
+    /// Sets the bytes of the bodies in memory, of callers' requests and of targets' responses.
+    pub fn set_body_bytes(&self, requests: u64, responses: u64) {
+        for (direction, bytes) in [("request", requests), ("response", responses)] {
+            let labels = BodyLabels {
+                direction: direction.to_owned(),
+            };
+            self.body_bytes
+                .get_or_create(&labels)
+                .set(i64::try_from(bytes).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Sets the version of the current configuration.
     pub fn set_configuration_version(&self, version: u64) {
         self.configuration_version
