--- a/crates/auburnbridge_gateway/src/bodies.rs
+++ b/crates/auburnbridge_gateway/src/bodies.rs
@@ -33,15 +33,15 @@
     fn default() -> Self {
         Self {
             min_rate: ByteRate(8 * 1024),
-            in_flight_per_target: ByteSize(512 * 1024),
+            in_flight_per_target: ByteSize(1024 * 1024),
         }
     }
 }
 
 /// Memory for all bodies: as configured, or else a quarter of the VM's memory.
 ///
-/// The rest is for the process itself, for buffers of connections, and for bodies that grow: their
-/// buffer is doubled, which takes up to twice their size for a moment.
+/// The rest is for the process itself, for buffers of connections, and for bodies whose buffer grows,
+/// which takes up to twice their size for a moment.
 pub fn body_memory(configured: Option<ByteSize>, vm_memory: Option<ByteSize>) -> ByteSize {
     configured
         .or(vm_memory.map(|memory| ByteSize(memory.0 / BODY_PART_OF_MEMORY)))
--- a/crates/auburnbridge_gateway/src/body_placement.rs
+++ b/crates/auburnbridge_gateway/src/body_placement.rs
@@ -5,7 +5,7 @@
 //! that small requests use the slots meanwhile.
 
 use auburnbridge_policy::balance::{BalancedKey, PlacementRequest, Refusal};
-use auburnbridge_types::ByteSize;
+use auburnbridge_types::{ByteSize, Millis};
 use futures_lite::FutureExt;
 
 use crate::bodies::{BodyInFlight, TargetBodies};
@@ -29,7 +29,7 @@
             if let Some(placed) = self.place_body(assignment, placement, bytes) {
                 return Ok(placed);
             }
-            let left = placement.objective.since(self.gateway.clock.now());
+            let left = self.time_to_wait(placement);
             let is_released = async {
                 released.await;
                 true
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Time after which a target could hardly respond before the deadline, or until the objective if
+    /// that is later.
+    fn time_to_wait(self, placement: PlacementRequest<'_>) -> Millis {
+        let now = self.gateway.clock.now();
+        let silent_after = self.dispatcher.answer_times().silent_after();
+        let until_deadline = placement.deadline.since(now).0;
+        Millis(until_deadline.saturating_sub(silent_after.0)).max(placement.objective.since(now))
+    }
+
     /// Assigns the body to this target, or to another free one that has room for it.
     fn place_body(
         self,
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -233,6 +233,11 @@
 
 /// Creates a gateway in front of `targets`.
 pub fn start_gateway(targets: &[&Target]) -> Arc<Gateway> {
+    start_gateway_with_memory(targets, BODY_MEMORY)
+}
+
+/// Creates a gateway with this memory for bodies in front of `targets`.
+pub fn start_gateway_with_memory(targets: &[&Target], memory: ByteSize) -> Arc<Gateway> {
     let clock: Arc<dyn Clock> = Arc::new(RuntimeClock);
     let options = DispatcherOptions {
         balancer: BalancerOptions {
@@ -258,7 +263,7 @@
         clock: Arc::clone(&clock),
         dialect: Arc::new(TestDialect),
         pool,
-        budget: MemoryBudget::new(BODY_MEMORY),
+        budget: MemoryBudget::new(memory),
         metrics: Arc::default(),
         seed: 1,
     };
--- a/crates/auburnbridge_http/src/body.rs
+++ b/crates/auburnbridge_http/src/body.rs
@@ -9,6 +9,9 @@
 
 use crate::FramingError;
 
+/// Factor by which the buffer of a body with a known length grows.
+const BUFFER_GROWTH: usize = 4;
+
 /// A limit on the total bytes of the bodies charged to it; clones share one counter.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
@@ -174,15 +177,16 @@
         Body::from_parts(self.bytes, self.reservation)
     }
 
-    /// Doubles the buffer when it is full, but not beyond the announced length.
+    /// Enlarges a full buffer to several times its size, but not beyond the announced length. Memory
+    /// that isn't written yet takes none of the machine's.
     fn grow(&mut self, count: usize) {
         let length = self.bytes.len();
         if let Some(announced) = self.announced_length
             && self.bytes.capacity() < length + count
         {
-            let doubled = length.saturating_mul(2).min(announced);
+            let enlarged = length.saturating_mul(BUFFER_GROWTH).min(announced);
             self.bytes
-                .reserve_exact(doubled.max(length + count) - length);
+                .reserve_exact(enlarged.max(length + count) - length);
         }
     }
 
--- a/crates/auburnbridge_settings/src/gateway.rs
+++ b/crates/auburnbridge_settings/src/gateway.rs
@@ -44,7 +44,7 @@
         min_body_rate: ByteSize [default "8KiB"] ["1B" to "1GiB"],
         /// Largest number of bytes of bodies over 16 KiB that this gateway has in flight on one
         /// target; a single body may be larger.
-        body_bytes_per_target: ByteSize [default "512KiB"] ["16KiB" to "4GiB"],
+        body_bytes_per_target: ByteSize [default "1MiB"] ["16KiB" to "4GiB"],
         /// Largest number of connections to one target.
         connections_per_target: u32 [default "20"] ["1" to "350"],
         /// Share of a service's targets that receive requests even if they are suspected to be
