Document large bodies, and log what they wait for

The exchange log states body_bytes; new lines say that an upload waits for room on a target and that a request was not read.

--- a/crates/auburnbridge_caller/src/lib.rs
+++ b/crates/auburnbridge_caller/src/lib.rs
@@ -1,7 +1,8 @@
 //! The listener for callers and the handling of each request.
 //!
 //! The listener accepts TCP connections, reads each request whole with `auburnbridge_http`, passes
-//! it to a [`Service`] and writes the response in one write. It is independent of routes and
+//! it to a [`Service`] and writes the response, a small one in one write. On pipelined connections, the
+//! service decides from the head whether a body is read. It is independent of routes and
 //! targets. [`Lifecycle`] coordinates the graceful shutdown of all connections.
 
 mod disconnect;
--- a/crates/auburnbridge_gateway/src/authentication.rs
+++ b/crates/auburnbridge_gateway/src/authentication.rs
@@ -1,8 +1,8 @@
 //! Client accounts of requests: by API key from callers, by name to targets.
 //!
-//! A request is checked once, when it arrives, against the configuration in force at that moment. A
-//! request that waits when its key is withdrawn is still served; the next one on the same connection is
-//! refused.
+//! A request is checked when it has arrived, against the configuration in force at that moment, and
+//! one with a body also when its head has arrived. A request that waits when its key is withdrawn is
+//! still served; the next one on the same connection is refused.
 
 use std::sync::Arc;
 
--- a/crates/auburnbridge_gateway/src/body_placement.rs
+++ b/crates/auburnbridge_gateway/src/body_placement.rs
@@ -7,6 +7,7 @@
 use auburnbridge_policy::balance::{BalancedKey, PlacementRequest, Refusal};
 use auburnbridge_types::{ByteSize, Millis};
 use futures_lite::FutureExt;
+use log::info;
 
 use crate::bodies::{BodyInFlight, TargetBodies};
 use crate::exchange::Exchanger;
@@ -30,6 +31,11 @@
                 return Ok(placed);
             }
             let left = self.time_to_wait(placement);
+            info!(
+                attempt = self.attempt_id(), service = self.dispatcher.name().as_str(),
+                body_bytes = bytes.0, left_ms = left.0;
+                "upload waits for room on a target"
+            );
             let is_released = async {
                 released.await;
                 true
--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -300,6 +300,7 @@
         info!(
             attempt = self.attempt_id(), service = self.dispatcher.name().as_str(),
             target_id = pick.target.as_str(), incarnation = pick.incarnation.0,
+            body_bytes = self.incoming.request.body.len(),
             in_flight = pick.in_flight, suspicion = pick.suspicion, reused = reused,
             time_ms = time.0, result = result, finding = finding;
             "exchange"
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -399,6 +399,7 @@
     }
 
     fn record_unread(&self, kind: ErrorKind) {
+        info!(reason:% = kind, body_bytes = self.budgets.requests.used().0; "request not read");
         self.metrics.record_unread_request(kind.into());
     }
 }
