--- a/crates/auburnbridge_caller/src/pipeline.rs
+++ b/crates/auburnbridge_caller/src/pipeline.rs
@@ -169,8 +169,12 @@
                 NextRequest::Ended => break,
             };
             let requested_keep_alive = pending_response.requested_keep_alive;
-            if pending_tx.send(pending_response).await.is_err()
-                || requested_keep_alive == KeepAlive::Close
+            if pending_tx.send(pending_response).await.is_err() {
+                // The writer has ended and won't count it down.
+                state.pending.fetch_sub(1, Ordering::SeqCst);
+                break;
+            }
+            if requested_keep_alive == KeepAlive::Close
                 || !self.skip_body(&mut reader, skipped).await
             {
                 break;
@@ -295,6 +299,9 @@
         response: Response,
         reader: &RequestReader<'_>,
     ) -> NextRequest {
+        if reader.state.is_closing.load(Ordering::SeqCst) {
+            return NextRequest::Ended;
+        }
         // Whether the body follows is unknown if the caller waits for `100 Continue`.
         let skipped = head
             .body_length()
--- a/crates/auburnbridge_gateway/src/admission.rs
+++ b/crates/auburnbridge_gateway/src/admission.rs
@@ -6,7 +6,7 @@
 
 use auburnbridge_http::{Request, Response, UnreadRequest};
 use auburnbridge_routing::PublishedRoute;
-use auburnbridge_types::{ByteSize, ErrorKind, Millis, Timestamp};
+use auburnbridge_types::{ByteSize, Millis, Timestamp};
 
 use crate::authentication::{authenticate, priority};
 use crate::failure::Failure;
@@ -25,7 +25,10 @@
         arrived: Timestamp,
     ) -> Result<Timestamp, Response> {
         let request = head.request();
-        let refuse = |failure, retry_after| refuse(request, self.headers, failure, retry_after);
+        let refuse = |failure: Failure, retry_after| {
+            self.metrics.record_unread_request(failure.into());
+            refuse(request, self.headers, failure, retry_after)
+        };
         let Some(routes) = self.routes() else {
             return Err(refuse(
                 Failure::NoConfiguration,
@@ -46,8 +49,6 @@
         }
         let room = head.body_length().unwrap_or(CHUNKED_BODY_ROOM);
         if !self.budgets.requests.has_room(room) {
-            self.metrics
-                .record_unread_request(ErrorKind::Overloaded.into());
             return Err(refuse(Failure::NoMemory, Some(MEMORY_RETRY_AFTER)));
         }
         Ok(arrived.after(self.wait(request, route)))
