--- a/crates/auburnbridge_telemetry/tests/telemetry.rs
+++ b/crates/auburnbridge_telemetry/tests/telemetry.rs
@@ -123,3 +123,25 @@
         assert!(text.lines().any(|found| found == line), "{line}\n{text}");
     }
 }
+
+/// Guards against an operator who can't see why uploads are refused, or what memory they use.
+#[test]
+fn refusals_before_the_body_and_its_memory_are_exported() {
+    let metrics = ProcessMetrics::default();
+    for reason in ["request-timeout", "no-memory", "no-memory"] {
+        metrics.record_unread_request(reason);
+    }
+    metrics.set_body_bytes(61_440, 0);
+    let text = metrics.encode();
+    for line in [
+        "auburnbridge_unread_requests_total{reason=\"no-memory\"} 2",
+        "auburnbridge_unread_requests_total{reason=\"request-timeout\"} 1",
+        "auburnbridge_body_bytes{direction=\"request\"} 61440",
+        "auburnbridge_body_bytes{direction=\"response\"} 0",
+    ] {
+        assert!(
+            text.lines().any(|exported| exported == line),
+            "{line}\n{text}"
+        );
+    }
+}
