--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -8,6 +8,7 @@
 mod refusals;
 mod statuses;
 mod targets;
+mod uploads;
 
 use std::time::{Duration, Instant};
 
