Decide fleet-wide limits of client accounts

Limits are kept by each gateway for itself only if it has an equal share, which refuses small accounts and wastes the shares of gateways that get no requests.

Ruled out: equal shares, a counter asked at the keepers (an outage of the quorum would stop every account), gossip of counts (unbounded overshoot in a partition).

Every gateway leases its share in two halves to two owners, which admit requests from token buckets. The decisions are pure; nothing sends the messages yet.

--- a/crates/auburnbridge_policy/src/lib.rs
+++ b/crates/auburnbridge_policy/src/lib.rs
@@ -19,6 +19,7 @@
 //!
 //! Evidence is measured in nats, the unit of natural logarithms of probability ratios.
 
+pub mod account_limit;
 mod admission;
 pub mod balance;
 mod decision;
--- /dev/null
+++ b/crates/auburnbridge_policy/tests/account_limit/input.rs
@@ -0,0 +1,226 @@
+//! Extreme limits, many accounts and messages of strangers.
+
+use auburnbridge_policy::account_limit::{
+    Admission, Ask, Echo, GatewayId, Lease, LimitMessage, LimitNode, LimitNodeOptions, LimitTerms,
+    LimitTolerance, Output, OwnerTerm, Payload, SentNumber, Waiter,
+};
+use auburnbridge_types::{ConfigVersion, Millis, RequestRate, Timestamp};
+
+use crate::fleet::{Fleet, TOLERANCE, account, terms, worst_window};
+
+/// Guards against overflow and lost precision at the ends of the ranges.
+#[test]
+fn extreme_limits_are_kept() {
+    let huge = 1_000_000_000_000_000;
+    for (rate, burst, at_least) in [
+        (RequestRate(1), 0, 0),
+        (RequestRate(1), huge, 900),
+        (RequestRate(huge), 0, 900),
+        (RequestRate(u64::MAX), u64::MAX, 900),
+    ] {
+        let limit = LimitTerms {
+            version: ConfigVersion(1),
+            rate,
+            burst,
+        };
+        let mut fleet = Fleet::new(1, 4);
+        fleet.run_for(20_000);
+        for _ in 0..1_000 {
+            fleet.request(0, 0, limit);
+        }
+        fleet.run_for(500);
+        let passed = fleet.passed_times(0);
+        assert!(passed.len() >= at_least, "{limit:?}: {}", passed.len());
+        let (count, bound, _) = worst_window(&passed, TOLERANCE, |_| limit);
+        assert!(count <= bound, "{limit:?}: {count} over {bound}");
+        assert_eq!(fleet.passed.len() + fleet.refused.len(), 1_000);
+    }
+}
+
+/// Guards against a limit without tolerance that is exceeded.
+#[test]
+fn limit_without_tolerance_is_exact() {
+    let tolerance = LimitTolerance {
+        window: Millis(5_000),
+        overage: 0.0,
+        slack: 0.0,
+    };
+    let limit = terms(1, 50.0, 8);
+    let mut fleet = Fleet::with_tolerance(1, 4, tolerance);
+    fleet.run_for(10_000);
+    for _ in 0..15_000 {
+        fleet.step();
+        let gateway = fleet.below(4) as usize;
+        fleet.request(gateway, 0, limit);
+    }
+    let (count, bound, _) = worst_window(&fleet.passed_times(0), tolerance, |_| limit);
+    assert!(count <= bound, "{count} over {bound}");
+    assert!(count >= 0.9 * bound, "{count} of {bound}");
+}
+
+/// Guards against thousands of accounts that get in each other's way.
+#[test]
+fn thousands_of_accounts_have_limits_of_their_own() {
+    let mut fleet = Fleet::new(1, 4);
+    fleet.run_for(20_000);
+    for number in 0..5_000 {
+        fleet.request(number % 4, number, terms(1, 1.0, 5));
+        if number % 50 == 0 {
+            fleet.step();
+        }
+    }
+    fleet.run_for(500);
+    assert_eq!(fleet.passed.len(), 5_000);
+}
+
+fn node() -> LimitNode {
+    LimitNode::new(LimitNodeOptions {
+        own: GatewayId(1),
+        term: OwnerTerm(1),
+        tolerance: TOLERANCE,
+    })
+}
+
+fn message(number: u64, payload: Payload) -> LimitMessage {
+    LimitMessage {
+        term: OwnerTerm(9),
+        number: SentNumber(number),
+        payload,
+    }
+}
+
+/// Guards against a stranger that is heeded or answered.
+#[test]
+fn messages_of_unknown_gateways_are_ignored() {
+    let mut node = node();
+    let now = Timestamp(1_000_000);
+    node.set_gateways(now, &[GatewayId(2)]);
+    let ask = Ask {
+        account: account(0),
+        terms: terms(1, 10.0, 10),
+        requests: 1,
+    };
+    node.receive(now, GatewayId(7), &message(1, Payload::Ask(ask)));
+    assert_eq!(node.take_outputs(), []);
+    node.receive(now, GatewayId(2), &message(1, Payload::Ask(ask)));
+    assert_eq!(node.take_outputs().len(), 1);
+    node.receive(now, GatewayId(2), &message(1, Payload::Ask(ask)));
+    assert_eq!(node.take_outputs(), [], "a doubled message is ignored");
+}
+
+/// Guards against leases that are counted from a time of another life, from the future, for longer
+/// than any lease lasts, or among no gateways.
+#[test]
+fn invalid_leases_are_ignored() {
+    let now = Timestamp(1_000_000);
+    let valid = Lease {
+        echo: Some(Echo {
+            term: OwnerTerm(1),
+            time: now,
+        }),
+        duration: Millis(2_000),
+        gateways: 2,
+        parts: u32::MAX,
+    };
+    let echo = |term, time| {
+        Some(Echo {
+            term: OwnerTerm(term),
+            time: Timestamp(time),
+        })
+    };
+    let cases = [
+        (valid, 0.5),
+        (
+            Lease {
+                echo: None,
+                ..valid
+            },
+            0.0,
+        ),
+        (
+            Lease {
+                echo: echo(3, now.0),
+                ..valid
+            },
+            0.0,
+        ),
+        (
+            Lease {
+                echo: echo(1, now.0 + 1),
+                ..valid
+            },
+            0.0,
+        ),
+        (
+            Lease {
+                echo: echo(1, now.0 - 2_000),
+                ..valid
+            },
+            0.0,
+        ),
+        (
+            Lease {
+                gateways: 0,
+                ..valid
+            },
+            0.0,
+        ),
+        (Lease { parts: 0, ..valid }, 0.0),
+    ];
+    for (lease, share) in cases {
+        let mut node = node();
+        node.set_gateways(now, &[GatewayId(2)]);
+        node.receive(now, GatewayId(2), &message(1, Payload::Lease(lease)));
+        assert!(
+            (node.leased_share(account(0)) - share).abs() < 1e-9,
+            "{lease:?}"
+        );
+    }
+    let endless = Lease {
+        duration: Millis(u64::MAX),
+        ..valid
+    };
+    let mut node = node();
+    node.set_gateways(now, &[GatewayId(2)]);
+    node.receive(now, GatewayId(2), &message(1, Payload::Lease(endless)));
+    let later = now.after(Millis(200_000));
+    node.tick(later);
+    assert!(node.leased_share(account(0)).abs() < 1e-9);
+}
+
+/// Guards against messages in a fleet without limited accounts.
+#[test]
+fn without_limited_accounts_no_message_is_sent() {
+    let mut node = node();
+    let mut now = Timestamp(1_000_000);
+    node.set_gateways(now, &[GatewayId(2), GatewayId(3)]);
+    for _ in 0..500 {
+        now = now.after(Millis(40));
+        node.tick(now);
+    }
+    assert_eq!(node.take_outputs(), []);
+}
+
+/// Guards against a gateway that admits requests before it knows among how many the limit is shared.
+#[test]
+fn gateway_without_a_list_admits_nothing() {
+    let mut node = node();
+    let mut now = Timestamp(1_000_000);
+    node.set_accounts([account(0)].into_iter());
+    for _ in 0..500 {
+        now = now.after(Millis(40));
+        node.tick(now);
+    }
+    node.request(now, account(0), terms(1, 100.0, 100), Waiter(1));
+    let outputs = node.take_outputs();
+    let is_refused = |output: &Output| {
+        matches!(
+            output,
+            Output::Decided {
+                admission: Admission::Refused(_),
+                ..
+            }
+        )
+    };
+    assert!(outputs.len() == 1 && is_refused(&outputs[0]), "{outputs:?}");
+}
