Apply limits of client accounts over all gateways

Accounts had limits in the configuration that no gateway applied.

A gateway with account_limit_port waits for a permit after authentication and answers 429 over the limit, with the time until there is room, or 503 if no owner of the limit replies. A request that no target ran gives its permit back. Without limited accounts no datagram is sent.

Three gateways on loopback keep one limit of 6 + 1/s over 30 requests at once.

--- a/crates/auburnbridge/src/commands/gateway.rs
+++ b/crates/auburnbridge/src/commands/gateway.rs
@@ -6,7 +6,8 @@
 
 use argh::FromArgs;
 use async_std::task;
-use auburnbridge_gateway::{GatewayOptions, RunningGateway, StopTimes};
+use auburnbridge_gateway::{AccountLimitOptions, GatewayOptions, RunningGateway, StopTimes};
+use auburnbridge_policy::account_limit::LimitTolerance;
 use auburnbridge_policy::balance::ResendBudgetOptions;
 use auburnbridge_settings::{GatewaySettings, Settings};
 use auburnbridge_utility::UtilityDialect;
@@ -32,6 +33,7 @@
     let mut signals = StopAndReloadSignals::new()?;
     let seeds = Arc::new(Mutex::new(ip_addresses(&settings.seeds)));
     let stop_times = stop_times(&settings);
+    let account_limits = account_limits(&settings)?;
     let options = GatewayOptions {
         vm: settings.vm_address.into(),
         data_centre: settings.data_centre,
@@ -50,6 +52,7 @@
             allowance: f64::from(settings.resend_allowance),
             window: settings.resend_window,
         },
+        account_limits,
         metrics_address: settings.metrics_address,
     };
     task::block_on(async {
@@ -73,6 +76,20 @@
     })
 }
 
+fn account_limits(settings: &GatewaySettings) -> Result<Option<AccountLimitOptions>, Failure> {
+    let Some(number) = settings.account_limit_port else {
+        return Ok(None);
+    };
+    Ok(Some(AccountLimitOptions {
+        address: SocketAddr::new(settings.vm_address, port(number)?),
+        tolerance: LimitTolerance {
+            window: settings.account_limit_window,
+            overage: settings.account_limit_overage.0,
+            slack: f64::from(settings.account_limit_slack),
+        },
+    }))
+}
+
 fn stop_times(settings: &GatewaySettings) -> StopTimes {
     let times = StopTimes {
         balancer_lag: settings.balancer_lag,
--- a/crates/auburnbridge_gateway/src/failure.rs
+++ b/crates/auburnbridge_gateway/src/failure.rs
@@ -14,6 +14,10 @@
     NoRoute,
     /// The route requires the API key of a client account, and the request has no valid one.
     UnknownKey,
+    /// The client account has used up its limit.
+    OverLimit,
+    /// No gateway that keeps count of the account's limit replied.
+    LimitUnknown,
     /// No target of the service can take the request in time; it did not run.
     NoRoom,
     /// The request crashed the targets that ran it before, and was not run again.
@@ -31,6 +35,8 @@
             Self::NoConfiguration
             | Self::NoRoute
             | Self::UnknownKey
+            | Self::OverLimit
+            | Self::LimitUnknown
             | Self::NoRoom
             | Self::Poisoned => true,
             Self::Broken | Self::TimedOut => false,
@@ -39,7 +45,8 @@
 
     fn status(self) -> u16 {
         match self {
-            Self::NoConfiguration | Self::NoRoom | Self::Poisoned => 503,
+            Self::NoConfiguration | Self::LimitUnknown | Self::NoRoom | Self::Poisoned => 503,
+            Self::OverLimit => 429,
             Self::UnknownKey => 401,
             Self::NoRoute => 404,
             Self::Broken => 502,
--- a/crates/auburnbridge_gateway/src/feed.rs
+++ b/crates/auburnbridge_gateway/src/feed.rs
@@ -173,6 +173,9 @@
             }
         }
         self.gateway.services().apply_targets(&reply.targets);
+        if let Some(limits) = self.gateway.account_limits() {
+            limits.set_gateways(&reply.gateways);
+        }
         let others = self.reporter.set_gateways(reply.gateways);
         self.gateway.services().set_gateways(others);
         self.known_keepers.lock().extend(reply.keepers);
--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -67,6 +67,9 @@
         };
         let served = disconnected.or(async { Some(self.serve().await) }).await;
         served.unwrap_or_else(|| {
+            if self.tried.is_empty() {
+                self.give_permit_back();
+            }
             info!(attempt = exchanger.attempt_id(); "request cancelled: the caller disconnected");
             Failure::Broken.to_response(None)
         })
@@ -219,6 +222,7 @@
             self.log_request(response.status, failure.into(), None);
             return response;
         }
+        self.give_permit_back();
         let failure = if exchanger.gateway.is_poisoned(&exchanger.incoming.digest) {
             Failure::Poisoned
         } else {
@@ -231,6 +235,13 @@
         response
     }
 
+    /// Gives back the permit of a request that no target ran.
+    fn give_permit_back(&self) {
+        if let Some(permit) = &self.exchanger.incoming.permit {
+            permit.give_back();
+        }
+    }
+
     fn log_request(&self, status: u16, result: &str, retry_after: Option<Millis>) {
         let Exchanger {
             gateway,
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use auburnbridge_caller::{Disconnect, LimitSource, Service};
 use auburnbridge_http::{Limits, MemoryBudget, Request, Response};
 use auburnbridge_membership::Announcement;
+use auburnbridge_policy::account_limit::{Refused, RefusedReason};
 use auburnbridge_policy::balance::Pick;
 use auburnbridge_policy::{CrashReport, PoisonTable};
 use auburnbridge_routing::{
@@ -16,7 +17,7 @@
 use auburnbridge_telemetry::ProcessMetrics;
 use auburnbridge_types::{
     BoxFuture, ByteSize, Clock, ConfigVersion, Millis, Priority, RequestDigest, ServiceName,
-    Timestamp,
+    Timestamp, VmId,
 };
 use event_listener::Event;
 use log::info;
@@ -25,6 +26,7 @@
 use rand::{Rng, SeedableRng};
 use sha2::{Digest, Sha256};
 
+use crate::account_limits::{AccountLimits, AccountPermit};
 use crate::authentication::{authenticate, priority};
 use crate::departures::UnreportedDepartures;
 use crate::failure::Failure;
@@ -72,6 +74,8 @@
     pub(crate) pool: Pool,
     pub(crate) services: ServiceTable,
     pub(crate) metrics: Arc<ProcessMetrics>,
+    /// Limits of accounts over all gateways; `None` if the settings ask for none.
+    account_limits: Option<Arc<AccountLimits>>,
     budget: MemoryBudget,
     routes: ArcSwapOption<RouteSet>,
     splits: Mutex<(TrafficSplits, StdRng)>,
@@ -93,6 +97,8 @@
     /// Client account that the request belongs to, unless the route is public or the configuration has no
     /// accounts.
     pub(crate) account: Option<Arc<ClientAccount>>,
+    /// Permission to pass on the request, if its account has a limit.
+    pub(crate) permit: Option<AccountPermit>,
     /// Priority of the account, or of the route if the account has none.
     pub(crate) priority: Priority,
     pub(crate) digest: RequestDigest,
@@ -112,6 +118,7 @@
             pool: dependencies.pool,
             services,
             metrics: dependencies.metrics,
+            account_limits: None,
             budget: dependencies.budget,
             routes: ArcSwapOption::empty(),
             splits: Mutex::new((
@@ -125,6 +132,18 @@
         }
     }
 
+    /// Applies the limits of client accounts.
+    #[must_use]
+    pub fn with_account_limits(mut self, limits: Arc<AccountLimits>) -> Self {
+        self.account_limits = Some(limits);
+        self
+    }
+
+    /// The limits of client accounts, if they are applied.
+    pub fn account_limits(&self) -> Option<&Arc<AccountLimits>> {
+        self.account_limits.as_ref()
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> Option<Arc<RouteSet>> {
         self.routes.load_full()
@@ -160,6 +179,9 @@
         // The dispatchers are updated first, so that no request finds a route without its service.
         self.services.apply_routes(&routes);
         self.splits.lock().0.retain(&routes);
+        if let Some(limits) = &self.account_limits {
+            limits.apply_routes(&routes);
+        }
         self.routes.store(Some(Arc::new(routes)));
         true
     }
@@ -244,6 +266,10 @@
         let Some(dispatcher) = self.dispatcher_for(&route) else {
             return refuse(Failure::NoConfiguration, Some(CONFIGURATION_RETRY_AFTER));
         };
+        let permit = match self.admit(account.as_deref(), routes.version()).await {
+            Ok(permit) => permit,
+            Err(refused) => return self.refuse_account(&request, account.as_deref(), &refused),
+        };
         let wait = request
             .headers
             .text(self.headers.deadline)
@@ -258,6 +284,7 @@
             objective: arrived.after(route.latency_objective.min(wait)),
             priority: priority(&route, account.as_deref()),
             account,
+            permit,
             route,
             request,
         };
@@ -266,6 +293,42 @@
             .await
     }
 
+    /// Waits for the permit of a request; `None` if its account has no limit.
+    async fn admit(
+        &self,
+        account: Option<&ClientAccount>,
+        version: ConfigVersion,
+    ) -> Result<Option<AccountPermit>, Refused> {
+        match (&self.account_limits, account) {
+            (Some(limits), Some(account)) => limits.admit(account, version).await,
+            _ => Ok(None),
+        }
+    }
+
+    /// Logs the refusal of a request by the owner of its account's limit, and returns the response.
+    fn refuse_account(
+        &self,
+        request: &Request,
+        account: Option<&ClientAccount>,
+        refused: &Refused,
+    ) -> Response {
+        let failure = match refused.reason {
+            RefusedReason::OverLimit => Failure::OverLimit,
+            RefusedReason::NoOwner => Failure::LimitUnknown,
+        };
+        let limits = self.account_limits.as_ref();
+        let owner = refused.owner.and_then(|id| limits?.vm(id));
+        info!(
+            attempt = request.headers.text(self.headers.attempt).unwrap_or("-"),
+            method = request.method, path = request.path, reason:% = failure,
+            account = account.map_or("-", |account| account.id.as_str()),
+            owner = owner.as_ref().map_or("-", VmId::as_str),
+            retry_after_ms = refused.retry_after.0, not_run = failure.is_not_run();
+            "request refused"
+        );
+        failure.to_response(Some(refused.retry_after))
+    }
+
     fn caller_limits(&self) -> CallerLimits {
         self.routes()
             .map_or(DEFAULT_CALLER_LIMITS, |routes| routes.limits())
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! targets. The gateway watches them for both, and reports its findings about targets to the other
 //! gateways.
 
+mod account_limits;
 mod authentication;
 mod departures;
 mod exchange;
@@ -20,6 +21,7 @@
 mod service_table;
 mod stop_times;
 
+pub use account_limits::{AccountLimitOptions, AccountLimits};
 pub use feed::KeeperWatcher;
 pub use gateway::{CallerService, Gateway, GatewayDependencies, request_digest};
 pub use neighbours::{GatewayReport, GatewayReporter};
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -25,6 +25,7 @@
 use log::info;
 use parking_lot::Mutex;
 
+use crate::account_limits::{AccountLimitOptions, AccountLimits};
 use crate::feed::KeeperWatcher;
 use crate::gateway::{CallerService, Gateway, GatewayDependencies};
 use crate::neighbours::GatewayReporter;
@@ -84,6 +85,8 @@
     pub floor_share: f64,
     /// Budget for retries and hedges, that is, for sends beyond the first one of a request.
     pub resend_budget: ResendBudgetOptions,
+    /// Limits of client accounts over all gateways; `None` applies none.
+    pub account_limits: Option<AccountLimitOptions>,
     /// Address on which metrics are served; `None` serves none.
     pub metrics_address: Option<SocketAddr>,
 }
@@ -117,7 +120,11 @@
     pub async fn start(options: GatewayOptions) -> Result<Self, Report<GatewayError>> {
         let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
         let lifecycle = Arc::new(Lifecycle::default());
-        let gateway = Arc::new(build_gateway(&options, &clock));
+        let mut gateway = build_gateway(&options, &clock);
+        if let Some(limits) = bind_account_limits(&options, &gateway, &clock).await? {
+            gateway = gateway.with_account_limits(limits);
+        }
+        let gateway = Arc::new(gateway);
         let reporter = GatewayReporter::bind(
             options.vm.clone(),
             options.data_centre.clone(),
@@ -172,6 +179,10 @@
         task::spawn(watcher.report_departures());
         task::spawn(Arc::clone(&reporter).receive(Arc::clone(&gateway)));
         task::spawn(reporter.broadcast(Arc::clone(&gateway)));
+        if let Some(limits) = gateway.account_limits() {
+            task::spawn(Arc::clone(limits).receive());
+            task::spawn(Arc::clone(limits).run());
+        }
         task::spawn(maintain(gateway));
         Ok(Self {
             lifecycle,
@@ -229,6 +240,22 @@
     )
 }
 
+async fn bind_account_limits(
+    options: &GatewayOptions,
+    gateway: &Gateway,
+    clock: &Arc<dyn Clock>,
+) -> Result<Option<Arc<AccountLimits>>, Report<GatewayError>> {
+    let Some(limits) = options.account_limits else {
+        return Ok(None);
+    };
+    let (clock, metrics) = (Arc::clone(clock), Arc::clone(&gateway.metrics));
+    let bound = AccountLimits::bind(options.vm.clone(), limits, clock, metrics)
+        .await
+        .change_context(GatewayError)
+        .attach_with(|| format!("can't listen on UDP {}", limits.address))?;
+    Ok(Some(Arc::new(bound)))
+}
+
 fn build_watcher(
     options: &GatewayOptions,
     gateway: &Arc<Gateway>,
--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod endless;
+mod limits;
 mod neighbours;
 mod notices;
 mod refusals;
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -233,6 +233,11 @@
 
 /// Creates a gateway in front of `targets`.
 pub fn start_gateway(targets: &[&Target]) -> Arc<Gateway> {
+    Arc::new(build_gateway(targets))
+}
+
+/// Creates a gateway in front of `targets`, to which further parts can be added.
+pub fn build_gateway(targets: &[&Target]) -> Gateway {
     let clock: Arc<dyn Clock> = Arc::new(RuntimeClock);
     let options = DispatcherOptions {
         balancer: BalancerOptions {
@@ -262,10 +267,7 @@
         metrics: Arc::default(),
         seed: 1,
     };
-    let gateway = Arc::new(Gateway::new(
-        ServiceTable::new(clock, options),
-        dependencies,
-    ));
+    let gateway = Gateway::new(ServiceTable::new(clock, options), dependencies);
     assert!(gateway.install_routes(routes()));
     let announcements: Vec<Announcement> =
         targets.iter().map(|target| announcement(target)).collect();
--- a/crates/auburnbridge_policy/src/account_limit/node.rs
+++ b/crates/auburnbridge_policy/src/account_limit/node.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Whether messages of a gateway are heeded.
+    pub fn is_known(&self, gateway: GatewayId) -> bool {
+        self.count.is_known(gateway)
+    }
+
     /// Whether an account has a limit. If not, no message is sent.
     pub fn is_used(&self) -> bool {
         self.used_groups.contains(&true)
--- a/crates/auburnbridge_settings/src/gateway.rs
+++ b/crates/auburnbridge_settings/src/gateway.rs
@@ -49,6 +49,17 @@
         resend_allowance: u32 [default "20"] ["0" to "1000000"],
         /// Length of the window of `resend_share` and `resend_allowance`.
         resend_window: Millis [default "10s"] ["1s" to "10min"],
+        /// UDP port for messages of other gateways about the limits of client accounts, the same one
+        /// on all of them; without it, limits are not applied.
+        account_limit_port: Option<u32> [optional] ["1" to "65535"],
+        /// Length of the window in which the requests of a client account are compared with its limit.
+        account_limit_window: Millis [default "5s"] ["1s" to "10min"],
+        /// Requests above the limit of a client account that are allowed in a window, as a share of the
+        /// limit.
+        account_limit_overage: Share [default "0.1"] ["0" to "1"],
+        /// Further requests of a client account allowed in a window on top of its limit, for all
+        /// gateways together.
+        account_limit_slack: u32 [default "20"] ["0" to "1000000"],
         /// TCP address that serves metrics at the path `/metrics`; without it, they are not served.
         metrics_address: Option<SocketAddr> [optional],
         /// Largest number of log lines below the level of warnings that are written per second;
--- a/crates/auburnbridge_telemetry/src/metrics.rs
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -42,6 +42,11 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DecisionLabels {
+    decision: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ServiceLabels {
     service: String,
@@ -57,6 +62,7 @@
     configuration_version: Gauge,
     control_calls: Family<CallLabels, Counter>,
     stated_departures: Family<ServiceLabels, Counter>,
+    account_requests: Family<DecisionLabels, Counter>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -73,6 +79,7 @@
         let configuration_version = Gauge::default();
         let control_calls = Family::default();
         let stated_departures = Family::default();
+        let account_requests = Family::default();
         registry.register("requests", "Requests of callers", requests.clone());
         registry.register(
             "request_seconds",
@@ -100,6 +107,11 @@
             "Targets that stated in a response that they are leaving",
             stated_departures.clone(),
         );
+        registry.register(
+            "account_requests",
+            "Requests of client accounts with a limit",
+            account_requests.clone(),
+        );
         Self {
             registry,
             requests,
@@ -109,6 +121,7 @@
             configuration_version,
             control_calls,
             stated_departures,
+            account_requests,
         }
     }
 }
@@ -153,6 +166,12 @@
         self.stated_departures.get_or_create(&labels).inc();
     }
 
+    /// Counts a decision about a request of a client account with a limit.
+    pub fn record_account_request(&self, decision: &'static str) {
+        let labels = DecisionLabels { decision };
+        self.account_requests.get_or_create(&labels).inc();
+    }
+
     /// Sets the version of the current configuration.
     pub fn set_configuration_version(&self, version: u64) {
         self.configuration_version
