--- a/crates/auburnbridge_gateway/tests/forwarding/limits.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/limits.rs
@@ -179,59 +179,83 @@
     });
 }
 
+/// A gateway that knows one other, of which there is only the socket.
+async fn start_with_neighbour(
+    subnet: u8,
+    target: &Target,
+) -> (Arc<Gateway>, UdpSocket, SocketAddr) {
+    let hosts: Vec<IpAddr> = (1..=2)
+        .map(|host| IpAddr::from([127, 0, subnet, host]))
+        .collect();
+    let port = free_port(&hosts);
+    let other = UdpSocket::bind(SocketAddr::new(hosts[1], port)).unwrap();
+    let options = AccountLimitOptions {
+        address: SocketAddr::new(hosts[0], port),
+        tolerance: TOLERANCE,
+    };
+    let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
+    let limits = AccountLimits::bind(VmId::from(hosts[0]), options, clock, Arc::default());
+    let limits = Arc::new(limits.await.unwrap());
+    limits.set_gateways(&[GatewayLocation {
+        vm: VmId::from(hosts[1]),
+        address: SocketAddr::new(hosts[1], 9),
+        data_centre: "north".parse().unwrap(),
+    }]);
+    task::spawn(Arc::clone(&limits).receive());
+    task::spawn(Arc::clone(&limits).run());
+    let gateway = Arc::new(build_gateway(&[target]).with_account_limits(limits));
+    (gateway, other, options.address)
+}
+
+/// Whether a datagram arrives within a time.
+async fn receives(socket: &UdpSocket, wait: Duration) -> bool {
+    let socket = socket.try_clone().unwrap();
+    task::spawn_blocking(move || {
+        socket.set_read_timeout(Some(wait)).unwrap();
+        socket.recv_from(&mut [0; 512]).is_ok()
+    })
+    .await
+}
+
 /// Guards against datagrams in a fleet whose configuration has no limited account.
 #[test]
 fn account_without_a_limit_causes_no_datagram() {
     block_on(async {
         let target = start_target("t-1", Behaviour::Respond(OK)).await;
-        // The other gateways are sockets that nothing may reach.
-        let hosts: Vec<IpAddr> = (1..=2)
-            .map(|host| IpAddr::from([127, 0, 13, host]))
-            .collect();
-        let port = free_port(&hosts);
-        let other = UdpSocket::bind(SocketAddr::new(hosts[1], port)).unwrap();
-        other
-            .set_read_timeout(Some(Duration::from_secs(6)))
-            .unwrap();
-        let options = AccountLimitOptions {
-            address: SocketAddr::new(hosts[0], port),
-            tolerance: TOLERANCE,
-        };
-        let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
-        let limits = AccountLimits::bind(VmId::from(hosts[0]), options, clock, Arc::default());
-        let limits = Arc::new(limits.await.unwrap());
-        let location = GatewayLocation {
-            vm: VmId::from(hosts[1]),
-            address: SocketAddr::new(hosts[1], 9),
-            data_centre: "north".parse().unwrap(),
-        };
-        limits.set_gateways(std::slice::from_ref(&location));
-        task::spawn(Arc::clone(&limits).receive());
-        task::spawn(Arc::clone(&limits).run());
-        let gateway = build_gateway(&[&target]).with_account_limits(Arc::clone(&limits));
-        let gateway = Arc::new(gateway);
+        let (gateway, other, _) = start_with_neighbour(13, &target).await;
         let address = listen(&gateway).await;
         assert_eq!(send(address, "/lookup/1", 1_000).await.status, 200);
         assert!(gateway.install_routes(routes(2, None)));
-        assert_eq!(
-            send_with(address, "/lookup/1", 1_000, KEY).await.status,
-            200
-        );
-        let mut buf = [0; 512];
-        let received = task::spawn_blocking(move || {
-            let result = other.recv_from(&mut buf).map(|(length, _)| length);
-            (other, result)
-        });
-        let (other, received) = received.await;
-        assert!(received.is_err(), "{received:?}");
+        let response = send_with(address, "/lookup/1", 1_000, KEY).await;
+        assert_eq!(response.status, 200);
+        assert!(!receives(&other, Duration::from_secs(6)).await);
         assert!(gateway.install_routes(routes(3, Some(limit(1, 1)))));
-        let received = task::spawn_blocking(move || {
-            let mut buf = [0; 512];
-            other.recv_from(&mut buf).map(|(length, _)| length)
-        });
         assert!(
-            received.await.is_ok(),
-            "a limit is announced to the other gateway"
+            receives(&other, Duration::from_secs(6)).await,
+            "a limit causes leases"
         );
     });
 }
+
+/// Guards against datagrams that end the exchange of messages, or that make the gateway answer.
+#[test]
+fn malformed_datagrams_are_harmless() {
+    block_on(async {
+        let target = start_target("t-1", Behaviour::Respond(OK)).await;
+        let (gateway, other, address) = start_with_neighbour(14, &target).await;
+        for datagram in [
+            &[][..],
+            &[1],
+            &[2; 40],
+            &[1; 40],
+            &[0xff; 256],
+            &[1; 300],
+            &[1; 2_000],
+        ] {
+            other.send_to(datagram, address).unwrap();
+        }
+        assert!(!receives(&other, Duration::from_secs(1)).await);
+        assert!(gateway.install_routes(routes(2, Some(limit(1, 1)))));
+        assert!(receives(&other, Duration::from_secs(6)).await);
+    });
+}
