Lease shares soon after all gateways have restarted

Gateways now state what a start depends on in their answers, and one starts as soon as all of them have confirmed it. Only the list of an up-to-date keeper starts that.

--- a/crates/auburnbridge_gateway/src/account_limits.rs
+++ b/crates/auburnbridge_gateway/src/account_limits.rs
@@ -112,8 +112,8 @@
         })
     }
 
-    /// Replaces the set of running gateways.
-    pub fn set_gateways(&self, gateways: &[GatewayLocation]) {
+    /// Replaces the set of running gateways, as listed by a keeper that `is_fresh` if it is up to date.
+    pub fn set_gateways(&self, gateways: &[GatewayLocation], is_fresh: bool) {
         let others = gateways.iter().filter(|gateway| gateway.vm != self.vm);
         let mut ids = Vec::new();
         let state = &mut *self.state.lock();
@@ -124,7 +124,7 @@
             state.others.insert(id, Neighbour { vm, address });
             ids.push(id);
         }
-        state.node.set_gateways(self.clock.now(), &ids);
+        state.node.set_gateways(self.clock.now(), &ids, is_fresh);
         let node = &state.node;
         state.others.retain(|id, _| node.is_known(*id));
         let addresses = state.others.iter();
--- a/crates/auburnbridge_gateway/src/feed.rs
+++ b/crates/auburnbridge_gateway/src/feed.rs
@@ -138,7 +138,7 @@
             }
             let confirmed_before = reply.confirmed_before;
             let is_fresh = confirmed_before.is_some_and(|age| age < STALE_AGE);
-            position = Some(self.apply(reply));
+            position = Some(self.apply(reply, is_fresh));
             if is_fresh {
                 self.has_synced.store(true, Ordering::SeqCst);
             } else {
@@ -153,7 +153,7 @@
     }
 
     /// Applies the contents of a reply, and returns the position to watch from next.
-    fn apply(&self, reply: WatchReply) -> ListPosition {
+    fn apply(&self, reply: WatchReply, is_fresh: bool) -> ListPosition {
         if let Some(published) = reply.document {
             let document = decompress_document(&published.document)
                 .map_err(|error| error.to_string())
@@ -174,7 +174,7 @@
         }
         self.gateway.services().apply_targets(&reply.targets);
         if let Some(limits) = self.gateway.account_limits() {
-            limits.set_gateways(&reply.gateways);
+            limits.set_gateways(&reply.gateways, is_fresh);
         }
         let others = self.reporter.set_gateways(reply.gateways);
         self.gateway.services().set_gateways(others);
--- a/crates/auburnbridge_policy/examples/account_limit_cost.rs
+++ b/crates/auburnbridge_policy/examples/account_limit_cost.rs
@@ -66,7 +66,7 @@
     });
     node.set_accounts((0..ACCOUNTS).map(AccountHash));
     let others: Vec<GatewayId> = (2..=GATEWAYS).map(GatewayId).collect();
-    node.set_gateways(START, &others);
+    node.set_gateways(START, &others, true);
     let lease = Lease {
         echo: Some(Echo {
             term: OwnerTerm(1),
--- a/crates/auburnbridge_policy/src/account_limit/delegation.rs
+++ b/crates/auburnbridge_policy/src/account_limit/delegation.rs
@@ -28,6 +28,10 @@
 const SILENCE: Millis = Millis(400);
 /// Time in which the other gateways learn of a new one.
 const LISTING_TIME: Millis = Millis(2_900);
+/// Time without a new gateway in the list after which it is taken to be complete.
+const QUIET_TIME: Millis = Millis(1_000);
+/// Number of gateways from which on a start isn't confirmed by each of them.
+const MAX_CONFIRMING: usize = 256;
 /// Number of gateways of each group that are kept in contact.
 const CONTACTS: usize = OWNERS + 1;
 
@@ -77,8 +81,12 @@
 #[derive(Clone, Debug)]
 pub(super) struct Delegator {
     own: GatewayId,
-    /// Time of the first list of gateways, or of the latest one with new gateways before the start.
+    /// Time of the first up-to-date list of gateways, or of the latest one with new gateways before
+    /// the start.
     listed_at: Option<Timestamp>,
+    /// Times from which the shares of other gateways, and what a former life of this one leased to
+    /// them, leave room for the share of this one.
+    clear_at: BTreeMap<GatewayId, Timestamp>,
     /// Whether shares are leased.
     has_started: bool,
     others: Vec<GatewayId>,
@@ -93,6 +101,7 @@
         Self {
             own,
             listed_at: None,
+            clear_at: BTreeMap::new(),
             has_started: false,
             others: Vec::new(),
             ranking: Ranking::of(&[own]),
@@ -102,20 +111,49 @@
         }
     }
 
-    /// Records that a list of gateways arrived, and whether it has new ones.
-    pub(super) fn record_list(&mut self, now: Timestamp, has_new: bool) {
-        if self.listed_at.is_none() || (has_new && !self.has_started) {
+    /// Records that a list of gateways arrived, whether it has new ones, and whether it is up to date.
+    pub(super) fn record_list(&mut self, now: Timestamp, has_new: bool, is_fresh: bool) {
+        let is_first = self.listed_at.is_none() && is_fresh;
+        let is_longer = self.listed_at.is_some() && has_new && !self.has_started;
+        if is_first || is_longer {
             self.listed_at = Some(now);
         }
     }
 
+    /// Whether shares are leased.
+    pub(super) fn has_started(&self) -> bool {
+        self.has_started
+    }
+
     /// Starts to lease once the other gateways count this one, their leases of a greater share have
-    /// ended, and so have the leases of a former life of this one.
+    /// ended, and so have the leases of a former life of this one: when all of them have confirmed
+    /// it, or else after the time that it takes at most.
     fn start(&mut self, now: Timestamp, gateways: u32) {
-        let delay = Millis(LISTING_TIME.0 + lease_duration(gateways).0);
-        self.has_started |= self
-            .listed_at
-            .is_some_and(|listed| now.since(listed) >= delay);
+        let Some(listed_at) = self.listed_at else {
+            return;
+        };
+        let listed_for = now.since(listed_at);
+        let is_clear = |other| self.clear_at.get(other).is_some_and(|time| *time <= now);
+        let is_confirmed = listed_for >= QUIET_TIME && self.others.iter().all(is_clear);
+        let longest = Millis(LISTING_TIME.0 + lease_duration(gateways).0);
+        self.has_started |= is_confirmed || listed_for >= longest;
+    }
+
+    /// Records until when an owner holds what leaves no room for the share of this gateway.
+    fn record_clear_time(&mut self, now: Timestamp, from: GatewayId, ack: &LeaseAck) {
+        let greater_share_left = if ack.has_started {
+            Millis(
+                lease_duration(ack.gateways)
+                    .0
+                    .saturating_sub(ack.counted_for.0),
+            )
+        } else {
+            Millis(0)
+        };
+        let left = greater_share_left.max(ack.former_lease_left);
+        let clear_at = now.after(left).after(EXPIRY_MARGIN);
+        let time = self.clear_at.entry(from).or_insert(clear_at);
+        *time = clear_at.max(*time);
     }
 
     /// Replaces the gateways that may be owners. Returns whether they have changed.
@@ -138,7 +176,16 @@
     }
 
     /// Records the answer of an owner.
-    pub(super) fn record_ack(&mut self, from: GatewayId, term: OwnerTerm, ack: &LeaseAck) {
+    pub(super) fn record_ack(
+        &mut self,
+        now: Timestamp,
+        from: GatewayId,
+        term: OwnerTerm,
+        ack: &LeaseAck,
+    ) {
+        if !self.has_started {
+            self.record_clear_time(now, from, ack);
+        }
         let Some(peer) = self.peers.get_mut(&from) else {
             return;
         };
@@ -187,6 +234,9 @@
     ) -> Vec<(GatewayId, Lease)> {
         self.start(now, gateways);
         let mut recipients: Vec<GatewayId> = Vec::new();
+        if !self.has_started && self.others.len() < MAX_CONFIRMING {
+            recipients.clone_from(&self.others);
+        }
         for group in AccountGroup::all().filter(|group| used[group.0]) {
             self.assign_parts(now, group);
             recipients.extend(self.best(group, CONTACTS, |_| true));
--- a/crates/auburnbridge_policy/src/account_limit/gateway_count.rs
+++ b/crates/auburnbridge_policy/src/account_limit/gateway_count.rs
@@ -22,11 +22,17 @@
 /// A reported count above this many times the own one is ignored.
 const MAX_REPORT_FACTOR: u32 = 4;
 
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    since: Timestamp,
+    /// Time since when the gateway is missing from the list.
+    missing_since: Option<Timestamp>,
+}
+
 /// Counts the gateways other than this one.
 #[derive(Clone, Debug, Default)]
 pub struct GatewayCount {
-    /// The known gateways, with the time since when they are missing from the list.
-    others: BTreeMap<GatewayId, Option<Timestamp>>,
+    others: BTreeMap<GatewayId, Known>,
     reported: BTreeMap<GatewayId, (Timestamp, u32)>,
     last_release: Timestamp,
 }
@@ -35,16 +41,19 @@
     /// Replaces the list of the other running gateways. Returns whether there is a new one.
     pub fn set_listed(&mut self, now: Timestamp, listed: &[GatewayId]) -> bool {
         let listed: BTreeSet<GatewayId> = listed.iter().copied().collect();
-        for (gateway, missing_since) in &mut self.others {
+        for (gateway, known) in &mut self.others {
             if listed.contains(gateway) {
-                *missing_since = None;
+                known.missing_since = None;
             } else {
-                missing_since.get_or_insert(now);
+                known.missing_since.get_or_insert(now);
             }
         }
         let known = self.others.len();
         for gateway in listed {
-            self.others.entry(gateway).or_insert(None);
+            self.others.entry(gateway).or_insert(Known {
+                since: now,
+                missing_since: None,
+            });
         }
         self.others.len() > known
     }
@@ -56,9 +65,11 @@
         if now.since(self.last_release) < RELEASE_INTERVAL {
             return;
         }
-        let is_gone =
-            |missing: &Option<Timestamp>| missing.is_some_and(|since| now.since(since) > HOLD_TIME);
-        let gone = self.others.iter().find(|(_, missing)| is_gone(missing));
+        let is_gone = |known: &Known| {
+            let missing = known.missing_since;
+            missing.is_some_and(|since| now.since(since) > HOLD_TIME)
+        };
+        let gone = self.others.iter().find(|(_, known)| is_gone(known));
         if let Some(gateway) = gone.map(|(gateway, _)| *gateway) {
             self.others.remove(&gateway);
             self.last_release = now;
@@ -74,12 +85,13 @@
 
     /// The gateways to contact.
     pub fn contacts(&self, now: Timestamp) -> Vec<GatewayId> {
-        let is_contact = |missing: &Option<Timestamp>| {
+        let is_contact = |known: &Known| {
+            let missing = known.missing_since;
             missing.is_none_or(|since| now.since(since) < CONTACT_TIME)
         };
         self.others
             .iter()
-            .filter(|(_, missing)| is_contact(missing))
+            .filter(|(_, known)| is_contact(known))
             .map(|(gateway, _)| *gateway)
             .collect()
     }
@@ -89,6 +101,12 @@
         self.others.contains_key(&gateway)
     }
 
+    /// Time for which a gateway has counted.
+    pub fn counted_for(&self, now: Timestamp, gateway: GatewayId) -> Millis {
+        let known = self.others.get(&gateway);
+        known.map_or(Millis(0), |known| now.since(known.since))
+    }
+
     /// Number of gateways that this one has seen itself, including itself.
     pub fn own(&self) -> u32 {
         u32::try_from(self.others.len() + 1).unwrap_or(u32::MAX)
--- a/crates/auburnbridge_policy/src/account_limit/message.rs
+++ b/crates/auburnbridge_policy/src/account_limit/message.rs
@@ -124,6 +124,12 @@
     pub time: Timestamp,
     /// Number of gateways that it counts.
     pub gateways: u32,
+    /// Time for which it has counted the sender of the lease.
+    pub counted_for: Millis,
+    /// Whether it leases shares itself.
+    pub has_started: bool,
+    /// Time until the lease of a former life of the sender ends.
+    pub former_lease_left: Millis,
 }
 
 /// Asks an owner to admit requests.
--- a/crates/auburnbridge_policy/src/account_limit/node.rs
+++ b/crates/auburnbridge_policy/src/account_limit/node.rs
@@ -105,10 +105,11 @@
         }
     }
 
-    /// Replaces the list of the other running gateways. Nothing is leased before the first call.
-    pub fn set_gateways(&mut self, now: Timestamp, others: &[GatewayId]) {
+    /// Replaces the list of the other running gateways. Nothing is leased before the first list from
+    /// a keeper that `is_fresh`, that is, one whose list is up to date.
+    pub fn set_gateways(&mut self, now: Timestamp, others: &[GatewayId], is_fresh: bool) {
         let has_new = self.count.set_listed(now, others);
-        self.delegator.record_list(now, has_new);
+        self.delegator.record_list(now, has_new, is_fresh);
         self.update_contacts(now);
     }
 
@@ -170,7 +171,7 @@
             Payload::Lease(lease) => self.receive_lease(now, from, message, lease),
             Payload::LeaseAck(ack) => {
                 self.count.record_report(now, from, ack.gateways);
-                self.delegator.record_ack(from, message.term, ack);
+                self.delegator.record_ack(now, from, message.term, ack);
             }
             Payload::Ask(ask) => self.receive_ask(now, from, message.number, ask),
             Payload::Grant(grant) => {
@@ -256,6 +257,9 @@
             number: message.number,
             time: now,
             gateways: self.count.own(),
+            counted_for: self.count.counted_for(now, from),
+            has_started: self.delegator.has_started(),
+            former_lease_left: self.owner.former_lease_left(now, from, message.term),
         };
         self.send(from, Payload::LeaseAck(ack));
     }
--- a/crates/auburnbridge_policy/src/account_limit/owner.rs
+++ b/crates/auburnbridge_policy/src/account_limit/owner.rs
@@ -148,6 +148,17 @@
         self.update_shares(now);
     }
 
+    /// Time until the lease of a former life of a gateway ends.
+    pub(super) fn former_lease_left(
+        &self,
+        now: Timestamp,
+        from: GatewayId,
+        term: OwnerTerm,
+    ) -> Millis {
+        let lease = self.leases.get(&from).filter(|lease| lease.term != term);
+        lease.map_or(Millis(0), |lease| lease.expires.since(now))
+    }
+
     /// Ends the leases that have expired and matures parts, each at its time.
     pub(super) fn advance(&mut self, now: Timestamp) {
         while let Some(change) = self.next_change.filter(|change| *change <= now) {
