Merge the limits of client accounts over all gateways

Change: conflicts with the part on large bodies were resolved by keeping both; the fixture of the gateway's tests takes the memory for bodies.

--- a/crates/auburnbridge_gateway/examples/upload_memory.rs
+++ b/crates/auburnbridge_gateway/examples/upload_memory.rs
@@ -25,7 +25,7 @@
 use auburnbridge_http::{Connection, Limits, RequestInfo};
 use auburnbridge_types::ByteSize;
 use parking_lot::Mutex;
-use targets::{Behaviour, OK, Target, listen, start_gateway_with_memory, start_target};
+use targets::{Behaviour, OK, Target, build_gateway, listen, start_target};
 
 const TARGETS: usize = 20;
 const ROUNDS: usize = 10;
@@ -55,7 +55,7 @@
         })
         .collect();
     let targets: Vec<&Target> = targets.iter().collect();
-    let gateway = start_gateway_with_memory(&targets, BODY_MEMORY);
+    let gateway = Arc::new(build_gateway(&targets, BODY_MEMORY));
     let address = block_on(listen(&gateway));
     println!("{address}");
     println!("{}", peak_memory());
--- a/crates/auburnbridge_gateway/src/failure.rs
+++ b/crates/auburnbridge_gateway/src/failure.rs
@@ -14,6 +14,10 @@
     NoRoute,
     /// The route requires the API key of a client account, and the request has no valid one.
     UnknownKey,
+    /// The client account has used up its limit.
+    OverLimit,
+    /// No gateway that keeps count of the account's limit replied.
+    LimitUnknown,
     /// No target of the service can take the request in time; it did not run.
     NoRoom,
     /// The memory for bodies is in use; the body was not read.
@@ -33,6 +37,8 @@
             Self::NoConfiguration
             | Self::NoRoute
             | Self::UnknownKey
+            | Self::OverLimit
+            | Self::LimitUnknown
             | Self::NoRoom
             | Self::NoMemory
             | Self::Poisoned => true,
@@ -42,7 +48,12 @@
 
     fn status(self) -> u16 {
         match self {
-            Self::NoConfiguration | Self::NoRoom | Self::NoMemory | Self::Poisoned => 503,
+            Self::NoConfiguration
+            | Self::LimitUnknown
+            | Self::NoRoom
+            | Self::NoMemory
+            | Self::Poisoned => 503,
+            Self::OverLimit => 429,
             Self::UnknownKey => 401,
             Self::NoRoute => 404,
             Self::Broken => 502,
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -233,11 +233,12 @@
 
 /// Creates a gateway in front of `targets`.
 pub fn start_gateway(targets: &[&Target]) -> Arc<Gateway> {
-    start_gateway_with_memory(targets, BODY_MEMORY)
+    Arc::new(build_gateway(targets, BODY_MEMORY))
 }
 
-/// Creates a gateway with this memory for bodies in front of `targets`.
-pub fn start_gateway_with_memory(targets: &[&Target], memory: ByteSize) -> Arc<Gateway> {
+/// Creates a gateway with this memory for bodies in front of `targets`, to which further parts can be
+/// added.
+pub fn build_gateway(targets: &[&Target], memory: ByteSize) -> Gateway {
     let clock: Arc<dyn Clock> = Arc::new(RuntimeClock);
     let options = DispatcherOptions {
         balancer: BalancerOptions {
@@ -267,10 +268,7 @@
         metrics: Arc::default(),
         seed: 1,
     };
-    let gateway = Arc::new(Gateway::new(
-        ServiceTable::new(clock, options),
-        dependencies,
-    ));
+    let gateway = Gateway::new(ServiceTable::new(clock, options), dependencies);
     assert!(gateway.install_routes(routes()));
     let announcements: Vec<Announcement> =
         targets.iter().map(|target| announcement(target)).collect();
--- a/crates/auburnbridge_telemetry/src/metrics.rs
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -52,6 +52,11 @@
     direction: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DecisionLabels {
+    decision: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ServiceLabels {
     service: String,
@@ -69,6 +74,7 @@
     stated_departures: Family<ServiceLabels, Counter>,
     unread_requests: Family<UnreadLabels, Counter>,
     body_bytes: Family<BodyLabels, Gauge>,
+    account_requests: Family<DecisionLabels, Counter>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -87,6 +93,7 @@
         let stated_departures = Family::default();
         let unread_requests = Family::default();
         let body_bytes = Family::default();
+        let account_requests = Family::default();
         registry.register("requests", "Requests of callers", requests.clone());
         registry.register(
             "request_seconds",
@@ -124,6 +131,11 @@
             "Bytes of the bodies in memory",
             body_bytes.clone(),
         );
+        registry.register(
+            "account_requests",
+            "Requests of client accounts with a limit",
+            account_requests.clone(),
+        );
         Self {
             registry,
             requests,
@@ -135,6 +147,7 @@
             stated_departures,
             unread_requests,
             body_bytes,
+            account_requests,
         }
     }
 }
@@ -199,6 +212,12 @@
         }
     }
 
+    /// Counts a decision about a request of a client account with a limit.
+    pub fn record_account_request(&self, decision: &'static str) {
+        let labels = DecisionLabels { decision };
+        self.account_requests.get_or_create(&labels).inc();
+    }
+
     /// Sets the version of the current configuration.
     pub fn set_configuration_version(&self, version: u64) {
         self.configuration_version
