Test an owner's newly leased shares and doubled messages

Schedules did not notice parts that brought their burst along at once, nor doubled messages: the tolerance covers them. Two tests of an owner alone do.

--- a/crates/auburnbridge_policy/examples/account_limit_cost.rs
+++ b/crates/auburnbridge_policy/examples/account_limit_cost.rs
@@ -44,7 +44,7 @@
         node.request(START, ask.account, ask.terms, Waiter(call));
         black_box(node.take_outputs());
     });
-    println!("  start the ask of a request, or decide it: {request}");
+    println!("  queue a request behind the ask of its account: {request}");
     let mut node = owner();
     let tick = measure(|_| {
         node.tick(START);
--- a/crates/auburnbridge_policy/tests/account_limit/input.rs
+++ b/crates/auburnbridge_policy/tests/account_limit/input.rs
@@ -1,8 +1,8 @@
 //! Extreme limits, many accounts and messages of strangers.
 
 use auburnbridge_policy::account_limit::{
-    AccountHash, Admission, Ask, Echo, GatewayId, Lease, LimitMessage, LimitNode, LimitNodeOptions,
-    LimitTerms, LimitTolerance, Output, OwnerTerm, Payload, SentNumber, Waiter,
+    AccountHash, Admission, Ask, Echo, GatewayId, GiveBack, Lease, LimitMessage, LimitNode,
+    LimitNodeOptions, LimitTerms, LimitTolerance, Output, OwnerTerm, Payload, SentNumber, Waiter,
 };
 use auburnbridge_types::{ConfigVersion, Millis, RequestRate, Timestamp};
 
@@ -226,6 +226,92 @@
     assert_eq!(admitted(&mut node, now, 600_000..601_000), 1_000);
 }
 
+/// An owner that another gateway leases all parts, and asks.
+struct OwnerTest {
+    node: LimitNode,
+    now: Timestamp,
+    sent: u64,
+}
+
+impl OwnerTest {
+    fn new() -> Self {
+        let mut node = node();
+        let now = Timestamp(1_000_000);
+        node.set_gateways(now, &[GatewayId(2)], true);
+        let mut test = Self { node, now, sent: 0 };
+        test.send(Payload::Lease(Lease {
+            echo: Some(Echo {
+                term: OwnerTerm(1),
+                time: now,
+            }),
+            duration: Millis(100_000),
+            gateways: 1,
+            parts: u32::MAX,
+        }));
+        test
+    }
+
+    fn send(&mut self, payload: Payload) -> Vec<Output> {
+        self.sent += 1;
+        let message = message(self.sent, payload);
+        self.node.receive(self.now, GatewayId(2), &message);
+        self.node.take_outputs()
+    }
+
+    /// Asks for requests after a time, and returns how many are admitted.
+    fn ask(&mut self, after_ms: u64, terms: LimitTerms, requests: u32) -> u32 {
+        self.now = self.now.after(Millis(after_ms));
+        let ask = Ask {
+            account: account(0),
+            terms,
+            requests,
+        };
+        let outputs = self.send(Payload::Ask(ask));
+        let admitted = outputs.iter().find_map(|output| match output {
+            Output::Send { message, .. } => match message.payload {
+                Payload::Grant(grant) => Some(grant.admitted),
+                _ => None,
+            },
+            _ => None,
+        });
+        admitted.unwrap()
+    }
+}
+
+/// Guards against a burst that is handed out by the former and by the new owner within a window.
+#[test]
+fn newly_leased_share_has_its_rate_at_once_and_its_burst_after_a_window() {
+    let limit = terms(1, 10.0, 50);
+    let mut test = OwnerTest::new();
+    assert_eq!(test.ask(0, limit, 1_000), 0);
+    let at_rate = test.ask(1_000, limit, 1_000);
+    assert!((9..=11).contains(&at_rate), "{at_rate}");
+    let at_rate = test.ask(4_000, limit, 1_000);
+    assert!((39..=44).contains(&at_rate), "{at_rate}");
+    let with_burst = test.ask(600, limit, 1_000);
+    assert!((26..=80).contains(&with_burst), "{with_burst}");
+}
+
+/// Guards against a doubled message that gives back a permit twice.
+#[test]
+fn permit_is_given_back_once() {
+    let limit = terms(1, 1.0, 50);
+    let mut test = OwnerTest::new();
+    assert!(test.ask(6_000, limit, 1_000) >= 50);
+    assert_eq!(test.ask(2_500, limit, 10), 2);
+    let given = Payload::GiveBack(GiveBack {
+        account: account(0),
+        granted: Echo {
+            term: OwnerTerm(1),
+            time: test.now,
+        },
+    });
+    test.send(given);
+    test.sent -= 1;
+    test.send(given);
+    assert_eq!(test.ask(0, limit, 10), 1);
+}
+
 /// Guards against messages in a fleet without limited accounts.
 #[test]
 fn without_limited_accounts_no_message_is_sent() {
