Share a service fairly between client accounts when room is short

Cause: requests of one priority started by deadline and were refused by the length of the whole queue, so an account at many times its usual rate filled queue and slots, and all accounts were served alike badly.

Change: start-time fair queuing by account within a priority in the existing wait queue. Weights are the usual rates, learned while there is room; accounts served too little go first. The estimate of a wait counts what starts before the request under these shares and what will overtake it, so each account hears its own wait. An account that has used up its share leaves the last slots to other gateways, and all take only their part of the targets' own queues. Requests without an account, or of one account only, are decided as before.

--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -5,9 +5,8 @@
 use auburnbridge_caller::Disconnect;
 use auburnbridge_http::Response;
 use auburnbridge_policy::RequestClass;
-use auburnbridge_policy::balance::{BalancedKey, PlacementRequest, Refusal};
+use auburnbridge_policy::balance::{AccountKey, BalancedKey, PlacementRequest, Refusal};
 use auburnbridge_telemetry::RequestLabels;
-use auburnbridge_types::Millis;
 use futures_lite::FutureExt;
 use log::info;
 
@@ -24,6 +23,8 @@
 pub(crate) struct Forwarder<'a> {
     exchanger: Exchanger<'a>,
     disconnect: &'a Disconnect,
+    /// Client account of the request, for its fair share.
+    account: Option<AccountKey>,
     tried: Vec<BalancedKey>,
     /// Number of sends that count, hedges included.
     sends: u32,
@@ -48,6 +49,10 @@
                 dispatcher,
             },
             disconnect,
+            account: incoming
+                .account
+                .as_ref()
+                .map(|account| AccountKey::of(&account.id)),
             tried: Vec::new(),
             sends: 0,
             unsent: 0,
@@ -60,7 +65,7 @@
     pub(crate) async fn run(mut self) -> Response {
         let (exchanger, disconnect) = (self.exchanger, self.disconnect);
         let priority = exchanger.incoming.priority.0;
-        exchanger.dispatcher.record_request(priority);
+        exchanger.dispatcher.record_request(priority, self.account);
         let disconnected = async {
             disconnect.wait().await;
             None
@@ -150,7 +155,7 @@
             return None;
         }
         let hedge = dispatcher.pick_hedge(&self.placement_request())?;
-        dispatcher.try_resend().then_some(hedge)
+        dispatcher.try_resend(self.account).then_some(hedge)
     }
 
     fn record_send(&mut self, result: SendResult) -> Outcome {
@@ -167,6 +172,7 @@
         PlacementRequest {
             class: incoming.route.class,
             priority: incoming.priority.0,
+            account: self.account,
             deadline: incoming.deadline,
             objective: incoming.objective,
             tried: &self.tried,
@@ -191,7 +197,8 @@
         if self.unsent > MAX_UNSENT {
             return false;
         }
-        self.sends == 0 || (self.sends < incoming.route.max_attempts && dispatcher.try_resend())
+        self.sends == 0
+            || (self.sends < incoming.route.max_attempts && dispatcher.try_resend(self.account))
     }
 
     fn deliver(&self, response: Response) -> Response {
@@ -224,14 +231,20 @@
         } else {
             Failure::NoRoom
         };
-        let refusal =
-            refusal.unwrap_or_else(|| exchanger.dispatcher.refusal(exchanger.incoming.priority.0));
+        let refusal = refusal.unwrap_or_else(|| {
+            let priority = exchanger.incoming.priority.0;
+            exchanger.dispatcher.refusal(priority, self.account)
+        });
+        if refusal.is_own_backlog {
+            let metrics = &exchanger.gateway.metrics;
+            metrics.record_backlog_refusal(exchanger.dispatcher.name().as_str());
+        }
         let response = failure.to_response(Some(refusal.retry_after));
-        self.log_request(response.status, failure.into(), Some(refusal.retry_after));
+        self.log_request(response.status, failure.into(), Some(refusal));
         response
     }
 
-    fn log_request(&self, status: u16, result: &str, retry_after: Option<Millis>) {
+    fn log_request(&self, status: u16, result: &str, refusal: Option<Refusal>) {
         let Exchanger {
             gateway,
             incoming,
@@ -239,13 +252,17 @@
         } = self.exchanger;
         let now = gateway.clock.now();
         let time = now.since(incoming.arrived);
+        let account = incoming.account.as_ref();
         info!(
             attempt = self.exchanger.attempt_id(), version = incoming.version.0, route = incoming.route.name,
             service = dispatcher.name().as_str(), class:% = incoming.route.class,
-            status = status, result = result, not_run = retry_after.is_some(), sends = self.sends,
+            account = account.map_or("-", |account| account.id.as_str()),
+            backlog = refusal.map_or(0, |refusal| refusal.backlog),
+            own_backlog = refusal.is_some_and(|refusal| refusal.is_own_backlog),
+            status = status, result = result, not_run = refusal.is_some(), sends = self.sends,
             unsent = self.unsent, time_ms = time.0,
             left_ms = incoming.deadline.since(now).0,
-            retry_after_ms = retry_after.unwrap_or_default().0;
+            retry_after_ms = refusal.map_or(0, |refusal| refusal.retry_after.0);
             "request"
         );
         let labels = RequestLabels {
@@ -254,5 +271,8 @@
             result: result.to_owned(),
         };
         gateway.metrics.record_request(&labels, time);
+        gateway
+            .metrics
+            .set_waiting_accounts(dispatcher.name().as_str(), dispatcher.waiting_accounts());
     }
 }
--- a/crates/auburnbridge_gateway/src/service_dispatcher.rs
+++ b/crates/auburnbridge_gateway/src/service_dispatcher.rs
@@ -8,8 +8,9 @@
 
 use async_channel::Sender;
 use auburnbridge_policy::balance::{
-    AnswerTimes, BalancedKey, BalancedMember, Dispatcher, DispatcherOptions, Finding, GatewayHost,
-    LoadReport, Pick, Placement, PlacementRequest, Refusal, ReportedFinding, WaitingKey,
+    AccountKey, AnswerTimes, BalancedKey, BalancedMember, Dispatcher, DispatcherOptions, Finding,
+    GatewayHost, LoadReport, Pick, Placement, PlacementRequest, Refusal, ReportedFinding,
+    WaitingKey,
 };
 use auburnbridge_types::{Clock, Millis, ServiceName, TargetId, VmId};
 use futures_lite::FutureExt;
@@ -104,10 +105,10 @@
         self.inner.lock().set_gateways(others);
     }
 
-    /// Counts the arrival of a request with this priority.
-    pub(crate) fn record_request(&self, priority: u32) {
+    /// Counts the arrival of a request with this priority and account.
+    pub(crate) fn record_request(&self, priority: u32, account: Option<AccountKey>) {
         let now = self.clock.now();
-        self.inner.lock().record_request(now, priority);
+        self.inner.lock().record_request(now, priority, account);
     }
 
     /// Records whether a request was served.
@@ -116,10 +117,10 @@
         self.inner.lock().record_outcome(now, is_served);
     }
 
-    /// Takes a resend, for a retry or a hedge, from the budget; `false` if none remains.
-    pub(crate) fn try_resend(&self) -> bool {
+    /// Takes a resend, for a retry or a hedge, from the budget; `false` if none remains for the account.
+    pub(crate) fn try_resend(&self, account: Option<AccountKey>) -> bool {
         let now = self.clock.now();
-        self.inner.lock().try_resend(now)
+        self.inner.lock().try_resend(now, account)
     }
 
     /// Adds an answer that took `time` to the average answer time and classifies it.
@@ -132,10 +133,10 @@
         self.inner.lock().answer_times()
     }
 
-    /// The refusal for a request of this priority, which states when to retry.
-    pub(crate) fn refusal(&self, priority: u32) -> Refusal {
+    /// The refusal for a request of this priority and account, which states when to retry.
+    pub(crate) fn refusal(&self, priority: u32, account: Option<AccountKey>) -> Refusal {
         let now = self.clock.now();
-        self.inner.lock().refusal(now, priority)
+        self.inner.lock().refusal(now, priority, account)
     }
 
     /// Waits for a target. Dropping the future removes the request from the queue.
@@ -169,7 +170,8 @@
         }
         drop(guard);
         // A target may have been assigned between the timeout and the removal from the queue.
-        rx.try_recv().map_err(|_| self.refusal(request.priority))
+        rx.try_recv()
+            .map_err(|_| self.refusal(request.priority, request.account))
     }
 
     /// Picks a target with a free slot for a hedge of this request, without waiting.
@@ -251,6 +253,11 @@
         self.inner.lock().is_crowded(now)
     }
 
+    /// Number of client accounts with waiting requests.
+    pub fn waiting_accounts(&self) -> usize {
+        self.inner.lock().waiting_accounts()
+    }
+
     /// Number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.inner.lock().waiting()
--- a/crates/auburnbridge_policy/examples/dispatch_cost.rs
+++ b/crates/auburnbridge_policy/examples/dispatch_cost.rs
@@ -46,6 +46,7 @@
     let request = PlacementRequest {
         class: RequestClass::Once,
         priority: 1,
+        account: None,
         deadline: START.after(Millis(1_500)),
         objective: START.after(Millis(800)),
         tried: &[],
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -4,14 +4,17 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::account_shares::AccountKey;
 use super::answer_times::AnswerTimes;
 use super::balancer::{Balancer, BalancerOptions, Pick, TargetSummary};
 use super::evidence::Finding;
 use super::report::{LoadReport, ReportedFinding};
-use super::resend_budget::{ResendBudget, ResendBudgetOptions};
+use super::resend_budget::{Requester, ResendBudget, ResendBudgetOptions};
 use super::subset::GatewayHost;
 use super::target::{BalancedKey, BalancedMember};
-use super::wait_queue::{Capacity, EventRate, Refusal, WaitQueue, WaitRequest, WaitingKey};
+use super::wait_queue::{
+    Capacity, EventRate, Refusal, WaitQueue, WaitRequest, WaitingKey, count_to_f64, millis_to_f64,
+};
 use crate::RequestClass;
 
 /// Share of the resend budget reserved for requests whose send has failed. It is not available for
@@ -37,6 +40,8 @@
     pub class: RequestClass,
     /// Priority among waiting requests; 0 is the highest.
     pub priority: u32,
+    /// Client account, if the request has one.
+    pub account: Option<AccountKey>,
     /// Instant after which the caller no longer waits for the answer.
     pub deadline: Timestamp,
     /// Latency objective: until this instant an answer has its full value.
@@ -56,6 +61,11 @@
             self.class
         }
     }
+
+    /// Whether the request has not been sent yet.
+    fn is_first_send(&self) -> bool {
+        self.tried.is_empty()
+    }
 }
 
 /// Result of [`Dispatcher::place`].
@@ -94,6 +104,10 @@
     rng: StdRng,
     /// Rate of requests that ended on a target.
     completions: EventRate,
+    /// Requests in flight.
+    own_in_flight: u32,
+    /// Rate of requests that started on a busy target.
+    busy_starts: EventRate,
 }
 
 impl<T> Dispatcher<T> {
@@ -105,6 +119,8 @@
             budget: ResendBudget::new(options.resend_budget),
             rng: StdRng::seed_from_u64(options.seed),
             completions: EventRate::default(),
+            busy_starts: EventRate::default(),
+            own_in_flight: 0,
         }
     }
 
@@ -119,9 +135,9 @@
     }
 
     /// Counts a request, for the resend budget and the estimates of waits.
-    pub fn record_request(&mut self, now: Timestamp, priority: u32) {
+    pub fn record_request(&mut self, now: Timestamp, priority: u32, account: Option<AccountKey>) {
         self.budget.record_request(now);
-        self.waiting.record_arrival(now, priority);
+        self.waiting.record_arrival(now, priority, account);
     }
 
     /// Records whether a request was served, once for each request that its caller has waited for.
@@ -129,15 +145,29 @@
         self.balancer.record_outcome(now, is_served);
     }
 
-    /// Takes a resend from the budget if any remains.
-    pub fn try_resend(&mut self, now: Timestamp) -> bool {
-        self.budget.try_resend(now, self.balancer.gateway_count())
+    /// Takes a resend of a request of this account from the budget if any remains for it.
+    pub fn try_resend(&mut self, now: Timestamp, account: Option<AccountKey>) -> bool {
+        let requester = self.requester(account);
+        self.budget
+            .try_resend(now, self.balancer.gateway_count(), requester)
     }
 
-    /// Whether the budget has a resend left beyond the share reserved for failed sends.
-    fn has_unreserved_resends(&mut self, now: Timestamp) -> bool {
-        self.budget
-            .has_remaining(now, self.balancer.gateway_count(), RESERVED_SHARE)
+    /// Whether the budget has a resend left for this account beyond the share reserved for failed sends.
+    fn has_unreserved_resends(&mut self, now: Timestamp, account: Option<AccountKey>) -> bool {
+        let requester = self.requester(account);
+        self.budget.has_remaining(
+            now,
+            self.balancer.gateway_count(),
+            requester,
+            RESERVED_SHARE,
+        )
+    }
+
+    fn requester(&self, account: Option<AccountKey>) -> Requester {
+        Requester {
+            account,
+            request_share: self.waiting.request_share(account),
+        }
     }
 
     /// Starts, queues or refuses a request; `item` is called only if it can't start at once.
@@ -149,20 +179,20 @@
     ) -> Placement {
         self.balancer.record_class(now, request.class);
         let class = request.selection_class();
-        let allows_trial = class == RequestClass::Idempotent && request.tried.is_empty();
+        let allows_trial = class == RequestClass::Idempotent && request.is_first_send();
         if allows_trial
-            && self.has_unreserved_resends(now)
+            && self.has_unreserved_resends(now, request.account)
             && let Some(pick) = self.balancer.pick_trial(now)
         {
-            return Placement::Start(pick);
+            return self.start(request, pick);
         }
         let is_next = self
             .waiting
-            .first()
-            .is_none_or(|(first, _)| first.priority() > request.priority);
+            .first_priority()
+            .is_none_or(|first| first > request.priority);
         if is_next && let Some(pick) = self.balancer.pick(now, class, request.tried, &mut self.rng)
         {
-            return Placement::Start(pick);
+            return self.start(request, pick);
         }
         let summary = self.balancer.summary(now);
         if summary.unsuspected == 0 {
@@ -171,16 +201,23 @@
                 .balancer
                 .pick_any(now, class, request.tried, &mut self.rng)
             {
-                Some(pick) => Placement::Start(pick),
+                Some(pick) => self.start(request, pick),
                 None if self.returns_in_time(now, request) => {
                     self.enqueue(now, request, summary, item)
                 }
-                None => Placement::Refuse(self.refusal(now, request.priority)),
+                None => Placement::Refuse(self.refusal(now, request.priority, request.account)),
             };
         }
         self.enqueue(now, request, summary, item)
     }
 
+    fn start(&mut self, request: &PlacementRequest<'_>, pick: Pick) -> Placement {
+        self.waiting
+            .record_start(request.priority, request.account, request.is_first_send());
+        self.own_in_flight += 1;
+        Placement::Start(pick)
+    }
+
     /// Whether a paused target returns early enough to answer the request before its deadline.
     fn returns_in_time(&self, now: Timestamp, request: &PlacementRequest<'_>) -> bool {
         let min_remaining = self.capacity(now, TargetSummary::default()).min_remaining();
@@ -199,6 +236,7 @@
         let capacity = self.capacity(now, summary);
         let wait_request = WaitRequest {
             priority: request.priority,
+            account: request.account,
             deadline: request.deadline,
             objective: request.objective,
             item: Waiter {
@@ -236,35 +274,66 @@
     /// that at-most-once requests avoid.
     pub fn next_start(&mut self, now: Timestamp) -> Option<(T, Pick)> {
         for class in [RequestClass::Once, RequestClass::Idempotent] {
-            let first = self
-                .waiting
-                .iter()
-                .find(|(_, waiter)| waiter.class == class);
+            let first = self.waiting.first_where(|waiter| waiter.class == class);
             let Some((key, waiter)) = first else {
                 continue;
             };
+            if self.yields_to_gateways(now, key) {
+                continue;
+            }
             let mut pick = self.balancer.pick(now, class, &waiter.tried, &mut self.rng);
-            let allows_busy = now >= waiter.busy_allowed_at;
-            if pick.is_none()
-                && allows_busy
-                && self.waiting.is_highest_priority(now, key.priority())
-            {
+            if pick.is_none() && self.allows_busy(now, key, waiter) {
                 pick = self
                     .balancer
                     .pick_busy(now, class, &waiter.tried, &mut self.rng);
+                if pick.is_some() {
+                    self.busy_starts.record(now);
+                }
             }
             if let Some(pick) = pick {
-                let waiter = self.waiting.remove(key)?;
+                let is_first_send = waiter.tried.is_empty();
+                let waiter = self.waiting.start(key, is_first_send)?;
+                self.own_in_flight += 1;
                 return Some((waiter.item, pick));
             }
         }
         None
     }
 
+    /// Whether the last free slots are left to other gateways: to the requests there of accounts that
+    /// have not used up their shares.
+    fn yields_to_gateways(&self, now: Timestamp, key: WaitingKey) -> bool {
+        if !self.waiting.is_above_share(key) {
+            return false;
+        }
+        let summary = self.balancer.summary(now);
+        let slots = f64::from(summary.slots);
+        let equal_share = slots / count_to_f64(self.balancer.gateway_count());
+        f64::from(self.own_in_flight) >= equal_share && summary.in_flight >= summary.slots
+    }
+
+    /// Whether a waiting request may start on a busy target. A target's own queue knows no accounts, so
+    /// while several accounts send requests, the gateway takes only its part of the places in these
+    /// queues.
+    fn allows_busy(&self, now: Timestamp, key: WaitingKey, waiter: &Waiter<T>) -> bool {
+        if now < waiter.busy_allowed_at || !self.waiting.is_highest_priority(now, key.priority()) {
+            return false;
+        }
+        self.waiting.is_alone(key) || self.has_busy_places(now)
+    }
+
+    fn has_busy_places(&self, now: Timestamp) -> bool {
+        let targets = f64::from(self.balancer.summary(now).unsuspected);
+        let places = targets / count_to_f64(self.balancer.gateway_count());
+        let in_use =
+            self.busy_starts.per_ms(now) * millis_to_f64(self.balancer.answer_times().average());
+        in_use < places
+    }
+
     /// Picks a target with a free slot for a hedge of this request, if no request waits and the
     /// budget has an unreserved resend.
     pub fn pick_hedge(&mut self, now: Timestamp, request: &PlacementRequest<'_>) -> Option<Pick> {
-        if !self.waiting.is_empty() || !self.has_unreserved_resends(now) {
+        if !self.waiting.is_empty() || !self.has_unreserved_resends(now, request.account) {
             return None;
         }
         self.balancer
@@ -284,6 +353,7 @@
     /// Ends a request on a target and records its finding, if any.
     pub fn finish(&mut self, now: Timestamp, key: BalancedKey, finding: Option<Finding>) {
         self.completions.record(now);
+        self.own_in_flight = self.own_in_flight.saturating_sub(1);
         self.balancer.finish(now, key, finding);
     }
 
@@ -297,14 +367,14 @@
         self.balancer.answer_times()
     }
 
-    /// The refusal of a request of this priority, with the delay after which it may be retried.
+    /// The refusal of a request of this priority and account, with the delay after which it may be
+    /// retried.
     ///
     /// While all targets without suspicion are paused, the delay lasts until one of them returns.
-    pub fn refusal(&self, now: Timestamp, priority: u32) -> Refusal {
+    pub fn refusal(&self, now: Timestamp, priority: u32, account: Option<AccountKey>) -> Refusal {
         let summary = self.balancer.summary(now);
-        let mut refusal = self
-            .waiting
-            .refusal(now, priority, &self.capacity(now, summary));
+        let capacity = self.capacity(now, summary);
+        let mut refusal = self.waiting.refusal(now, priority, account, &capacity);
         if summary.unsuspected == 0
             && let Some(left) = self.balancer.pause_left(now)
         {
@@ -343,6 +413,11 @@
         self.waiting.len()
     }
 
+    /// Number of accounts with waiting requests.
+    pub fn waiting_accounts(&self) -> usize {
+        self.waiting.waiting_accounts()
+    }
+
     fn capacity(&self, now: Timestamp, summary: TargetSummary) -> Capacity {
         let slots = match summary.unsuspected {
             0 => summary.paused_slots,
--- a/crates/auburnbridge_policy/src/balance/mod.rs
+++ b/crates/auburnbridge_policy/src/balance/mod.rs
@@ -10,6 +10,7 @@
 //! Connection failures are evidence about the path from this VM and are kept separate: they are not
 //! reported to other gateways, and successes of other gateways don't offset them.
 
+mod account_shares;
 mod answer_times;
 mod balancer;
 mod dispatcher;
@@ -21,12 +22,13 @@
 mod target;
 mod wait_queue;
 
+pub use account_shares::AccountKey;
 pub use answer_times::AnswerTimes;
 pub use balancer::{Balancer, BalancerOptions, Pick, TargetSummary};
 pub use dispatcher::{Dispatcher, DispatcherOptions, Placement, PlacementRequest};
 pub use evidence::{Finding, Origin};
 pub use report::{LoadReport, ReportedFinding, TargetHash, TargetLoad};
-pub use resend_budget::{ResendBudget, ResendBudgetOptions};
+pub use resend_budget::{Requester, ResendBudget, ResendBudgetOptions};
 pub use subset::{GatewayHost, gateway_subset};
 pub use target::{BalancedKey, BalancedMember};
 pub use wait_queue::{Capacity, Refusal, WaitQueue, WaitRequest, WaitingKey};
--- a/crates/auburnbridge_policy/src/balance/wait_queue.rs
+++ b/crates/auburnbridge_policy/src/balance/wait_queue.rs
@@ -1,14 +1,17 @@
 //! Queue of requests that wait on one gateway for a free slot of their service.
 //!
-//! Requests start by priority, then by deadline. A request that can't be answered before its
-//! deadline is refused on arrival, so that its caller can use the time otherwise. The estimate of
-//! the wait counts the arrivals of each priority, since a waiting request is also overtaken by
-//! requests of a higher priority that arrive later.
+//! Requests start by priority, then by the fair share of their client account, then by deadline. A
+//! request that can't be answered before its deadline is refused on arrival, so that its caller can
+//! use the time otherwise. The estimate of the wait counts the arrivals of each priority, since a
+//! waiting request is also overtaken by requests of a higher priority that arrive later, and by those
+//! of accounts that have less waiting.
 
 use std::collections::BTreeMap;
 
 use auburnbridge_types::{Millis, Timestamp};
 
+use super::account_shares::{AccountKey, AccountShares, FlowKey};
+
 /// Capacity of the queue; usually the estimate of the wait refuses requests before it is reached.
 const MAX_WAITING: usize = 512;
 /// Share of the average answer time that must remain before a deadline when a request starts. Half
@@ -29,6 +32,8 @@
 const RATE_TIME_CONSTANT: Millis = Millis(1_000);
 /// Lower bound of [`Refusal::retry_after`]; less is within the error of the estimate.
 const MIN_RETRY_AFTER: Millis = Millis(100);
+/// Rounds in which the estimate of a wait takes account of the requests that overtake during it.
+const OVERTAKING_ROUNDS: usize = 3;
 /// Upper bound of [`Refusal::retry_after`].
 const MAX_RETRY_AFTER: Millis = Millis(5_000);
 
@@ -52,6 +57,8 @@
 pub struct WaitRequest<T> {
     /// Priority; 0 is the highest.
     pub priority: u32,
+    /// Client account, if it has one.
+    pub account: Option<AccountKey>,
     /// Instant after which the caller no longer waits for the answer.
     pub deadline: Timestamp,
     /// Latency objective: until this instant an answer has its full value.
@@ -63,14 +70,19 @@
 /// Refusal of a request that can't be answered in time. The request has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
-    /// Delay after which the service is expected to have capacity.
+    /// Delay after which the service is expected to have capacity for the account.
     pub retry_after: Millis,
+    /// Requests of the account with the same priority that wait on this gateway.
+    pub backlog: usize,
+    /// Whether a request of an account without a backlog would have been queued.
+    pub is_own_backlog: bool,
 }
 
 /// Handle of a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitingKey {
     priority: u32,
+    flow: FlowKey,
     deadline: Timestamp,
     number: u64,
 }
@@ -88,6 +100,7 @@
     waiting: BTreeMap<WaitingKey, T>,
     next_number: u64,
     arrivals: BTreeMap<u32, EventRate>,
+    shares: AccountShares,
     /// When the queue last became non-empty.
     nonempty_since: Timestamp,
 }
@@ -147,6 +160,7 @@
             waiting: BTreeMap::new(),
             next_number: 0,
             arrivals: BTreeMap::new(),
+            shares: AccountShares::default(),
             nonempty_since: Timestamp(0),
         }
     }
@@ -167,11 +181,11 @@
         self.in_flight < self.slots
     }
 
-    /// Wait behind `ahead` queued requests while requests of higher priorities arrive at the given
-    /// rate. If these leave almost no throughput, the wait has no useful estimate and
-    /// [`MAX_RETRY_AFTER`] stands for it; a request with a deadline far enough off is queued
-    /// nevertheless.
-    fn estimated_wait(&self, ahead: usize, higher_priority_per_ms: f64) -> Millis {
+    /// Wait behind `ahead` queued requests and `overtaking` later ones of the same priority, while
+    /// requests of higher priorities arrive at the given rate. If these leave almost no throughput, the
+    /// wait has no useful estimate and [`MAX_RETRY_AFTER`] stands for it; a request with a deadline far
+    /// enough off is queued nevertheless.
+    fn estimated_wait(&self, ahead: usize, overtaking: f64, higher_priority_per_ms: f64) -> Millis {
         if self.has_free_slot() && ahead == 0 {
             return Millis(0);
         }
@@ -180,7 +194,7 @@
         if spare < rate * MIN_SPARE_SHARE {
             return MAX_RETRY_AFTER;
         }
-        f64_to_millis(count_to_f64(ahead + 1) / spare)
+        f64_to_millis((count_to_f64(ahead + 1) + overtaking) / spare)
     }
 
     /// Duration before its deadline by which a request has to start.
@@ -191,8 +205,18 @@
 
 impl<T> WaitQueue<T> {
     /// Counts the arrival of a request, whether it waits or not.
-    pub fn record_arrival(&mut self, now: Timestamp, priority: u32) {
+    pub fn record_arrival(&mut self, now: Timestamp, priority: u32, account: Option<AccountKey>) {
         self.arrivals.entry(priority).or_default().record(now);
+        let is_short_of_room = !self.waiting.is_empty();
+        self.shares
+            .record_arrival(now, priority, account, is_short_of_room);
+    }
+
+    /// Counts the start of a request that has not waited; `is_first` tells it from a resend.
+    pub fn record_start(&mut self, priority: u32, account: Option<AccountKey>, is_first: bool) {
+        if let Some(flow) = self.shares.flow(priority, account) {
+            self.shares.record_start(flow, is_first);
+        }
     }
 
     /// Rate of arrivals with a higher priority than `priority`.
@@ -205,7 +229,7 @@
 
     /// Whether no request of a higher priority waits or has arrived recently.
     pub fn is_highest_priority(&self, now: Timestamp, priority: u32) -> bool {
-        let is_first = self.first().is_none_or(|(key, _)| key.priority >= priority);
+        let is_first = self.first_priority().is_none_or(|first| first >= priority);
         is_first
             && self.higher_priority_per_ms(now, priority) * millis_to_f64(RATE_TIME_CONSTANT) < 0.5
     }
@@ -218,63 +242,204 @@
         request: WaitRequest<T>,
         capacity: &Capacity,
     ) -> Result<WaitingKey, Refusal> {
+        let (priority, account) = (request.priority, request.account);
+        let Some(flow) = self.shares.flow(priority, account) else {
+            return Err(self.refusal(now, priority, account, capacity));
+        };
         let key = WaitingKey {
-            priority: request.priority,
+            priority,
+            flow,
             deadline: request.deadline,
             number: self.next_number,
         };
-        let ahead = self.waiting.range(..key).count();
-        let higher_priority_per_ms = self.higher_priority_per_ms(now, request.priority);
-        let wait = capacity.estimated_wait(ahead, higher_priority_per_ms);
-        let wait = Millis(wait.0 + wait.0 / WAIT_MARGIN_DIVISOR);
         let until = if self.is_overload_sustained(now) {
             request.objective
         } else {
             request.deadline
         };
-        let is_too_late =
-            wait > Millis(0) && now.after(wait).after(capacity.min_remaining()) > until;
-        if is_too_late || self.waiting.len() >= MAX_WAITING {
-            return Err(self.refusal(now, request.priority, capacity));
+        let is_too_late = |wait: Millis| {
+            let wait = Millis(wait.0 + wait.0 / WAIT_MARGIN_DIVISOR);
+            wait > Millis(0) && now.after(wait).after(capacity.min_remaining()) > until
+        };
+        let own_ahead = self.waiting.range(key.first_of_flow()..key).count();
+        let wait = self.estimated_wait(now, priority, flow, own_ahead, capacity);
+        if is_too_late(wait) || self.is_full_for(flow) {
+            let mut refusal = self.refusal(now, priority, account, capacity);
+            refusal.is_own_backlog = account.is_some()
+                && self.waiting.len() < MAX_WAITING
+                && !is_too_late(self.wait_without_backlog(now, priority, flow, capacity));
+            return Err(refusal);
         }
         self.next_number += 1;
         if self.waiting.is_empty() {
             self.nonempty_since = now;
         }
         self.waiting.insert(key, request.item);
+        self.shares.add_waiting(flow);
         Ok(key)
     }
 
+    /// Whether a flow may have no further waiting requests. Unless it is alone, it may have as many as
+    /// there is room left, so that a few accounts can't fill the queue.
+    fn is_full_for(&self, flow: FlowKey) -> bool {
+        let room = MAX_WAITING.saturating_sub(self.waiting.len());
+        room == 0 || (self.shares.waiting(flow) >= room && !self.shares.is_alone(flow))
+    }
+
+    fn higher_priority_waiting(&self, priority: u32) -> usize {
+        let higher = self
+            .waiting
+            .keys()
+            .take_while(|key| key.priority < priority);
+        higher.count()
+    }
+
+    /// Wait of a request of a flow behind `own_ahead` others of it.
+    fn estimated_wait(
+        &self,
+        now: Timestamp,
+        priority: u32,
+        flow: FlowKey,
+        own_ahead: usize,
+        capacity: &Capacity,
+    ) -> Millis {
+        let others = self.shares.rank(flow, own_ahead).ahead;
+        let ahead = self.higher_priority_waiting(priority) + own_ahead + others;
+        self.wait_behind(now, priority, flow, own_ahead, ahead, capacity)
+    }
+
+    /// Wait behind `ahead` requests, `own_ahead` of which are of the flow, and the requests that
+    /// overtake meanwhile.
+    fn wait_behind(
+        &self,
+        now: Timestamp,
+        priority: u32,
+        flow: FlowKey,
+        own_ahead: usize,
+        ahead: usize,
+        capacity: &Capacity,
+    ) -> Millis {
+        let higher_priority_per_ms = self.higher_priority_per_ms(now, priority);
+        let mut wait = capacity.estimated_wait(ahead, 0.0, higher_priority_per_ms);
+        for _ in 0..OVERTAKING_ROUNDS {
+            if wait == Millis(0) || wait >= MAX_RETRY_AFTER {
+                break;
+            }
+            let overtaking = self.shares.overtaking(flow, own_ahead, wait);
+            if overtaking == 0.0 {
+                break;
+            }
+            wait = capacity.estimated_wait(ahead, overtaking, higher_priority_per_ms);
+        }
+        wait
+    }
+
+    /// Wait of a request of this priority if its account had no share used up and none waiting.
+    fn wait_without_backlog(
+        &self,
+        now: Timestamp,
+        priority: u32,
+        flow: FlowKey,
+        capacity: &Capacity,
+    ) -> Millis {
+        let ahead = self.higher_priority_waiting(priority) + self.shares.rank_without_lag(flow);
+        capacity.estimated_wait(ahead, 0.0, self.higher_priority_per_ms(now, priority))
+    }
+
     /// Whether the overload is sustained. Queueing up to the deadlines would then make every answer
     /// late without serving more requests.
     fn is_overload_sustained(&self, now: Timestamp) -> bool {
         !self.waiting.is_empty() && now.since(self.nonempty_since) >= SUSTAINED_OVERLOAD
     }
 
-    /// The refusal of a request that can't get a slot in time.
-    pub fn refusal(&self, now: Timestamp, priority: u32, capacity: &Capacity) -> Refusal {
-        let higher_priority_per_ms = self.higher_priority_per_ms(now, priority);
-        let wait = capacity.estimated_wait(self.waiting.len(), higher_priority_per_ms);
+    /// The refusal of a request that can't get a slot in time. Its account is told the wait behind its
+    /// own waiting requests, and behind those of others only as far as they start earlier.
+    pub fn refusal(
+        &self,
+        now: Timestamp,
+        priority: u32,
+        account: Option<AccountKey>,
+        capacity: &Capacity,
+    ) -> Refusal {
+        let flow = self.shares.find(priority, account);
+        let backlog = flow.map_or(0, |flow| self.shares.waiting(flow));
+        let wait = if let Some(flow) = flow {
+            let ahead = self.waiting.len() - self.shares.rank(flow, backlog).behind;
+            self.wait_behind(now, priority, flow, backlog, ahead, capacity)
+        } else {
+            let higher_priority_per_ms = self.higher_priority_per_ms(now, priority);
+            capacity.estimated_wait(self.waiting.len(), 0.0, higher_priority_per_ms)
+        };
         Refusal {
             retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            backlog,
+            is_own_backlog: false,
+        }
+    }
+
+    /// Priority of the request to start next.
+    pub fn first_priority(&self) -> Option<u32> {
+        self.waiting.first_key_value().map(|(key, _)| key.priority)
+    }
+
+    /// The first request in the order of starts for which `accepts` holds.
+    pub fn first_where(&self, accepts: impl Fn(&T) -> bool) -> Option<(WaitingKey, &T)> {
+        let mut first: Option<(f64, WaitingKey, &T)> = None;
+        let mut tag = 0.0;
+        let mut flow = None;
+        for (key, item) in &self.waiting {
+            if first.is_some_and(|(_, first, _)| first.priority < key.priority) {
+                break;
+            }
+            if !accepts(item) {
+                continue;
+            }
+            if flow != Some(key.flow) {
+                flow = Some(key.flow);
+                tag = self.shares.tag(key.flow);
+            }
+            let is_earlier = first.is_none_or(|(first_tag, first, _)| {
+                tag < first_tag || (tag <= first_tag && key.is_due_before(&first))
+            });
+            if is_earlier {
+                first = Some((tag, *key, item));
+            }
         }
+        first.map(|(_, key, item)| (key, item))
+    }
+
+    /// Whether the account of a waiting request is the only one that sends requests of its priority.
+    pub fn is_alone(&self, key: WaitingKey) -> bool {
+        self.shares.is_alone(key.flow)
     }
 
-    /// The request to start next.
-    pub fn first(&self) -> Option<(WaitingKey, &T)> {
-        self.waiting
-            .first_key_value()
-            .map(|(key, item)| (*key, item))
+    /// Whether the account of a waiting request has used up its share, and others send requests.
+    pub fn is_above_share(&self, key: WaitingKey) -> bool {
+        self.shares.is_above_share(key.flow)
     }
 
-    /// The waiting requests in the order in which they start.
-    pub fn iter(&self) -> impl Iterator<Item = (WaitingKey, &T)> {
-        self.waiting.iter().map(|(key, item)| (*key, item))
+    /// Removes a request that starts; `is_first` tells it from a resend.
+    pub fn start(&mut self, key: WaitingKey, is_first: bool) -> Option<T> {
+        let item = self.remove(key)?;
+        self.shares.record_start(key.flow, is_first);
+        Some(item)
     }
 
-    /// Removes a request.
+    /// Removes a request that does not start.
     pub fn remove(&mut self, key: WaitingKey) -> Option<T> {
-        self.waiting.remove(&key)
+        let item = self.waiting.remove(&key)?;
+        self.shares.remove_waiting(key.flow);
+        Some(item)
+    }
+
+    /// Share of the recent requests that are of this account.
+    pub fn request_share(&self, account: Option<AccountKey>) -> f64 {
+        self.shares.request_share(account)
+    }
+
+    /// Number of accounts with waiting requests.
+    pub fn waiting_accounts(&self) -> usize {
+        self.shares.waiting_accounts()
     }
 
     /// Number of waiting requests.
@@ -288,11 +453,26 @@
     }
 }
 
-fn count_to_f64(value: usize) -> f64 {
+impl WaitingKey {
+    /// Lower bound of the keys of the same flow.
+    fn first_of_flow(self) -> Self {
+        Self {
+            deadline: Timestamp(0),
+            number: 0,
+            ..self
+        }
+    }
+
+    fn is_due_before(&self, other: &Self) -> bool {
+        (self.deadline, self.number) < (other.deadline, other.number)
+    }
+}
+
+pub(super) fn count_to_f64(value: usize) -> f64 {
     f64::from(u32::try_from(value).unwrap_or(u32::MAX))
 }
 
-fn millis_to_f64(time: Millis) -> f64 {
+pub(super) fn millis_to_f64(time: Millis) -> f64 {
     f64::from(u32::try_from(time.0).unwrap_or(u32::MAX))
 }
 
--- a/crates/auburnbridge_policy/tests/balance_load/main.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/main.rs
@@ -74,6 +74,7 @@
                 per_second: orders,
             },
         ],
+        accounts: None,
         failure_share: never,
         failure_mode: FailureMode::Disconnect,
         finds_silence: false,
--- a/crates/auburnbridge_policy/tests/balance_load/simulation.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/simulation.rs
@@ -12,8 +12,8 @@
 
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{
-    BalancedKey, BalancedMember, BalancerOptions, Dispatcher, DispatcherOptions, Finding,
-    GatewayHost, Pick, Placement, PlacementRequest, ResendBudgetOptions, WaitingKey,
+    AccountKey, BalancedKey, BalancedMember, BalancerOptions, Dispatcher, DispatcherOptions,
+    Finding, GatewayHost, Pick, Placement, PlacementRequest, ResendBudgetOptions, WaitingKey,
 };
 use auburnbridge_types::{Incarnation, Millis, Slots, Timestamp, VmId};
 use rand::{Rng, SeedableRng};
@@ -42,6 +42,27 @@
     pub per_second: fn(u64) -> f64,
 }
 
+/// The client accounts that send the requests.
+#[derive(Clone, Debug)]
+pub struct AccountMix {
+    /// Usual share of each account in the requests.
+    pub shares: Vec<f64>,
+    /// Factor applied to the usual rate of an account, by its number and the time.
+    pub rate_factor: fn(usize, u64) -> f64,
+    /// Number of clients of all accounts, each of which uses one gateway; without clients the
+    /// requests of each account are spread evenly.
+    pub clients: usize,
+}
+
+impl AccountMix {
+    fn rates(&self, at_ms: u64) -> Vec<f64> {
+        let accounts = self.shares.iter().enumerate();
+        accounts
+            .map(|(account, share)| share * (self.rate_factor)(account, at_ms))
+            .collect()
+    }
+}
+
 /// What a failing target does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FailureMode {
@@ -62,6 +83,8 @@
     /// Requests that arrive before this time are served but not counted.
     pub counted_from_ms: u64,
     pub kinds: Vec<RequestKind>,
+    /// The client accounts; `None` if requests have none.
+    pub accounts: Option<AccountMix>,
     /// Share of the requests that a target fails, by its number and the time.
     pub failure_share: fn(usize, u64) -> f64,
     pub failure_mode: FailureMode,
@@ -121,6 +144,8 @@
 #[derive(Debug, Default)]
 pub struct Outcome {
     pub tallies: Vec<Tally>,
+    /// Results by account and kind, if the requests have accounts.
+    pub accounts: Vec<Vec<Tally>>,
     pub sends: Vec<SendRecord>,
     /// Arrival times of all requests, counted or not.
     pub arrivals_ms: Vec<u64>,
@@ -188,6 +213,7 @@
 
 struct Request {
     kind: usize,
+    account: Option<usize>,
     gateway: usize,
     arrived: u64,
     sent: u64,
@@ -251,6 +277,10 @@
     Timestamp(1_000_000 + ms)
 }
 
+fn account_key(account: usize) -> AccountKey {
+    AccountKey::of(&format!("account-{account}").parse().unwrap())
+}
+
 fn address(target: usize) -> std::net::SocketAddr {
     std::net::SocketAddr::from(([10, 0, (target / 200) as u8, (target % 200) as u8], 8080))
 }
@@ -303,6 +333,9 @@
             requests: Vec::new(),
             outcome: Outcome {
                 tallies: vec![Tally::default(); scenario.kinds.len()],
+                accounts: scenario.accounts.as_ref().map_or_else(Vec::new, |mix| {
+                    vec![vec![Tally::default(); scenario.kinds.len()]; mix.shares.len()]
+                }),
                 sends: Vec::new(),
                 arrivals_ms: Vec::new(),
                 lost_ms: Vec::new(),
@@ -327,7 +360,12 @@
     }
 
     fn schedule_arrival(&mut self, kind: usize) {
-        let rate = (self.scenario.kinds[kind].per_second)(self.now).max(0.01);
+        let usual = (self.scenario.kinds[kind].per_second)(self.now);
+        let factor = match &self.scenario.accounts {
+            Some(mix) => mix.rates(self.now).iter().sum(),
+            None => 1.0,
+        };
+        let rate = (usual * factor).max(0.01);
         let gap = -self.rng.random::<f64>().max(1e-9).ln() * 1_000.0 / rate;
         if self.now + (gap as u64) < self.scenario.duration_ms {
             self.schedule(gap as u64, Event::Arrive { kind });
@@ -367,15 +405,15 @@
 
     fn arrive(&mut self, kind: usize) {
         self.schedule_arrival(kind);
-        let gateway = self.rng.random_range(0..self.scenario.gateways);
+        let account = self.draw_account();
+        let gateway = self.draw_gateway(account);
         self.outcome.arrivals_ms.push(self.now);
-        if self.is_counted(self.now) {
-            self.outcome.tallies[kind].offered += 1;
-        }
         let priority = self.scenario.kinds[kind].priority;
-        self.gateways[gateway].record_request(time(self.now), priority);
+        let key = account.map(account_key);
+        self.gateways[gateway].record_request(time(self.now), priority, key);
         self.requests.push(Request {
             kind,
+            account,
             gateway,
             arrived: self.now,
             sent: 0,
@@ -389,7 +427,49 @@
             target: 0,
             was_silent: false,
         });
-        self.place(self.requests.len() - 1);
+        let request = self.requests.len() - 1;
+        self.count(request, |tally| tally.offered += 1);
+        self.place(request);
+    }
+
+    fn draw_account(&mut self) -> Option<usize> {
+        let mix = self.scenario.accounts.as_ref()?;
+        let rates = mix.rates(self.now);
+        if rates.len() == 1 {
+            return Some(0);
+        }
+        let mut drawn = self.rng.random_range(0.0..rates.iter().sum());
+        let account = rates.iter().position(|rate| {
+            drawn -= rate;
+            drawn < 0.0
+        });
+        account.or(Some(0))
+    }
+
+    /// The gateway of a client of the account; larger accounts have more clients.
+    fn draw_gateway(&mut self, account: Option<usize>) -> usize {
+        let gateways = self.scenario.gateways;
+        let mix = self.scenario.accounts.as_ref();
+        let Some((account, mix)) = account.zip(mix).filter(|(_, mix)| mix.clients > 0) else {
+            return self.rng.random_range(0..gateways);
+        };
+        let clients = (mix.clients as f64 * mix.shares[account]).ceil() as u64;
+        let client = self.rng.random_range(0..clients.max(1));
+        let mut home =
+            ChaCha8Rng::seed_from_u64(self.scenario.seed << 40 | (account as u64) << 20 | client);
+        home.random_range(0..gateways)
+    }
+
+    /// Applies a change to the counts of the request's kind and account.
+    fn count(&mut self, request: usize, change: impl Fn(&mut Tally)) {
+        let req = &self.requests[request];
+        if !self.is_counted(req.arrived) {
+            return;
+        }
+        change(&mut self.outcome.tallies[req.kind]);
+        if let Some(account) = req.account {
+            change(&mut self.outcome.accounts[account][req.kind]);
+        }
     }
 
     fn place(&mut self, request: usize) {
@@ -399,6 +479,7 @@
         let placement_request = PlacementRequest {
             class: kind.class,
             priority: kind.priority,
+            account: req.account.map(account_key),
             deadline: time(req.arrived + kind.deadline_ms),
             objective: time(req.arrived + kind.objective_ms),
             tried: &tried,
@@ -427,8 +508,9 @@
             return;
         };
         let (gateway, priority) = (req.gateway, self.scenario.kinds[req.kind].priority);
+        let account = self.requests[request].account.map(account_key);
         if self.gateways[gateway].cancel(key) {
-            let refusal = self.gateways[gateway].refusal(time(self.now), priority);
+            let refusal = self.gateways[gateway].refusal(time(self.now), priority, account);
             self.refuse(request, refusal.retry_after);
         }
     }
@@ -441,13 +523,12 @@
         let req = &self.requests[request];
         self.gateways[req.gateway].record_outcome(time(self.now), false);
         self.outcome.lost_ms.push(req.arrived);
-        if !self.is_counted(req.arrived) {
-            return;
-        }
-        let tally = &mut self.outcome.tallies[req.kind];
-        tally.refused += 1;
-        tally.refusal_ms.push(self.now - req.arrived);
-        tally.retry_after_ms.push(retry_after.0);
+        let waited = self.now - req.arrived;
+        self.count(request, |tally| {
+            tally.refused += 1;
+            tally.refusal_ms.push(waited);
+            tally.retry_after_ms.push(retry_after.0);
+        });
     }
 
     fn send(&mut self, request: usize, pick: Pick) {
@@ -605,20 +686,18 @@
     fn answer(&mut self, request: usize) {
         let req = &self.requests[request];
         self.gateways[req.gateway].record_outcome(time(self.now), true);
-        if !self.is_counted(req.arrived) {
-            return;
-        }
         let kind = &self.scenario.kinds[req.kind];
-        let tally = &mut self.outcome.tallies[req.kind];
         let taken = self.now - req.arrived;
-        tally.answer_ms.push(taken);
-        if taken <= kind.objective_ms {
-            tally.in_objective += 1;
-        } else if taken <= kind.deadline_ms {
-            tally.late += 1;
-        } else {
-            tally.failed += 1;
-        }
+        self.count(request, |tally| {
+            tally.answer_ms.push(taken);
+            if taken <= kind.objective_ms {
+                tally.in_objective += 1;
+            } else if taken <= kind.deadline_ms {
+                tally.late += 1;
+            } else {
+                tally.failed += 1;
+            }
+        });
     }
 
     fn retry(&mut self, request: usize, result: SendResult) {
@@ -628,15 +707,15 @@
             && kind.class == RequestClass::Once;
         let is_over = self.now >= req.arrived + kind.deadline_ms;
         let (sends, gateway) = (req.sends, req.gateway);
+        let account = req.account.map(account_key);
         let mut may_resend = || {
-            sends == 0 || (sends < MAX_SENDS && self.gateways[gateway].try_resend(time(self.now)))
+            sends == 0
+                || (sends < MAX_SENDS && self.gateways[gateway].try_resend(time(self.now), account))
         };
         if is_lost || is_over || !may_resend() {
             self.gateways[gateway].record_outcome(time(self.now), false);
             self.outcome.lost_ms.push(req.arrived);
-            if self.is_counted(req.arrived) {
-                self.outcome.tallies[req.kind].failed += 1;
-            }
+            self.count(request, |tally| tally.failed += 1);
             return;
         }
         self.place(request);
--- a/crates/auburnbridge_policy/tests/last_send.rs
+++ b/crates/auburnbridge_policy/tests/last_send.rs
@@ -51,6 +51,7 @@
     let request = PlacementRequest {
         class,
         priority: 1,
+        account: None,
         deadline: time(now + 1_500),
         objective: time(now + 800),
         tried: &[],
--- a/crates/auburnbridge_policy/tests/resend_budget.rs
+++ b/crates/auburnbridge_policy/tests/resend_budget.rs
@@ -3,7 +3,8 @@
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{
     BalancedMember, BalancerOptions, Dispatcher, DispatcherOptions, Finding, GatewayHost,
-    Placement, PlacementRequest, ReportedFinding, ResendBudget, ResendBudgetOptions, TargetHash,
+    Placement, PlacementRequest, ReportedFinding, Requester, ResendBudget, ResendBudgetOptions,
+    TargetHash,
 };
 use auburnbridge_types::{Incarnation, Millis, Slots, Timestamp};
 use proptest::prelude::*;
@@ -36,7 +37,7 @@
             if kind == 0 {
                 budget.record_request(time(now));
                 requests.push(now);
-            } else if budget.try_resend(time(now), gateways) {
+            } else if budget.try_resend(time(now), gateways, Requester::ANYONE) {
                 resends.push(now);
             }
         }
@@ -66,7 +67,9 @@
 fn budget_refills_after_its_window() {
     let mut budget = ResendBudget::new(OPTIONS);
     let taken = |budget: &mut ResendBudget, now: u64| {
-        (0..100).filter(|_| budget.try_resend(time(now), 1)).count()
+        (0..100)
+            .filter(|_| budget.try_resend(time(now), 1, Requester::ANYONE))
+            .count()
     };
     let first = taken(&mut budget, 0);
     assert!(first > 0 && first <= 60, "{first}");
@@ -116,6 +119,7 @@
     let request = PlacementRequest {
         class: RequestClass::Idempotent,
         priority: 1,
+        account: None,
         deadline: time(now + 1_500),
         objective: time(now + 800),
         tried: &[],
@@ -135,7 +139,7 @@
     assert_eq!(placed_target(&mut fresh, 1_500), "t-bad");
     let mut spent = dispatcher();
     for _ in 0..6 {
-        assert!(spent.try_resend(time(1_400)));
+        assert!(spent.try_resend(time(1_400), None));
     }
     assert_eq!(placed_target(&mut spent, 1_500), "t-good");
 }
@@ -147,6 +151,7 @@
     let request = PlacementRequest {
         class: RequestClass::Idempotent,
         priority: 1,
+        account: None,
         deadline: time(3_000),
         objective: time(2_300),
         tried: &[],
@@ -155,8 +160,8 @@
     for _ in 0..6 {
         let hedge = dispatcher.pick_hedge(time(1_500), &request).unwrap();
         dispatcher.finish(time(1_500), hedge.key, None);
-        assert!(dispatcher.try_resend(time(1_500)));
+        assert!(dispatcher.try_resend(time(1_500), None));
     }
     assert_eq!(dispatcher.pick_hedge(time(1_500), &request), None);
-    assert!(dispatcher.try_resend(time(1_500)));
+    assert!(dispatcher.try_resend(time(1_500), None));
 }
--- a/crates/auburnbridge_telemetry/src/metrics.rs
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -57,6 +57,8 @@
     configuration_version: Gauge,
     control_calls: Family<CallLabels, Counter>,
     stated_departures: Family<ServiceLabels, Counter>,
+    backlog_refusals: Family<ServiceLabels, Counter>,
+    waiting_accounts: Family<ServiceLabels, Gauge>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -73,6 +75,8 @@
         let configuration_version = Gauge::default();
         let control_calls = Family::default();
         let stated_departures = Family::default();
+        let backlog_refusals = Family::default();
+        let waiting_accounts = Family::default();
         registry.register("requests", "Requests of callers", requests.clone());
         registry.register(
             "request_seconds",
@@ -100,6 +104,16 @@
             "Targets that stated in a response that they are leaving",
             stated_departures.clone(),
         );
+        registry.register(
+            "backlog_refusals",
+            "Requests refused because of their account's own backlog",
+            backlog_refusals.clone(),
+        );
+        registry.register(
+            "waiting_accounts",
+            "Client accounts with waiting requests",
+            waiting_accounts.clone(),
+        );
         Self {
             registry,
             requests,
@@ -109,6 +123,8 @@
             configuration_version,
             control_calls,
             stated_departures,
+            backlog_refusals,
+            waiting_accounts,
         }
     }
 }
@@ -153,6 +169,24 @@
         self.stated_departures.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was refused because of its account's own backlog.
+    pub fn record_backlog_refusal(&self, service: &str) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.backlog_refusals.get_or_create(&labels).inc();
+    }
+
+    /// Sets the number of client accounts with waiting requests.
+    pub fn set_waiting_accounts(&self, service: &str, accounts: usize) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.waiting_accounts
+            .get_or_create(&labels)
+            .set(i64::try_from(accounts).unwrap_or(i64::MAX));
+    }
+
     /// Sets the version of the current configuration.
     pub fn set_configuration_version(&self, version: u64) {
         self.configuration_version
