Compute the terms of a priority once per decision

Cause: a decision about a waiting account went over all flows up to nine times, with three divisions each: 14 us with 512 waiting accounts.

Ruled out: fewer flows, since an account without one would be refused for want of state.

Change: the terms of a priority are computed once, one pass gives what starts before and after, and two rounds estimate what overtakes.

--- a/crates/auburnbridge_policy/examples/dispatch_cost.rs
+++ b/crates/auburnbridge_policy/examples/dispatch_cost.rs
@@ -15,14 +15,24 @@
 
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{
-    BalancedMember, BalancerOptions, Dispatcher, DispatcherOptions, Finding, GatewayHost,
-    LoadReport, Placement, PlacementRequest, ReportedFinding, ResendBudgetOptions, TargetHash,
-    TargetLoad,
+    AccountKey, BalancedMember, BalancerOptions, Capacity, Dispatcher, DispatcherOptions, Finding,
+    GatewayHost, LoadReport, Placement, PlacementRequest, ReportedFinding, ResendBudgetOptions,
+    TargetHash, TargetLoad, WaitQueue, WaitRequest,
 };
 use auburnbridge_types::{Incarnation, Millis, Slots, Timestamp, VmId};
 
 const CALLS: usize = 20_000;
 const ROUNDS: usize = 7;
+/// Client accounts whose requests arrive, and those with a waiting request.
+const ACCOUNTS: usize = 400_000;
+const WAITING: usize = 512;
+const CAPACITY: Capacity = Capacity {
+    slots: 300,
+    in_flight: 300,
+    gateways: 33,
+    average_answer_time: Millis(160),
+    completions_per_ms: 0.06,
+};
 const START: Timestamp = Timestamp(1_000_000);
 
 fn main() {
@@ -40,6 +50,47 @@
         });
         println!("  apply a report of requests in flight: {apply}");
     }
+    println!("requests of {ACCOUNTS} accounts, of which {WAITING} fill the queue");
+    let accounts: Vec<AccountKey> = (0..ACCOUNTS).map(account).collect();
+    for (name, known) in [("any", ACCOUNTS), ("waiting", WAITING)] {
+        let mut queue = full_queue(&accounts[..WAITING]);
+        let refuse = measure(|call| {
+            let account = accounts[call * 7_919 % known];
+            let now = START.after(Millis(call as u64 / 100));
+            queue.record_arrival(now, 1, Some(account));
+            let request = wait_request(account, Millis(1_000_001));
+            black_box(queue.try_enqueue(now, request, &CAPACITY)).unwrap_err();
+        });
+        println!("  count and refuse a request of {name} account: {refuse}");
+    }
+}
+
+fn account(number: usize) -> AccountKey {
+    let id = format!("account-{number}");
+    AccountKey::of(&id.parse().expect("the name is valid"))
+}
+
+/// A queue in which one request of each account waits.
+fn full_queue(accounts: &[AccountKey]) -> WaitQueue<()> {
+    let mut queue = WaitQueue::default();
+    for account in accounts {
+        queue.record_arrival(START, 1, Some(*account));
+        let request = wait_request(*account, Millis(1_000_000));
+        queue
+            .try_enqueue(START, request, &CAPACITY)
+            .expect("the queue has room");
+    }
+    queue
+}
+
+fn wait_request(account: AccountKey, left: Millis) -> WaitRequest<()> {
+    WaitRequest {
+        priority: 1,
+        account: Some(account),
+        deadline: START.after(left),
+        objective: START.after(left),
+        item: (),
+    }
 }
 
 fn place_and_finish(dispatcher: &mut Dispatcher<()>) {
--- a/crates/auburnbridge_policy/src/balance/account_shares.rs
+++ b/crates/auburnbridge_policy/src/balance/account_shares.rs
@@ -93,53 +93,78 @@
     flows: usize,
 }
 
+/// What the shares of the flows of a priority depend on.
+#[derive(Clone, Copy, Debug)]
+struct Terms {
+    virtual_time: f64,
+    /// Whether enough requests have been seen for the flows to be weighted by their usual requests.
+    is_learned: bool,
+    /// Least weight of an account.
+    min_weight: f64,
+    /// Weight of the requests without an account before enough have been seen.
+    public_weight: f64,
+    /// Least share of a flow's requests that is to be served.
+    min_served_share: f64,
+}
+
 impl Level {
+    fn terms(&self) -> Terms {
+        let flows = count_to_f64(self.flows.max(1));
+        let is_learned = self.usual >= MIN_USUAL_REQUESTS;
+        Terms {
+            virtual_time: self.virtual_time,
+            is_learned,
+            min_weight: if is_learned { self.usual / flows } else { 1.0 },
+            public_weight: (flows - 1.0).max(1.0),
+            min_served_share: MIN_SERVED_SHARE * self.starts / self.requests.max(1.0),
+        }
+    }
+}
+
+impl Terms {
     /// Weight of a flow: its usual requests, or the mean of all flows if that is more. Before enough
     /// requests have been seen, all accounts have the same weight, and the requests without an account,
     /// whose callers can't be told apart, as much as all accounts together.
     fn weight(&self, flow: &Flow) -> f64 {
-        let flows = count_to_f64(self.flows.max(1));
-        if self.usual >= MIN_USUAL_REQUESTS {
-            return flow.usual.max(self.usual / flows);
-        }
-        match flow.id.account {
-            Some(_) => 1.0,
-            None => (flows - 1.0).max(1.0),
+        if self.is_learned {
+            flow.usual.max(self.min_weight)
+        } else if flow.id.account.is_some() {
+            self.min_weight
+        } else {
+            self.public_weight
         }
     }
 
-    /// Tag at which the next request of a flow starts. A flow of which too little is served goes first.
-    fn start_tag(&self, flow: &Flow) -> f64 {
-        let earliest = self.virtual_time - BURST_REQUESTS / self.weight(flow);
-        let is_underserved = flow.starts < MIN_SERVED_SHARE * self.served_share() * flow.requests;
-        if is_underserved {
-            earliest
-        } else {
-            flow.tag.max(earliest)
-        }
+    /// Virtual time that passes before the next request of a flow starts, negative if the flow has not
+    /// used up its burst.
+    fn lag(&self, flow: &Flow) -> f64 {
+        self.used(flow) / self.weight(flow)
     }
 
-    /// Waiting requests of a flow that start before the virtual time has advanced by `lag`.
-    fn starts_before(&self, flow: &Flow, lag: f64) -> usize {
-        let lead = lag - (self.start_tag(flow) - self.virtual_time);
-        if lead < 0.0 {
-            return 0;
+    /// Requests that a flow has started beyond its share, negative if it has not used up its burst. A
+    /// flow of which too little is served goes first.
+    fn used(&self, flow: &Flow) -> f64 {
+        if flow.starts < self.min_served_share * flow.requests {
+            return -BURST_REQUESTS;
         }
-        whole(lead * self.weight(flow) + 1.0).min(flow.waiting)
+        ((flow.tag - self.virtual_time) * self.weight(flow)).max(-BURST_REQUESTS)
     }
 
-    fn served_share(&self) -> f64 {
-        self.starts / self.requests.max(1.0)
+    /// Requests of a flow that start before the virtual time has advanced by `lag`, if so many wait.
+    fn starts_within(&self, flow: &Flow, lag: f64) -> f64 {
+        (lag * self.weight(flow) - self.used(flow) + 1.0).max(0.0)
     }
 }
 
 /// What starts before a request of a flow.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Rank {
     /// Waiting requests of other flows of the priority that start earlier.
     pub(super) ahead: usize,
     /// Waiting requests of other flows of the priority that start later.
     pub(super) behind: usize,
+    /// Those that would start earlier if the flow had used up its burst, but nothing beyond its share.
+    pub(super) ahead_of_unused: usize,
 }
 
 /// Flows of all priorities of one service.
@@ -252,29 +277,32 @@
         }
     }
 
-    fn level(&self, priority: u32) -> Level {
-        self.levels.get(&priority).copied().unwrap_or_default()
+    fn terms(&self, priority: u32) -> Terms {
+        self.levels
+            .get(&priority)
+            .copied()
+            .unwrap_or_default()
+            .terms()
     }
 
-    /// Tag at which the next request of a flow starts.
-    pub(super) fn tag(&self, key: FlowKey) -> f64 {
+    /// Virtual time that passes before the next request of a flow starts.
+    pub(super) fn lag(&self, key: FlowKey) -> f64 {
         let flow = &self.flows[key];
-        self.level(flow.id.priority).start_tag(flow)
+        self.terms(flow.id.priority).lag(flow)
     }
 
     /// Records that a request of a flow starts; `is_first` tells it from a resend.
     pub(super) fn record_start(&mut self, key: FlowKey, is_first: bool) {
-        let flow = &self.flows[key];
-        let mut level = self.level(flow.id.priority);
-        let tag = level.start_tag(flow);
-        let end = tag + 1.0 / level.weight(flow);
-        level.virtual_time = level.virtual_time.max(tag);
-        let first = if is_first { 1.0 } else { 0.0 };
-        level.starts += first;
         let flow = &mut self.flows[key];
-        flow.tag = flow.tag.max(end);
-        flow.starts += first;
-        self.levels.insert(flow.id.priority, level);
+        let level = self.levels.entry(flow.id.priority).or_default();
+        let terms = level.terms();
+        let start = terms.virtual_time + terms.lag(flow);
+        flow.tag = flow.tag.max(start + 1.0 / terms.weight(flow));
+        level.virtual_time = level.virtual_time.max(start);
+        if is_first {
+            flow.starts += 1.0;
+            level.starts += 1.0;
+        }
     }
 
     /// Adds a waiting request to a flow.
@@ -310,7 +338,7 @@
 
     /// Whether a flow has used up its share and its burst, and others send requests.
     pub(super) fn is_above_share(&self, key: FlowKey) -> bool {
-        !self.is_alone(key) && self.lag(key, 0) >= 0.0
+        !self.is_alone(key) && self.lag(key) >= 0.0
     }
 
     /// Share of the recent requests that are of this account, with any priority.
@@ -326,11 +354,10 @@
     }
 
     /// Virtual time that passes before a request of the flow with `own_ahead` others of it ahead starts.
-    fn lag(&self, key: FlowKey, own_ahead: usize) -> f64 {
+    fn lag_behind(&self, key: FlowKey, own_ahead: usize) -> f64 {
         let flow = &self.flows[key];
-        let level = self.level(flow.id.priority);
-        let start = level.start_tag(flow) - level.virtual_time;
-        start + count_to_f64(own_ahead) / level.weight(flow)
+        let terms = self.terms(flow.id.priority);
+        terms.lag(flow) + count_to_f64(own_ahead) / terms.weight(flow)
     }
 
     /// The flow of an account, if it has sent requests recently.
@@ -340,29 +367,19 @@
 
     /// What starts before a request of the flow that has `own_ahead` others of it ahead.
     pub(super) fn rank(&self, key: FlowKey, own_ahead: usize) -> Rank {
-        self.rank_at(key, self.lag(key, own_ahead))
-    }
-
-    /// Waiting requests of other flows that would start before a request of the flow if it had neither
-    /// used its share nor others waiting.
-    pub(super) fn rank_without_lag(&self, key: FlowKey) -> usize {
-        self.rank_at(key, 0.0).ahead
-    }
-
-    fn rank_at(&self, key: FlowKey, lag: f64) -> Rank {
+        let lag = self.lag_behind(key, own_ahead);
         let priority = self.flows[key].id.priority;
-        let level = self.level(priority);
-        let mut rank = Rank {
-            ahead: 0,
-            behind: 0,
-        };
+        let terms = self.terms(priority);
+        let mut rank = Rank::default();
         for (other, flow) in &self.flows {
             if flow.waiting == 0 || other == key || flow.id.priority != priority {
                 continue;
             }
-            let ahead = level.starts_before(flow, lag);
+            let starts = |lag| whole(terms.starts_within(flow, lag)).min(flow.waiting);
+            let ahead = starts(lag);
             rank.ahead += ahead;
             rank.behind += flow.waiting - ahead;
+            rank.ahead_of_unused += starts(0.0);
         }
         rank
     }
@@ -370,20 +387,19 @@
     /// Expected requests of other flows of the priority that arrive within `wait` and start before a
     /// request of the flow that has `own_ahead` others of it ahead.
     pub(super) fn overtaking(&self, key: FlowKey, own_ahead: usize, wait: Millis) -> f64 {
-        let lag = self.lag(key, own_ahead);
+        let lag = self.lag_behind(key, own_ahead);
         if lag <= 0.0 {
             return 0.0;
         }
         let priority = self.flows[key].id.priority;
-        let level = self.level(priority);
+        let terms = self.terms(priority);
         let window = millis_to_f64(wait) / millis_to_f64(ARRIVAL_TIME_CONSTANT);
         let mut overtaking = 0.0;
         for (other, flow) in &self.flows {
             if other == key || flow.id.priority != priority {
                 continue;
             }
-            let lead = lag - (level.start_tag(flow) - level.virtual_time);
-            let room = lead * level.weight(flow) - count_to_f64(flow.waiting);
+            let room = terms.starts_within(flow, lag) - 1.0 - count_to_f64(flow.waiting);
             overtaking += (flow.arrivals * window).min(room.max(0.0));
         }
         overtaking
--- a/crates/auburnbridge_policy/src/balance/wait_queue.rs
+++ b/crates/auburnbridge_policy/src/balance/wait_queue.rs
@@ -33,7 +33,7 @@
 /// Lower bound of [`Refusal::retry_after`]; less is within the error of the estimate.
 const MIN_RETRY_AFTER: Millis = Millis(100);
 /// Rounds in which the estimate of a wait takes account of the requests that overtake during it.
-const OVERTAKING_ROUNDS: usize = 3;
+const OVERTAKING_ROUNDS: usize = 2;
 /// Upper bound of [`Refusal::retry_after`].
 const MAX_RETRY_AFTER: Millis = Millis(5_000);
 
@@ -78,6 +78,16 @@
     pub is_own_backlog: bool,
 }
 
+impl Refusal {
+    fn new(wait: Millis, backlog: usize, is_own_backlog: bool) -> Self {
+        Self {
+            retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            backlog,
+            is_own_backlog,
+        }
+    }
+}
+
 /// Handle of a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitingKey {
@@ -262,13 +272,33 @@
             wait > Millis(0) && now.after(wait).after(capacity.min_remaining()) > until
         };
         let own_ahead = self.waiting.range(key.first_of_flow()..key).count();
-        let wait = self.estimated_wait(now, priority, flow, own_ahead, capacity);
+        let rank = self.shares.rank(flow, own_ahead);
+        let higher = self.higher_priority_waiting(priority);
+        let ahead = higher + own_ahead + rank.ahead;
+        let wait = self.wait_behind(now, key, own_ahead, ahead, capacity);
         if is_too_late(wait) || self.is_full_for(flow) {
-            let mut refusal = self.refusal(now, priority, account, capacity);
-            refusal.is_own_backlog = account.is_some()
-                && self.waiting.len() < MAX_WAITING
-                && !is_too_late(self.wait_without_backlog(now, priority, flow, capacity));
-            return Err(refusal);
+            let fair_wait = capacity.estimated_wait(
+                higher + rank.ahead_of_unused,
+                0.0,
+                self.higher_priority_per_ms(now, priority),
+            );
+            let is_own_backlog =
+                account.is_some() && self.waiting.len() < MAX_WAITING && !is_too_late(fair_wait);
+            let backlog = self.shares.waiting(flow);
+            if backlog > own_ahead {
+                let refusal = self.refusal(now, priority, account, capacity);
+                return Err(Refusal {
+                    is_own_backlog,
+                    ..refusal
+                });
+            }
+            let ahead_of_refused = self.waiting.len() - rank.behind;
+            let wait = if ahead_of_refused == ahead {
+                wait
+            } else {
+                self.wait_behind(now, key, own_ahead, ahead_of_refused, capacity)
+            };
+            return Err(Refusal::new(wait, backlog, is_own_backlog));
         }
         self.next_number += 1;
         if self.waiting.is_empty() {
@@ -294,38 +324,23 @@
         higher.count()
     }
 
-    /// Wait of a request of a flow behind `own_ahead` others of it.
-    fn estimated_wait(
-        &self,
-        now: Timestamp,
-        priority: u32,
-        flow: FlowKey,
-        own_ahead: usize,
-        capacity: &Capacity,
-    ) -> Millis {
-        let others = self.shares.rank(flow, own_ahead).ahead;
-        let ahead = self.higher_priority_waiting(priority) + own_ahead + others;
-        self.wait_behind(now, priority, flow, own_ahead, ahead, capacity)
-    }
-
     /// Wait behind `ahead` requests, `own_ahead` of which are of the flow, and the requests that
     /// overtake meanwhile.
     fn wait_behind(
         &self,
         now: Timestamp,
-        priority: u32,
-        flow: FlowKey,
+        key: WaitingKey,
         own_ahead: usize,
         ahead: usize,
         capacity: &Capacity,
     ) -> Millis {
-        let higher_priority_per_ms = self.higher_priority_per_ms(now, priority);
+        let higher_priority_per_ms = self.higher_priority_per_ms(now, key.priority);
         let mut wait = capacity.estimated_wait(ahead, 0.0, higher_priority_per_ms);
         for _ in 0..OVERTAKING_ROUNDS {
             if wait == Millis(0) || wait >= MAX_RETRY_AFTER {
                 break;
             }
-            let overtaking = self.shares.overtaking(flow, own_ahead, wait);
+            let overtaking = self.shares.overtaking(key.flow, own_ahead, wait);
             if overtaking == 0.0 {
                 break;
             }
@@ -334,18 +349,6 @@
         wait
     }
 
-    /// Wait of a request of this priority if its account had no share used up and none waiting.
-    fn wait_without_backlog(
-        &self,
-        now: Timestamp,
-        priority: u32,
-        flow: FlowKey,
-        capacity: &Capacity,
-    ) -> Millis {
-        let ahead = self.higher_priority_waiting(priority) + self.shares.rank_without_lag(flow);
-        capacity.estimated_wait(ahead, 0.0, self.higher_priority_per_ms(now, priority))
-    }
-
     /// Whether the overload is sustained. Queueing up to the deadlines would then make every answer
     /// late without serving more requests.
     fn is_overload_sustained(&self, now: Timestamp) -> bool {
@@ -364,17 +367,19 @@
         let flow = self.shares.find(priority, account);
         let backlog = flow.map_or(0, |flow| self.shares.waiting(flow));
         let wait = if let Some(flow) = flow {
+            let key = WaitingKey {
+                priority,
+                flow,
+                deadline: Timestamp(0),
+                number: 0,
+            };
             let ahead = self.waiting.len() - self.shares.rank(flow, backlog).behind;
-            self.wait_behind(now, priority, flow, backlog, ahead, capacity)
+            self.wait_behind(now, key, backlog, ahead, capacity)
         } else {
             let higher_priority_per_ms = self.higher_priority_per_ms(now, priority);
             capacity.estimated_wait(self.waiting.len(), 0.0, higher_priority_per_ms)
         };
-        Refusal {
-            retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
-            backlog,
-            is_own_backlog: false,
-        }
+        Refusal::new(wait, backlog, false)
     }
 
     /// Priority of the request to start next.
@@ -385,7 +390,7 @@
     /// The first request in the order of starts for which `accepts` holds.
     pub fn first_where(&self, accepts: impl Fn(&T) -> bool) -> Option<(WaitingKey, &T)> {
         let mut first: Option<(f64, WaitingKey, &T)> = None;
-        let mut tag = 0.0;
+        let mut lag = 0.0;
         let mut flow = None;
         for (key, item) in &self.waiting {
             if first.is_some_and(|(_, first, _)| first.priority < key.priority) {
@@ -396,13 +401,13 @@
             }
             if flow != Some(key.flow) {
                 flow = Some(key.flow);
-                tag = self.shares.tag(key.flow);
+                lag = self.shares.lag(key.flow);
             }
-            let is_earlier = first.is_none_or(|(first_tag, first, _)| {
-                tag < first_tag || (tag <= first_tag && key.is_due_before(&first))
+            let is_earlier = first.is_none_or(|(first_lag, first, _)| {
+                lag < first_lag || (lag <= first_lag && key.is_due_before(&first))
             });
             if is_earlier {
-                first = Some((tag, *key, item));
+                first = Some((lag, *key, item));
             }
         }
         first.map(|(_, key, item)| (key, item))
