--- a/crates/auburnbridge_gateway/src/admission.rs
+++ b/crates/auburnbridge_gateway/src/admission.rs
@@ -5,7 +5,8 @@
 //! have changed meanwhile.
 
 use auburnbridge_http::{Request, Response, UnreadRequest};
-use auburnbridge_routing::PublishedRoute;
+use auburnbridge_policy::balance::AccountKey;
+use auburnbridge_routing::{ClientAccount, PublishedRoute};
 use auburnbridge_types::{ByteSize, Millis, Timestamp};
 
 use crate::authentication::{authenticate, priority};
@@ -42,9 +43,7 @@
         let Ok(account) = authenticate(request, self.headers, &routes, route) else {
             return Err(refuse(Failure::UnknownKey, None));
         };
-        if let Some(retry_after) =
-            self.wait_for_targets(route, priority(route, account.as_deref()).0)
-        {
+        if let Some(retry_after) = self.wait_for_targets(route, account.as_deref()) {
             return Err(refuse(Failure::NoRoom, Some(retry_after)));
         }
         let room = head.body_length().unwrap_or(CHUNKED_BODY_ROOM);
@@ -64,7 +63,11 @@
     }
 
     /// `Retry-After` of a request whose services have no target at all.
-    fn wait_for_targets(&self, route: &PublishedRoute, priority: u32) -> Option<Millis> {
+    fn wait_for_targets(
+        &self,
+        route: &PublishedRoute,
+        account: Option<&ClientAccount>,
+    ) -> Option<Millis> {
         let services = || {
             route
                 .destinations
@@ -76,8 +79,10 @@
         }
         let dispatcher = services().find_map(|service| self.services.get(service))?;
         // The request counts as demand, although it is refused early.
-        dispatcher.record_request(priority);
+        let priority = priority(route, account).0;
+        let account = account.map(|account| AccountKey::of(&account.id));
+        dispatcher.record_request(priority, account);
         dispatcher.record_outcome(false);
-        Some(dispatcher.refusal(priority).retry_after)
+        Some(dispatcher.refusal(priority, account).retry_after)
     }
 }
--- a/crates/auburnbridge_gateway/src/body_placement.rs
+++ b/crates/auburnbridge_gateway/src/body_placement.rs
@@ -45,7 +45,9 @@
                 false
             };
             if !is_released.or(timed_out).await {
-                return Err(self.dispatcher.refusal(placement.priority));
+                return Err(self
+                    .dispatcher
+                    .refusal(placement.priority, placement.account));
             }
         }
     }
--- a/crates/auburnbridge_telemetry/src/metrics.rs
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -75,6 +75,8 @@
     unread_requests: Family<UnreadLabels, Counter>,
     body_bytes: Family<BodyLabels, Gauge>,
     account_requests: Family<DecisionLabels, Counter>,
+    backlog_refusals: Family<ServiceLabels, Counter>,
+    waiting_accounts: Family<ServiceLabels, Gauge>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -94,6 +96,8 @@
         let unread_requests = Family::default();
         let body_bytes = Family::default();
         let account_requests = Family::default();
+        let backlog_refusals = Family::default();
+        let waiting_accounts = Family::default();
         registry.register("requests", "Requests of callers", requests.clone());
         registry.register(
             "request_seconds",
@@ -136,6 +140,16 @@
             "Requests of client accounts with a limit",
             account_requests.clone(),
         );
+        registry.register(
+            "backlog_refusals",
+            "Requests refused because of their account's own backlog",
+            backlog_refusals.clone(),
+        );
+        registry.register(
+            "waiting_accounts",
+            "Client accounts with waiting requests",
+            waiting_accounts.clone(),
+        );
         Self {
             registry,
             requests,
@@ -148,6 +162,8 @@
             unread_requests,
             body_bytes,
             account_requests,
+            backlog_refusals,
+            waiting_accounts,
         }
     }
 }
@@ -218,6 +234,24 @@
         self.account_requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was refused because of its account's own backlog.
+    pub fn record_backlog_refusal(&self, service: &str) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.backlog_refusals.get_or_create(&labels).inc();
+    }
+
+    /// Sets the number of client accounts with waiting requests.
+    pub fn set_waiting_accounts(&self, service: &str, accounts: usize) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.waiting_accounts
+            .get_or_create(&labels)
+            .set(i64::try_from(accounts).unwrap_or(i64::MAX));
+    }
+
     /// Sets the version of the current configuration.
     pub fn set_configuration_version(&self, version: u64) {
         self.configuration_version
