Bound the reports of gateways in large fleets by cells

Cause: each gateway reported its load and findings to all others, so the bytes of a fleet grew with the square of its size; at 162 gateways a gateway also shared 67 targets of its data centre with 53 others and hardly ever found a connection or a proof of its own to use again.

Change: where the new setting link_rate calls for it, gateways of a data centre form cells of about six, computed alike from the keepers' list, and each cell has an even share of the targets of each service. Load and findings go to the cell, failures in batches and crashes at once to one gateway of each other cell and data centre, which passes them on. Without the setting, or if the mesh fits the link, the same datagrams go to the same gateways as before. Reports are counted by kind in the metrics.

A test with differing lists found that a crash was passed around without end; each gateway now passes the same crash on once in half a second. One budget for all reports starved the batches; load and batches now have one each.

--- a/crates/auburnbridge/src/commands/gateway.rs
+++ b/crates/auburnbridge/src/commands/gateway.rs
@@ -50,6 +50,7 @@
             allowance: f64::from(settings.resend_allowance),
             window: settings.resend_window,
         },
+        link_rate: settings.link_rate,
         metrics_address: settings.metrics_address,
     };
     task::block_on(async {
--- a/crates/auburnbridge_gateway/src/feed.rs
+++ b/crates/auburnbridge_gateway/src/feed.rs
@@ -175,6 +175,8 @@
         self.gateway.services().apply_targets(&reply.targets);
         let others = self.reporter.set_gateways(reply.gateways);
         self.gateway.services().set_gateways(others);
+        let cell = self.reporter.update_cells(self.clock.now());
+        self.gateway.services().set_cell(cell);
         self.known_keepers.lock().extend(reply.keepers);
         reply.position
     }
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! gateways.
 
 mod authentication;
+mod cell_reports;
 mod departures;
 mod exchange;
 mod failure;
@@ -20,9 +21,10 @@
 mod service_table;
 mod stop_times;
 
+pub use cell_reports::{CellReports, Outgoing, Reported};
 pub use feed::KeeperWatcher;
 pub use gateway::{CallerService, Gateway, GatewayDependencies, request_digest};
-pub use neighbours::{GatewayReport, GatewayReporter};
+pub use neighbours::{GatewayReport, GatewayReporter, ReportKind};
 pub use run::{GatewayError, GatewayOptions, RunningGateway};
 pub use service_dispatcher::{Assignment, ServiceDispatcher};
 pub use service_table::ServiceTable;
--- a/crates/auburnbridge_gateway/src/neighbours.rs
+++ b/crates/auburnbridge_gateway/src/neighbours.rs
@@ -1,4 +1,7 @@
 //! Reports between gateways, in UDP datagrams that may be lost.
+//!
+//! Each gateway reports to all others, unless the fleet is large for its links: then the gateways
+//! form cells (see [`crate::cell_reports`]).
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -8,13 +11,14 @@
 use auburnbridge_messages::GatewayLocation;
 use auburnbridge_peer::codec;
 use auburnbridge_policy::CrashReport;
-use auburnbridge_policy::balance::{GatewayHost, LoadReport, ReportedFinding};
-use auburnbridge_types::{ByteSize, DataCentre, Millis, VmId};
+use auburnbridge_policy::balance::{CellPlace, GatewayHost, LoadReport, ReportedFinding};
+use auburnbridge_types::{ByteSize, DataCentre, LinkRate, Millis, Timestamp, VmId};
 use futures_lite::FutureExt;
 use log::{debug, warn};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
+use crate::cell_reports::{CellReports, Outgoing, Reported};
 use crate::gateway::Gateway;
 
 /// Maximum datagram size. A larger datagram would be fragmented.
@@ -51,12 +55,40 @@
     pub load: Option<LoadReport>,
 }
 
-/// Exchanges reports with all other gateways, in all data centres.
+/// Kind of a datagram, for the metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ReportKind {
+    /// Requests in flight, and findings that were made meanwhile.
+    Load,
+    /// Findings only.
+    Findings,
+    /// Findings of other gateways, or for gateways outside the cell.
+    Relayed,
+    /// Crashes.
+    Crashes,
+}
+
+impl ReportKind {
+    /// The kind of a received report, which doesn't show whether it was relayed.
+    fn of(report: &GatewayReport) -> Self {
+        if !report.crashes.is_empty() {
+            Self::Crashes
+        } else if report.load.is_some() {
+            Self::Load
+        } else {
+            Self::Findings
+        }
+    }
+}
+
+/// Exchanges reports with the other gateways, in all data centres.
 pub struct GatewayReporter {
     vm: VmId,
     data_centre: DataCentre,
     socket: UdpSocket,
     others: Mutex<Vec<GatewayLocation>>,
+    cell_reports: Mutex<CellReports>,
 }
 
 impl GatewayReporter {
@@ -70,14 +102,37 @@
         data_centre: DataCentre,
         address: SocketAddr,
     ) -> std::io::Result<Self> {
+        let own = GatewayHost {
+            vm: vm.clone(),
+            data_centre: data_centre.clone(),
+        };
         Ok(Self {
             vm,
             data_centre,
             socket: UdpSocket::bind(address).await?,
             others: Mutex::default(),
+            cell_reports: Mutex::new(CellReports::new(own, None)),
         })
     }
 
+    /// Sets the rate of the VM's link, to a share of which reports are kept (default none).
+    #[must_use]
+    pub fn with_link_rate(self, link_rate: Option<LinkRate>) -> Self {
+        let own = GatewayHost {
+            vm: self.vm.clone(),
+            data_centre: self.data_centre.clone(),
+        };
+        *self.cell_reports.lock() = CellReports::new(own, link_rate);
+        self
+    }
+
+    /// Computes the cells from the running gateways, and returns the cell of this one, or `None` if
+    /// the gateways form no cells.
+    pub fn update_cells(&self, now: Timestamp) -> Option<CellPlace> {
+        let others = self.others.lock().clone();
+        self.cell_reports.lock().update(now, &others)
+    }
+
     /// Replaces the set of running gateways, and returns all of them but this one.
     pub fn set_gateways(&self, mut gateways: Vec<GatewayLocation>) -> Vec<GatewayHost> {
         gateways.retain(|gateway| gateway.vm != self.vm);
@@ -106,7 +161,14 @@
                 }
             };
             match codec::decode::<GatewayReport>(&buf[..length], DATAGRAM_LIMIT) {
-                Ok(report) => apply(&gateway, report),
+                Ok(report) => {
+                    let kind = ReportKind::of(&report).into();
+                    gateway.metrics.record_report("received", kind, length);
+                    let now = gateway.clock.now();
+                    let outgoing = self.cell_reports.lock().pass_on(now, &report);
+                    apply(&gateway, report);
+                    self.send_all(&gateway, outgoing).await;
+                }
                 Err(error) => {
                     debug!("discarded an invalid datagram of {length} bytes from {from}: {error}");
                 }
@@ -139,15 +201,20 @@
             }
             let now = gateway.clock.now();
             let load = (now >= next_report).then(|| {
-                is_crowded = gateway
-                    .services
-                    .dispatchers()
-                    .iter()
-                    .any(|dispatcher| dispatcher.is_crowded());
+                is_crowded = !self.cell_reports.lock().is_active()
+                    && gateway
+                        .services
+                        .dispatchers()
+                        .iter()
+                        .any(|dispatcher| dispatcher.is_crowded());
                 next_report = now.after(self.interval(is_crowded));
                 reports_made = reports_made.wrapping_add(1);
                 load_report(&gateway)
             });
+            if self.cell_reports.lock().is_active() {
+                self.send_in_cells(&gateway, load).await;
+                continue;
+            }
             let includes_remote =
                 is_crowded || reports_made.is_multiple_of(LOCAL_REPORTS_PER_REMOTE);
             self.send_reports(&gateway, load, includes_remote, &mut sent_load_to)
@@ -170,22 +237,16 @@
         includes_remote: bool,
         sent_load_to: &mut HashSet<VmId>,
     ) {
-        let mut findings: Vec<ReportedFinding> = gateway
-            .services
-            .dispatchers()
-            .iter()
-            .flat_map(|dispatcher| dispatcher.take_unreported())
-            .collect();
-        truncate_list(&mut findings, MAX_FINDINGS, "findings");
         let mut report = GatewayReport {
             from: self.vm.clone(),
-            findings,
+            findings: take_findings(gateway),
             crashes: gateway.take_unreported_crashes(),
             load: None,
         };
         let has_urgent = !report.findings.is_empty() || !report.crashes.is_empty();
         let has_load = load.as_ref().is_some_and(|load| !load.in_flight.is_empty());
         // Every gateway gets one of these two datagrams, so each is encoded only once.
+        let urgent_kind = ReportKind::of(&report);
         let urgent_datagram = has_urgent.then(|| encode(&report)).flatten();
         let is_due = load.is_some();
         report.load = load;
@@ -206,25 +267,64 @@
             } else {
                 &urgent_datagram
             };
+            let kind = if gets_load {
+                ReportKind::Load
+            } else {
+                urgent_kind
+            };
             if let Some(datagram) = datagram {
-                self.send(other.address, datagram).await;
+                self.send(gateway, kind, other.address, datagram).await;
+            }
+        }
+    }
+
+    async fn send_in_cells(&self, gateway: &Gateway, load: Option<LoadReport>) {
+        let reported = Reported {
+            findings: take_findings(gateway),
+            crashes: gateway.take_unreported_crashes(),
+            load,
+        };
+        let now = gateway.clock.now();
+        let outgoing = self.cell_reports.lock().outgoing(now, reported);
+        self.send_all(gateway, outgoing).await;
+    }
+
+    async fn send_all(&self, gateway: &Gateway, outgoing: Vec<Outgoing>) {
+        for outgoing in outgoing {
+            for to in outgoing.to {
+                self.send(gateway, outgoing.kind, to, &outgoing.datagram)
+                    .await;
             }
         }
     }
 
-    async fn send(&self, to: SocketAddr, datagram: &[u8]) {
+    async fn send(&self, gateway: &Gateway, kind: ReportKind, to: SocketAddr, datagram: &[u8]) {
+        let bytes = datagram.len();
+        gateway.metrics.record_report("sent", kind.into(), bytes);
         if let Err(error) = self.socket.send_to(datagram, to).await {
             debug!("failed to send a datagram to {to}: {error}");
         }
     }
 }
 
-fn encode(report: &GatewayReport) -> Option<Vec<u8>> {
+pub(crate) fn encode(report: &GatewayReport) -> Option<Vec<u8>> {
     codec::encode(report, DATAGRAM_LIMIT)
         .inspect_err(|error| warn!(error:% = error; "a report is too long for a datagram"))
         .ok()
 }
 
+/// Takes the findings of all services that have not been reported yet.
+fn take_findings(gateway: &Gateway) -> Vec<ReportedFinding> {
+    let mut findings: Vec<ReportedFinding> = gateway
+        .services
+        .dispatchers()
+        .iter()
+        .flat_map(|dispatcher| dispatcher.take_unreported())
+        .collect();
+    truncate_list(&mut findings, MAX_FINDINGS, "findings");
+    findings
+}
+
 /// Drops the elements that don't fit into a datagram: findings, or targets with requests in flight.
 /// Logged, since the other gateways miss them.
 fn truncate_list<T>(list: &mut Vec<T>, max_len: usize, what: &str) {
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -20,7 +20,9 @@
 use auburnbridge_routing::Dialect;
 use auburnbridge_target::Pool;
 use auburnbridge_telemetry::MetricsService;
-use auburnbridge_types::{BootClock, BoxFuture, ByteSize, Clock, DataCentre, Millis, VmId};
+use auburnbridge_types::{
+    BootClock, BoxFuture, ByteSize, Clock, DataCentre, LinkRate, Millis, VmId,
+};
 use error_stack::{Report, ResultExt};
 use log::info;
 use parking_lot::Mutex;
@@ -84,6 +86,8 @@
     pub floor_share: f64,
     /// Budget for retries and hedges, that is, for sends beyond the first one of a request.
     pub resend_budget: ResendBudgetOptions,
+    /// Rate of the VM's network link; `None` puts no bound on the reports to other gateways.
+    pub link_rate: Option<LinkRate>,
     /// Address on which metrics are served; `None` serves none.
     pub metrics_address: Option<SocketAddr>,
 }
@@ -126,7 +130,7 @@
         .await
         .change_context(GatewayError)
         .attach_with(|| format!("can't listen on UDP {}", options.peer_address))?;
-        let reporter = Arc::new(reporter);
+        let reporter = Arc::new(reporter.with_link_rate(options.link_rate));
         let watcher = Arc::new(build_watcher(&options, &gateway, &reporter, &clock));
         let readiness = Arc::new(Readiness {
             gateway: Arc::clone(&gateway),
--- a/crates/auburnbridge_gateway/src/service_dispatcher.rs
+++ b/crates/auburnbridge_gateway/src/service_dispatcher.rs
@@ -8,8 +8,9 @@
 
 use async_channel::Sender;
 use auburnbridge_policy::balance::{
-    AnswerTimes, BalancedKey, BalancedMember, Dispatcher, DispatcherOptions, Finding, GatewayHost,
-    LoadReport, Pick, Placement, PlacementRequest, Refusal, ReportedFinding, WaitingKey,
+    AnswerTimes, BalancedKey, BalancedMember, CellPlace, Dispatcher, DispatcherOptions, Finding,
+    GatewayHost, LoadReport, Pick, Placement, PlacementRequest, Refusal, ReportedFinding,
+    WaitingKey,
 };
 use auburnbridge_types::{Clock, Millis, ServiceName, TargetId, VmId};
 use futures_lite::FutureExt;
@@ -104,6 +105,13 @@
         self.inner.lock().set_gateways(others);
     }
 
+    /// Sets the cell of this gateway, and returns the number of targets in its subset.
+    pub fn set_cell(&self, cell: Option<CellPlace>) -> usize {
+        let mut inner = self.inner.lock();
+        inner.set_cell(cell);
+        inner.subset_size()
+    }
+
     /// Counts the arrival of a request with this priority.
     pub(crate) fn record_request(&self, priority: u32) {
         let now = self.clock.now();
--- a/crates/auburnbridge_gateway/src/service_table.rs
+++ b/crates/auburnbridge_gateway/src/service_table.rs
@@ -6,22 +6,24 @@
 
 use auburnbridge_membership::{AnnouncedState, Announcement, TargetMembership};
 use auburnbridge_policy::balance::{
-    BalancedMember, DispatcherOptions, GatewayHost, LoadReport, ReportedFinding,
+    BalancedMember, CellPlace, DispatcherOptions, GatewayHost, LoadReport, ReportedFinding,
 };
 use auburnbridge_routing::RouteSet;
 use auburnbridge_types::{Clock, Incarnation, ServiceName, TargetId, VmId};
+use log::info;
 use parking_lot::{Mutex, RwLock};
 
 use crate::service_dispatcher::ServiceDispatcher;
 
 /// Dispatchers of one gateway, by service.
 ///
-/// Lock order: `members`, then `other_gateways`, then `dispatchers`, then the state of one dispatcher.
+/// Lock order: `members`, then `other_gateways`, then `cell`, then `dispatchers`, then the state of one dispatcher.
 pub struct ServiceTable {
     clock: Arc<dyn Clock>,
     options: DispatcherOptions,
     members: Mutex<TargetMembership>,
     other_gateways: Mutex<Vec<GatewayHost>>,
+    cell: Mutex<Option<CellPlace>>,
     dispatchers: RwLock<HashMap<ServiceName, Arc<ServiceDispatcher>>>,
 }
 
@@ -33,6 +35,7 @@
             options,
             members: Mutex::default(),
             other_gateways: Mutex::default(),
+            cell: Mutex::default(),
             dispatchers: RwLock::default(),
         }
     }
@@ -53,6 +56,7 @@
         let members = self.members.lock();
         {
             let other_gateways = self.other_gateways.lock();
+            let cell = self.cell.lock();
             let mut dispatchers = self.dispatchers.write();
             dispatchers.retain(|name, _| routes.service(name).is_some());
             for service in routes.services() {
@@ -61,6 +65,7 @@
                     let dispatcher =
                         ServiceDispatcher::new(service.name.clone(), &self.options, clock);
                     dispatcher.set_gateways(&other_gateways);
+                    dispatcher.set_cell(*cell);
                     Arc::new(dispatcher)
                 });
             }
@@ -122,6 +127,23 @@
         }
     }
 
+    /// Sets the cell of this gateway; `None` if the gateways form no cells.
+    pub fn set_cell(&self, cell: Option<CellPlace>) {
+        let mut current = self.cell.lock();
+        if *current == cell {
+            return;
+        }
+        *current = cell;
+        for dispatcher in self.dispatchers() {
+            let targets = dispatcher.set_cell(cell);
+            info!(
+                service = dispatcher.name().as_str(), targets = targets,
+                cell:? = cell.map(|cell| cell.number), cells:? = cell.map(|cell| cell.count);
+                "subset changed"
+            );
+        }
+    }
+
     /// Applies the report of another gateway.
     pub fn apply_report(
         &self,
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -7,9 +7,10 @@
 use slotmap::SlotMap;
 
 use super::answer_times::AnswerTimes;
+use super::cells::CellPlace;
 use super::evidence::{Finding, Origin};
 use super::report::{LoadReport, ReportedFinding, TargetHash, TargetLoad};
-use super::subset::{GatewayHost, gateway_subset};
+use super::subset::{GatewayHost, MIN_SUBSET_SIZE, cell_subset, gateway_subset};
 use super::target::{BalancedKey, BalancedMember, BalancedTarget, WARMUP_TIME};
 use super::wait_queue::EventRate;
 use crate::RequestClass;
@@ -36,9 +37,6 @@
 const IDEMPOTENT_MEMORY: Millis = Millis(3_000);
 /// Longest time over which the gateways return to a target after a pause.
 const MAX_RETURN_SPREAD: Millis = Millis(1_000);
-/// Smallest subset that a gateway prefers to other targets. In a smaller one, failing targets leave
-/// too little capacity, and all gateways do better by sharing all targets.
-const MIN_SUBSET_SIZE: usize = 4;
 
 /// Settings of a [`Balancer`].
 #[derive(Clone, Debug, PartialEq)]
@@ -88,6 +86,8 @@
     pub(super) options: BalancerOptions,
     /// All gateways, this one included.
     gateways: Vec<GatewayHost>,
+    /// Cell that shares the subset of this gateway, if the gateways form cells.
+    pub(super) cell: Option<CellPlace>,
     /// Whether the subset of this gateway is large enough to be preferred.
     pub(super) prefers_subset: bool,
     pub(super) targets: SlotMap<BalancedKey, BalancedTarget>,
@@ -114,6 +114,7 @@
     pub fn new(options: BalancerOptions) -> Self {
         Self {
             gateways: vec![options.own.clone()],
+            cell: None,
             prefers_subset: false,
             options,
             targets: SlotMap::with_key(),
@@ -184,13 +185,26 @@
         self.gateways.len()
     }
 
+    /// Sets the cell of this gateway; `None` if the gateways form no cells.
+    pub fn set_cell(&mut self, cell: Option<CellPlace>) {
+        self.cell = cell;
+        self.update_subset();
+    }
+
+    /// Number of targets in the subset of this gateway.
+    pub fn subset_size(&self) -> usize {
+        let targets = self.targets.values();
+        targets.filter(|target| target.in_subset).count()
+    }
+
     fn update_subset(&mut self) {
+        let own = &self.options.own;
         let targets = self.targets.values();
-        let subset = gateway_subset(
-            &self.options.own,
-            &self.gateways,
-            targets.map(|target| (target.hash, &target.member.data_centre)),
-        );
+        let targets = targets.map(|target| (target.hash, &target.member.data_centre));
+        let subset = match self.cell {
+            None => gateway_subset(own, &self.gateways, targets),
+            Some(cell) => cell_subset(cell, &own.data_centre, targets),
+        };
         self.prefers_subset = subset.len() >= MIN_SUBSET_SIZE;
         for target in self.targets.values_mut() {
             target.in_subset = subset.contains(&target.hash);
@@ -217,7 +231,7 @@
         let is_reported = finding.is_reported()
             || (matches!(finding, Finding::Answered | Finding::Slow)
                 && target.evidence.value(now) > 0.5);
-        if finding.is_failure() && !target.is_suspect(now) {
+        if finding.is_failure() && !target.is_suspect(now) && is_reported_on(self.cell, target) {
             self.surprises.record(now);
         }
         target.observe(now, finding, Origin::Own);
@@ -272,7 +286,8 @@
                 continue;
             };
             let target = &mut self.targets[*key];
-            if reported.finding.is_failure() && !target.is_suspect(now) {
+            let is_surprise = reported.finding.is_failure() && !target.is_suspect(now);
+            if is_surprise && is_reported_on(self.cell, target) {
                 self.surprises.record(now);
             }
             target.observe(now, reported.finding, Origin::Reported);
@@ -391,7 +406,11 @@
     /// requests follow from those in flight and the average answer time.
     pub(super) fn loses_many(&self, now: Timestamp) -> bool {
         let lost_per_ms = self.surprises.per_ms(now);
-        let in_flight: u32 = self.targets.values().map(BalancedTarget::in_flight).sum();
+        let reported_on = self
+            .targets
+            .values()
+            .filter(|target| is_reported_on(self.cell, target));
+        let in_flight: u32 = reported_on.map(BalancedTarget::in_flight).sum();
         let average_ms = u32::try_from(self.answer_times.average().0).unwrap_or(u32::MAX);
         let served_per_ms = f64::from(in_flight) / f64::from(average_ms.max(1));
         lost_per_ms >= MIN_HEAVY_LOSS_PER_MS
@@ -417,6 +436,11 @@
     }
 }
 
+/// Whether the gateways that use the target report their load on it: in a cell, only its own targets.
+fn is_reported_on(cell: Option<CellPlace>, target: &BalancedTarget) -> bool {
+    cell.is_none() || target.in_subset
+}
+
 /// The reported requests in flight, for the targets that this gateway knows.
 fn known_loads(
     by_hash: &HashMap<TargetHash, BalancedKey>,
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -6,6 +6,7 @@
 
 use super::answer_times::AnswerTimes;
 use super::balancer::{Balancer, BalancerOptions, Pick, TargetSummary};
+use super::cells::CellPlace;
 use super::evidence::Finding;
 use super::report::{LoadReport, ReportedFinding};
 use super::resend_budget::{ResendBudget, ResendBudgetOptions};
@@ -118,6 +119,16 @@
         self.balancer.set_gateways(others);
     }
 
+    /// Sets the cell of this gateway; `None` if the gateways form no cells.
+    pub fn set_cell(&mut self, cell: Option<CellPlace>) {
+        self.balancer.set_cell(cell);
+    }
+
+    /// Number of targets in the subset of this gateway.
+    pub fn subset_size(&self) -> usize {
+        self.balancer.subset_size()
+    }
+
     /// Counts a request, for the resend budget and the estimates of waits.
     pub fn record_request(&mut self, now: Timestamp, priority: u32) {
         self.budget.record_request(now);
--- a/crates/auburnbridge_policy/src/balance/mod.rs
+++ b/crates/auburnbridge_policy/src/balance/mod.rs
@@ -12,8 +12,10 @@
 
 mod answer_times;
 mod balancer;
+mod cells;
 mod dispatcher;
 mod evidence;
+mod relay;
 mod report;
 mod resend_budget;
 mod selection;
@@ -23,10 +25,12 @@
 
 pub use answer_times::AnswerTimes;
 pub use balancer::{Balancer, BalancerOptions, Pick, TargetSummary};
+pub use cells::{CellPlace, CellSwitch, Cells, Proximity, ReportBudget, mesh_bytes_per_second};
 pub use dispatcher::{Dispatcher, DispatcherOptions, Placement, PlacementRequest};
 pub use evidence::{Finding, Origin};
+pub use relay::{RelayBatch, RelayQueue};
 pub use report::{LoadReport, ReportedFinding, TargetHash, TargetLoad};
 pub use resend_budget::{ResendBudget, ResendBudgetOptions};
-pub use subset::{GatewayHost, gateway_subset};
+pub use subset::{GatewayHost, cell_subset, gateway_subset};
 pub use target::{BalancedKey, BalancedMember};
 pub use wait_queue::{Capacity, Refusal, WaitQueue, WaitRequest, WaitingKey};
--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -219,7 +219,8 @@
             }
             candidates.push(key);
         }
-        if best == Tier::SubsetFree {
+        // Gateways that share a subset would all pick the same target.
+        if best == Tier::SubsetFree && self.cell.is_none() {
             let proofs = candidates
                 .iter()
                 .map(|key| (self.targets[*key].proof_age(now), *key));
--- a/crates/auburnbridge_policy/src/balance/subset.rs
+++ b/crates/auburnbridge_policy/src/balance/subset.rs
@@ -1,4 +1,5 @@
-//! Subsets: each target is assigned to one gateway of its data centre.
+//! Subsets: each target is assigned to one gateway of its data centre, or in a large fleet to one
+//! cell of gateways.
 //!
 //! A gateway that sends most of its requests to its own subset knows the state and load of these
 //! targets at once, without reports of other gateways. Targets are assigned by rendezvous hashing
@@ -11,10 +12,14 @@
 
 use auburnbridge_types::{DataCentre, VmId};
 
+use super::cells::{CellPlace, assign_evenly};
 use super::report::TargetHash;
 
 /// Upper bound of a subset, in percent of an equal share of the targets.
 const MAX_SHARE_PERCENT: usize = 125;
+/// Smallest subset that a gateway prefers to other targets. In a smaller one, failing targets leave
+/// too little capacity, and all gateways do better by sharing all targets.
+pub(super) const MIN_SUBSET_SIZE: usize = 4;
 
 /// VM and data centre of a gateway. `GatewayLocation`, in messages, also holds its address.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -64,8 +69,30 @@
     subset
 }
 
+/// Returns the targets assigned to a cell of `data_centre`. If the service has too few targets there
+/// for [`MIN_SUBSET_SIZE`] in each cell, several cells share each target.
+pub fn cell_subset<'a>(
+    place: CellPlace,
+    data_centre: &DataCentre,
+    targets: impl Iterator<Item = (TargetHash, &'a DataCentre)>,
+) -> HashSet<TargetHash> {
+    let mut local_targets: Vec<TargetHash> = targets
+        .filter(|(_, location)| *location == data_centre)
+        .map(|(target, _)| target)
+        .collect();
+    local_targets.sort_unstable();
+    let hashes: Vec<u64> = local_targets.iter().map(|hash| hash.0.into()).collect();
+    let copies = (MIN_SUBSET_SIZE * place.count).div_ceil(local_targets.len().max(1));
+    local_targets
+        .into_iter()
+        .zip(assign_evenly(&hashes, place.count, copies))
+        .filter(|(_, cells)| cells.contains(&place.number))
+        .map(|(target, _)| target)
+        .collect()
+}
+
 /// FNV-1a, whose result is the same in every build.
-fn vm_hash(vm: &VmId) -> u64 {
+pub(super) fn vm_hash(vm: &VmId) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
     vm.as_str().bytes().fold(OFFSET, |hash, byte| {
@@ -74,7 +101,7 @@
 }
 
 /// The finalizer of `SplitMix64`, which spreads similar values evenly.
-fn mix(value: u64) -> u64 {
+pub(super) fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
--- a/crates/auburnbridge_policy/tests/balance_load/main.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/main.rs
@@ -14,6 +14,7 @@
     reason = "counts and times of the simulation are small"
 )]
 
+mod cells;
 mod simulation;
 
 use auburnbridge_policy::RequestClass;
@@ -82,6 +83,8 @@
         is_unreachable: none_unreachable,
         report_interval_ms: 40,
         local_reports_per_remote: 1,
+        cells: false,
+        gateway_weight: None,
     }
 }
 
--- a/crates/auburnbridge_policy/tests/balance_load/simulation.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/simulation.rs
@@ -6,14 +6,17 @@
 //! drops the request. Gateways report requests in flight to each other at
 //! intervals, and findings immediately: a finding is applied in the event that produced it, with a
 //! time stamp later by [`ONE_WAY_DELAY_MS`], so another gateway may use it before it would arrive.
+//! In cells, reports go to the cell only, except for failures, which reach the other gateways after
+//! [`RELAY_DELAY_MS`].
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{
-    BalancedKey, BalancedMember, BalancerOptions, Dispatcher, DispatcherOptions, Finding,
-    GatewayHost, Pick, Placement, PlacementRequest, ResendBudgetOptions, WaitingKey,
+    BalancedKey, BalancedMember, BalancerOptions, Cells, Dispatcher, DispatcherOptions, Finding,
+    GatewayHost, Pick, Placement, PlacementRequest, ReportedFinding, ResendBudgetOptions,
+    WaitingKey,
 };
 use auburnbridge_types::{Incarnation, Millis, Slots, Timestamp, VmId};
 use rand::{Rng, SeedableRng};
@@ -27,6 +30,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 120;
 /// Sends that a request is allowed.
 const MAX_SENDS: u32 = 2;
+/// Time after which a failure is known outside the cell: that of two batches.
+const RELAY_DELAY_MS: u64 = 2_000;
 /// Capacity of a target's own queue, beyond which it sheds requests.
 const TARGET_QUEUE_CAPACITY: usize = 16;
 
@@ -77,6 +82,11 @@
     pub report_interval_ms: u64,
     /// Number of reports within the data centre per report to the other ones.
     pub local_reports_per_remote: u64,
+    /// Whether the gateways form cells.
+    pub cells: bool,
+    /// Probability with which a gateway receives requests of callers, relative to the others; `None`
+    /// if all receive the same.
+    pub gateway_weight: Option<fn(usize) -> f64>,
 }
 
 /// Results of the requests of one kind.
@@ -116,6 +126,8 @@
     pub gateway: usize,
     pub target: usize,
     pub class: RequestClass,
+    /// When the answer came, if one did.
+    pub answered_at_ms: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -126,6 +138,17 @@
     pub arrivals_ms: Vec<u64>,
     /// Arrival times of the requests that were refused or failed.
     pub lost_ms: Vec<u64>,
+    /// Other gateways of the cell of each gateway; empty without cells.
+    pub peers: Vec<Vec<usize>>,
+}
+
+impl Outcome {
+    /// The gateways of the cell of `gateway`, itself included.
+    pub fn cell_of(&self, gateway: usize) -> Vec<usize> {
+        let mut cell = self.peers[gateway].clone();
+        cell.push(gateway);
+        cell
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -162,6 +185,11 @@
         gateway: usize,
         round: u64,
     },
+    /// Failures reach the gateways outside the cell of the one that found them.
+    RelayFindings {
+        from: usize,
+        number: usize,
+    },
 }
 
 /// How a send to a target ended.
@@ -197,6 +225,8 @@
     /// Number of times that the request has been queued.
     waits: u64,
     sends: u32,
+    /// Index of the latest send among the records.
+    record: usize,
     /// Number of the latest send, which tells events of earlier ones apart.
     send: u32,
     stage: Stage,
@@ -231,6 +261,10 @@
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     rng: ChaCha8Rng,
     gateways: Vec<Dispatcher<usize>>,
+    /// Findings on their way out of a cell.
+    relayed: Vec<Vec<ReportedFinding>>,
+    /// Sums of the gateways' weights, up to each one; empty if all weigh the same.
+    arrival_weights: Vec<f64>,
     targets: Vec<Target>,
     requests: Vec<Request>,
     outcome: Outcome,
@@ -272,6 +306,25 @@
                 .map(|other| gateway_host(other, scenario.data_centres))
                 .collect()
         };
+        let cells: Vec<Option<Cells>> = (0..scenario.gateways)
+            .map(|number| {
+                let own = gateway_host(number, scenario.data_centres);
+                scenario.cells.then(|| Cells::new(&own, &others(number)))
+            })
+            .collect();
+        let peers = cells.iter().map(|cells| {
+            let peers = cells.iter().flat_map(Cells::peers);
+            peers.map(|vm| vm.as_str()["gateway-".len()..].parse().unwrap())
+        });
+        let peers = peers.map(Iterator::collect).collect();
+        let weights = scenario.gateway_weight.into_iter().flat_map(|weight| {
+            let mut total = 0.0;
+            (0..scenario.gateways).map(move |number| {
+                total += weight(number);
+                total
+            })
+        });
+        let arrival_weights = weights.collect();
         let gateways = (0..scenario.gateways)
             .map(|number| {
                 let mut dispatcher = Dispatcher::new(&DispatcherOptions {
@@ -288,6 +341,7 @@
                     seed: scenario.seed * 1_000 + number as u64,
                 });
                 dispatcher.set_gateways(&others(number));
+                dispatcher.set_cell(cells[number].as_ref().map(Cells::place));
                 dispatcher.set_members(time(0), &members);
                 dispatcher
             })
@@ -299,6 +353,8 @@
             events: BinaryHeap::new(),
             rng: ChaCha8Rng::seed_from_u64(scenario.seed),
             gateways,
+            relayed: Vec::new(),
+            arrival_weights,
             targets: (0..scenario.targets).map(|_| Target::default()).collect(),
             requests: Vec::new(),
             outcome: Outcome {
@@ -306,6 +362,7 @@
                 sends: Vec::new(),
                 arrivals_ms: Vec::new(),
                 lost_ms: Vec::new(),
+                peers,
             },
         }
     }
@@ -362,12 +419,13 @@
             | Event::TimeOut { .. } => {}
             Event::Expire { request, wait } => self.expire(request, wait),
             Event::PublishLoad { gateway, round } => self.publish_load(gateway, round),
+            Event::RelayFindings { from, number } => self.relay_findings(from, number),
         }
     }
 
     fn arrive(&mut self, kind: usize) {
         self.schedule_arrival(kind);
-        let gateway = self.rng.random_range(0..self.scenario.gateways);
+        let gateway = self.draw_gateway();
         self.outcome.arrivals_ms.push(self.now);
         if self.is_counted(self.now) {
             self.outcome.tallies[kind].offered += 1;
@@ -384,6 +442,7 @@
             waiting_key: None,
             waits: 0,
             sends: 0,
+            record: 0,
             send: 0,
             stage: Stage::Elsewhere,
             target: 0,
@@ -392,6 +451,15 @@
         self.place(self.requests.len() - 1);
     }
 
+    fn draw_gateway(&mut self) -> usize {
+        let Some(total) = self.arrival_weights.last() else {
+            return self.rng.random_range(0..self.scenario.gateways);
+        };
+        let drawn = self.rng.random::<f64>() * total;
+        let number = self.arrival_weights.partition_point(|sum| *sum <= drawn);
+        number.min(self.scenario.gateways - 1)
+    }
+
     fn place(&mut self, request: usize) {
         let req = &self.requests[request];
         let kind = &self.scenario.kinds[req.kind];
@@ -474,11 +542,13 @@
             return;
         }
         self.requests[request].sends += 1;
+        self.requests[request].record = self.outcome.sends.len();
         self.outcome.sends.push(SendRecord {
             at_ms: now,
             gateway,
             target,
             class: self.scenario.kinds[kind].class,
+            answered_at_ms: None,
         });
         self.schedule(ONE_WAY_DELAY_MS, Event::ReachTarget { request, send });
     }
@@ -596,6 +666,8 @@
         self.publish_findings(gateway);
         self.start_waiting(gateway);
         if result == SendResult::Answer {
+            let record = self.requests[request].record;
+            self.outcome.sends[record].answered_at_ms = Some(self.now);
             self.answer(request);
         } else {
             self.retry(request, result);
@@ -648,6 +720,18 @@
             return;
         }
         let now = time(self.now + ONE_WAY_DELAY_MS);
+        if self.scenario.cells {
+            for peer in &self.outcome.peers[from] {
+                self.gateways[*peer].apply_findings(now, &findings);
+            }
+            let number = self.relayed.len();
+            let failures = findings
+                .into_iter()
+                .filter(|found| found.finding.is_reported());
+            self.relayed.push(failures.collect());
+            self.schedule(RELAY_DELAY_MS, Event::RelayFindings { from, number });
+            return;
+        }
         for (number, gateway) in self.gateways.iter_mut().enumerate() {
             if number != from {
                 gateway.apply_findings(now, &findings);
@@ -655,6 +739,15 @@
         }
     }
 
+    fn relay_findings(&mut self, from: usize, number: usize) {
+        let findings = std::mem::take(&mut self.relayed[number]);
+        for (number, gateway) in self.gateways.iter_mut().enumerate() {
+            if number != from && !self.outcome.peers[from].contains(&number) {
+                gateway.apply_findings(time(self.now), &findings);
+            }
+        }
+    }
+
     fn publish_load(&mut self, from: usize, round: u64) {
         let report = self.gateways[from].load_report(time(self.now));
         let name: VmId = format!("gateway-{from}").parse().unwrap();
@@ -663,7 +756,12 @@
         let data_centres = self.scenario.data_centres;
         for number in 0..self.gateways.len() {
             let is_local = number % data_centres == from % data_centres;
-            if number != from && (is_local || includes_remote) {
+            let is_recipient = if self.scenario.cells {
+                self.outcome.peers[from].contains(&number)
+            } else {
+                number != from && (is_local || includes_remote)
+            };
+            if is_recipient {
                 self.gateways[number].apply_load_report(now, &name, report.clone());
                 self.start_waiting(number);
             }
--- a/crates/auburnbridge_settings/src/gateway.rs
+++ b/crates/auburnbridge_settings/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
-use auburnbridge_types::{ByteSize, DataCentre, Millis};
+use auburnbridge_types::{ByteSize, DataCentre, LinkRate, Millis};
 
 use crate::declare::{Declaration, Settings, settings};
 use crate::validator::Validator;
@@ -49,6 +49,10 @@
         resend_allowance: u32 [default "20"] ["0" to "1000000"],
         /// Length of the window of `resend_share` and `resend_allowance`.
         resend_window: Millis [default "10s"] ["1s" to "10min"],
+        /// Rate of the VM's network link. If it is set, reports between gateways are kept to a small
+        /// share of it: in a fleet that is large for its links, gateways form cells and report
+        /// mostly within them. Without it, each gateway reports to all others.
+        link_rate: Option<LinkRate> [optional] ["0.1Mbit/s" to "1000000Mbit/s"],
         /// TCP address that serves metrics at the path `/metrics`; without it, they are not served.
         metrics_address: Option<SocketAddr> [optional],
         /// Largest number of log lines below the level of warnings that are written per second;
--- a/crates/auburnbridge_settings/src/value.rs
+++ b/crates/auburnbridge_settings/src/value.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
-use auburnbridge_types::{ByteSize, DataCentre, Millis, VmId};
+use auburnbridge_types::{ByteSize, DataCentre, LinkRate, Millis, VmId};
 
 /// Error of a value that can't be parsed.
 pub struct ValueError {
@@ -156,6 +156,19 @@
     }
 }
 
+impl Value for LinkRate {
+    const KIND: &'static str = "a link rate in Mbit/s";
+    const EXAMPLE: &'static str = r#""1.4Mbit/s""#;
+
+    fn from_text(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+
+    fn is_within(&self, min: &str, max: &str) -> bool {
+        is_between(self, min, max, Self::from_text)
+    }
+}
+
 /// Implements [`Value`] for whole numbers, which are written without quotes.
 macro_rules! number_value {
     ($($type:ty),*) => {
--- a/crates/auburnbridge_telemetry/src/metrics.rs
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -47,6 +47,12 @@
     service: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReportLabels {
+    direction: &'static str,
+    kind: &'static str,
+}
+
 /// The metrics of one process.
 pub struct ProcessMetrics {
     registry: Registry,
@@ -57,6 +63,8 @@
     configuration_version: Gauge,
     control_calls: Family<CallLabels, Counter>,
     stated_departures: Family<ServiceLabels, Counter>,
+    report_datagrams: Family<ReportLabels, Counter>,
+    report_bytes: Family<ReportLabels, Counter>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -73,6 +81,8 @@
         let configuration_version = Gauge::default();
         let control_calls = Family::default();
         let stated_departures = Family::default();
+        let report_datagrams = Family::default();
+        let report_bytes = Family::default();
         registry.register("requests", "Requests of callers", requests.clone());
         registry.register(
             "request_seconds",
@@ -100,6 +110,16 @@
             "Targets that stated in a response that they are leaving",
             stated_departures.clone(),
         );
+        registry.register(
+            "report_datagrams",
+            "Reports of gateways to each other",
+            report_datagrams.clone(),
+        );
+        registry.register(
+            "report_bytes",
+            "Bytes of the reports of gateways to each other, without packet headers",
+            report_bytes.clone(),
+        );
         Self {
             registry,
             requests,
@@ -109,6 +129,8 @@
             configuration_version,
             control_calls,
             stated_departures,
+            report_datagrams,
+            report_bytes,
         }
     }
 }
@@ -153,6 +175,14 @@
         self.stated_departures.get_or_create(&labels).inc();
     }
 
+    /// Counts a report to or from another gateway; `direction` is `sent` or `received`.
+    pub fn record_report(&self, direction: &'static str, kind: &'static str, bytes: usize) {
+        let labels = ReportLabels { direction, kind };
+        self.report_datagrams.get_or_create(&labels).inc();
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.report_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
     /// Sets the version of the current configuration.
     pub fn set_configuration_version(&self, version: u64) {
         self.configuration_version
--- a/crates/auburnbridge_types/src/lib.rs
+++ b/crates/auburnbridge_types/src/lib.rs
@@ -16,8 +16,8 @@
 pub use idempotency::{IdempotencyKey, RequestDigest, parse_digest};
 pub use names::{AccountId, DataCentre, ServiceName, TargetId, VmId};
 pub use quantities::{
-    ByteSize, ConfigVersion, Incarnation, Millis, Priority, RatePerSecond, RequestRate, Revision,
-    Sequence, Slots, Timestamp, Weight,
+    ByteSize, ConfigVersion, Incarnation, LinkRate, Millis, Priority, RatePerSecond, RequestRate,
+    Revision, Sequence, Slots, Timestamp, Weight,
 };
 
 /// Error for a text that can't be parsed as one of this crate's types.
--- a/crates/auburnbridge_types/src/quantities.rs
+++ b/crates/auburnbridge_types/src/quantities.rs
@@ -85,6 +85,55 @@
     Weight(u32), "", "a whole number"
 );
 
+/// Rate of a network link, in bits per second. It is written in Mbit/s.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkRate(pub u64);
+
+const BITS_PER_MEGABIT: u64 = 1_000_000;
+/// Decimal places of a link rate in Mbit/s.
+const LINK_RATE_DECIMALS: usize = 6;
+
+impl LinkRate {
+    /// Bytes that the link carries in a second.
+    pub fn bytes_per_second(self) -> u64 {
+        self.0 / 8
+    }
+}
+
+impl FromStr for LinkRate {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let error = || ParseError::new("a link rate in Mbit/s, such as `1.4Mbit/s`", text);
+        let is_number = |part: &str| !part.is_empty() && part.bytes().all(|b| b.is_ascii_digit());
+        let number = text.strip_suffix("Mbit/s").ok_or_else(error)?;
+        let (whole, decimals) = number.split_once('.').unwrap_or((number, "0"));
+        if !is_number(whole) || !is_number(decimals) || decimals.len() > LINK_RATE_DECIMALS {
+            return Err(error());
+        }
+        let whole: u64 = whole.parse().map_err(|_| error())?;
+        let decimals: u64 = format!("{decimals:0<LINK_RATE_DECIMALS$}")
+            .parse()
+            .map_err(|_| error())?;
+        whole
+            .checked_mul(BITS_PER_MEGABIT)
+            .and_then(|bits| bits.checked_add(decimals))
+            .map(Self)
+            .ok_or_else(error)
+    }
+}
+
+impl fmt::Display for LinkRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (whole, rest) = (self.0 / BITS_PER_MEGABIT, self.0 % BITS_PER_MEGABIT);
+        if rest == 0 {
+            return write!(f, "{whole}Mbit/s");
+        }
+        let decimals = format!("{rest:0LINK_RATE_DECIMALS$}");
+        write!(f, "{whole}.{}Mbit/s", decimals.trim_end_matches('0'))
+    }
+}
+
 impl Timestamp {
     /// Returns the point in time `duration` later, or the latest possible one on overflow.
     #[must_use]
--- a/crates/auburnbridge_types/tests/types.rs
+++ b/crates/auburnbridge_types/tests/types.rs
@@ -3,8 +3,8 @@
 use std::task::{Context, Poll, Waker};
 
 use auburnbridge_types::{
-    AttemptId, Clock, ErrorKind, IdempotencyKey, Millis, Outcome, PausedClock, Slots, Timestamp,
-    VmId,
+    AttemptId, Clock, ErrorKind, IdempotencyKey, LinkRate, Millis, Outcome, PausedClock, Slots,
+    Timestamp, VmId,
 };
 use strum::IntoEnumIterator;
 
@@ -95,3 +95,30 @@
     clock.advance(Millis(1));
     assert_eq!(sleep.as_mut().poll(&mut cx), Poll::Ready(()));
 }
+
+/// Guards against a link rate that is read with another unit or loses its decimals.
+#[test]
+fn link_rates_are_written_in_megabits() {
+    let cases = [
+        ("1.4Mbit/s", 1_400_000),
+        ("2400.0Mbit/s", 2_400_000_000),
+        ("15Mbit/s", 15_000_000),
+        ("0.000001Mbit/s", 1),
+    ];
+    for (text, bits) in cases {
+        let rate: LinkRate = text.parse().unwrap();
+        assert_eq!(rate, LinkRate(bits));
+        assert_eq!(rate.to_string().parse(), Ok(rate));
+    }
+    assert_eq!(LinkRate(2_400_000_000).to_string(), "2400Mbit/s");
+    for text in [
+        "1.4",
+        "Mbit/s",
+        ".4Mbit/s",
+        "1.Mbit/s",
+        "-1Mbit/s",
+        "0.0000001Mbit/s",
+    ] {
+        assert!(text.parse::<LinkRate>().is_err(), "{text}");
+    }
+}
