--- a/crates/auburnbridge/src/commands/gateway.rs
+++ b/crates/auburnbridge/src/commands/gateway.rs
@@ -60,6 +60,7 @@
             window: settings.resend_window,
         },
         account_limits,
+        link_rate: settings.link_rate,
         metrics_address: settings.metrics_address,
     };
     task::block_on(async {
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -20,7 +20,9 @@
 use auburnbridge_routing::Dialect;
 use auburnbridge_target::Pool;
 use auburnbridge_telemetry::MetricsService;
-use auburnbridge_types::{BootClock, BoxFuture, ByteSize, Clock, DataCentre, Millis, VmId};
+use auburnbridge_types::{
+    BootClock, BoxFuture, ByteSize, Clock, DataCentre, LinkRate, Millis, VmId,
+};
 use error_stack::{Report, ResultExt};
 use log::info;
 use parking_lot::Mutex;
@@ -90,6 +92,8 @@
     pub resend_budget: ResendBudgetOptions,
     /// Limits of client accounts over all gateways; `None` applies none.
     pub account_limits: Option<AccountLimitOptions>,
+    /// Rate of the VM's network link; `None` puts no bound on the reports to other gateways.
+    pub link_rate: Option<LinkRate>,
     /// Address on which metrics are served; `None` serves none.
     pub metrics_address: Option<SocketAddr>,
 }
@@ -136,7 +140,7 @@
         .await
         .change_context(GatewayError)
         .attach_with(|| format!("can't listen on UDP {}", options.peer_address))?;
-        let reporter = Arc::new(reporter);
+        let reporter = Arc::new(reporter.with_link_rate(options.link_rate));
         let watcher = Arc::new(build_watcher(&options, &gateway, &reporter, &clock));
         let readiness = Arc::new(Readiness {
             gateway: Arc::clone(&gateway),
--- a/crates/auburnbridge_policy/tests/fair_shares/load.rs
+++ b/crates/auburnbridge_policy/tests/fair_shares/load.rs
@@ -118,6 +118,8 @@
         is_unreachable: |_, _| false,
         report_interval_ms: 10,
         local_reports_per_remote: 1,
+        cells: false,
+        gateway_weight: None,
     }
 }
 
--- a/crates/auburnbridge_settings/src/gateway.rs
+++ b/crates/auburnbridge_settings/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
-use auburnbridge_types::{ByteSize, DataCentre, Millis};
+use auburnbridge_types::{ByteSize, DataCentre, LinkRate, Millis};
 
 use crate::declare::{Declaration, Settings, settings};
 use crate::validator::Validator;
@@ -69,6 +69,10 @@
         /// Further requests of a client account allowed in a window on top of its limit, for all
         /// gateways together.
         account_limit_slack: u32 [default "20"] ["0" to "1000000"],
+        /// Rate of the VM's network link. If it is set, reports between gateways are kept to a small
+        /// share of it: in a fleet that is large for its links, gateways form cells and report
+        /// mostly within them. Without it, each gateway reports to all others.
+        link_rate: Option<LinkRate> [optional] ["0.1Mbit/s" to "1000000Mbit/s"],
         /// TCP address that serves metrics at the path `/metrics`; without it, they are not served.
         metrics_address: Option<SocketAddr> [optional],
         /// Largest number of log lines below the level of warnings that are written per second;
--- a/crates/auburnbridge_telemetry/src/metrics.rs
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -62,6 +62,12 @@
     service: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReportLabels {
+    direction: &'static str,
+    kind: &'static str,
+}
+
 /// The metrics of one process.
 pub struct ProcessMetrics {
     registry: Registry,
@@ -77,6 +83,8 @@
     account_requests: Family<DecisionLabels, Counter>,
     backlog_refusals: Family<ServiceLabels, Counter>,
     waiting_accounts: Family<ServiceLabels, Gauge>,
+    report_datagrams: Family<ReportLabels, Counter>,
+    report_bytes: Family<ReportLabels, Counter>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -98,6 +106,8 @@
         let account_requests = Family::default();
         let backlog_refusals = Family::default();
         let waiting_accounts = Family::default();
+        let report_datagrams = Family::default();
+        let report_bytes = Family::default();
         registry.register("requests", "Requests of callers", requests.clone());
         registry.register(
             "request_seconds",
@@ -150,6 +160,16 @@
             "Client accounts with waiting requests",
             waiting_accounts.clone(),
         );
+        registry.register(
+            "report_datagrams",
+            "Reports of gateways to each other",
+            report_datagrams.clone(),
+        );
+        registry.register(
+            "report_bytes",
+            "Bytes of the reports of gateways to each other, without packet headers",
+            report_bytes.clone(),
+        );
         Self {
             registry,
             requests,
@@ -164,6 +184,8 @@
             account_requests,
             backlog_refusals,
             waiting_accounts,
+            report_datagrams,
+            report_bytes,
         }
     }
 }
@@ -252,6 +274,14 @@
             .set(i64::try_from(accounts).unwrap_or(i64::MAX));
     }
 
+    /// Counts a report to or from another gateway; `direction` is `sent` or `received`.
+    pub fn record_report(&self, direction: &'static str, kind: &'static str, bytes: usize) {
+        let labels = ReportLabels { direction, kind };
+        self.report_datagrams.get_or_create(&labels).inc();
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.report_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
     /// Sets the version of the current configuration.
     pub fn set_configuration_version(&self, version: u64) {
         self.configuration_version
