--- a/crates/auburnbridge_policy/tests/account_limit/fleet.rs
+++ b/crates/auburnbridge_policy/tests/account_limit/fleet.rs
@@ -19,7 +19,7 @@
 
 /// Interval at which a gateway gets the list of running gateways.
 const LIST_INTERVAL: u64 = 500;
-/// Time after which a gateway that has ended disappears from the list.
+/// Time after which a gateway that has ended or is cut off from the keepers disappears from the list.
 const UNLIST_TIME: u64 = 3_000;
 
 pub fn terms(version: u64, rate_per_s: f64, burst: u64) -> LimitTerms {
@@ -54,7 +54,8 @@
     inbox: Vec<(GatewayId, LimitMessage)>,
     /// Side of a partition; gateways on different sides don't reach each other.
     side: u8,
-    hears_keepers: bool,
+    /// Time since when it is cut off from the keepers.
+    unheard_since: Option<u64>,
 }
 
 impl Machine {
@@ -152,7 +153,7 @@
             frozen_until: 0,
             inbox: Vec::new(),
             side: 0,
-            hears_keepers: true,
+            unheard_since: None,
         });
         self.start(at);
         at
@@ -202,7 +203,8 @@
     }
 
     pub fn set_hears_keepers(&mut self, at: usize, hears: bool) {
-        self.machines[at].hears_keepers = hears;
+        let since = &mut self.machines[at].unheard_since;
+        *since = (!hears).then_some(since.unwrap_or(self.now));
     }
 
     /// The owners of an account, best first, as a gateway sees them.
@@ -286,7 +288,7 @@
         let Some(node) = &mut machine.node else {
             return;
         };
-        if listed && machine.hears_keepers {
+        if listed && machine.unheard_since.is_none() {
             node.set_gateways(clock, &others, true);
         }
         for (from, message) in inbox {
@@ -300,9 +302,8 @@
 
     fn list(&self, own: usize) -> Vec<GatewayId> {
         let is_listed = |machine: &Machine| {
-            machine
-                .ended
-                .is_none_or(|ended| self.now < ended + UNLIST_TIME)
+            let unheard = machine.ended.or(machine.unheard_since);
+            unheard.is_none_or(|since| self.now < since + UNLIST_TIME)
         };
         let others = self.machines.iter().enumerate();
         others
