--- a/crates/auburnbridge_policy/src/account_limit/delegation.rs
+++ b/crates/auburnbridge_policy/src/account_limit/delegation.rs
@@ -136,7 +136,9 @@
         let is_clear = |other| self.clear_at.get(other).is_some_and(|time| *time <= now);
         let is_confirmed = listed_for >= QUIET_TIME && self.others.iter().all(is_clear);
         let longest = Millis(LISTING_TIME.0 + lease_duration(gateways).0);
-        self.has_started |= is_confirmed || listed_for >= longest;
+        // One that none answers may not know of gateways that count although they aren't listed.
+        let has_answer = self.others.is_empty() || !self.clear_at.is_empty();
+        self.has_started |= is_confirmed || (has_answer && listed_for >= longest);
     }
 
     /// Records until when an owner holds what leaves no room for the share of this gateway.
--- a/crates/auburnbridge_policy/src/account_limit/gateway_count.rs
+++ b/crates/auburnbridge_policy/src/account_limit/gateway_count.rs
@@ -17,8 +17,9 @@
 const CONTACT_TIME: Millis = Millis(10_000);
 /// Least time between two gateways that stop counting, so that shares grow slowly.
 const RELEASE_INTERVAL: Millis = Millis(10_000);
-/// Time for which the count of another gateway is heeded.
-const REPORT_TIME: Millis = Millis(10_000);
+/// Time for which the count of another gateway is heeded. It may hold a gateway that is missing from the
+/// list and comes back while this one is cut off.
+const REPORT_TIME: Millis = HOLD_TIME;
 /// A reported count above this many times the own one is ignored.
 const MAX_REPORT_FACTOR: u32 = 4;
 
