Spread requests by own slots and aged load reports

Gateways choose by reports that are up to 100 ms old, and all at the same moment, so they overran the same targets. With the setting `even_load` the slots of each target are shared out among the gateways of its data centre, which use their own first; reports lose weight with their age; other slots are drawn. Proofs decide within these rules while targets often fail.

The floor's limit is selected instead of sorted.

--- a/crates/auburnbridge/src/commands/gateway.rs
+++ b/crates/auburnbridge/src/commands/gateway.rs
@@ -45,6 +45,7 @@
         body_memory: settings.body_memory,
         connections_per_target: settings.connections_per_target as usize,
         floor_share: settings.floor_share.0,
+        even_load: settings.even_load,
         resend_budget: ResendBudgetOptions {
             ratio: settings.resend_share.0,
             allowance: f64::from(settings.resend_allowance),
--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -297,10 +297,13 @@
             Outcome::ServerError(_) => "server-error",
         };
         let finding: &'static str = finding.map_or("none", Into::into);
+        let estimate = pick.estimate;
         info!(
             attempt = self.attempt_id(), service = self.dispatcher.name().as_str(),
             target_id = pick.target.as_str(), incarnation = pick.incarnation.0,
-            in_flight = pick.in_flight, suspicion = pick.suspicion, reused = reused,
+            in_flight = pick.in_flight, expected_in_flight = estimate.map(|load| load.in_flight),
+            report_age_ms = estimate.and_then(|load| load.report_age).map(|age| age.0),
+            own_slot = estimate.map(|load| load.own_slot), suspicion = pick.suspicion, reused = reused,
             time_ms = time.0, result = result, finding = finding;
             "exchange"
         );
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -82,6 +82,8 @@
     /// Minimum share of the targets that aren't down to use: the least suspected ones are used up
     /// to this share, except strongly suspected ones.
     pub floor_share: f64,
+    /// Whether load reports are aged and requests spread by the expected load.
+    pub even_load: bool,
     /// Budget for retries and hedges, that is, for sends beyond the first one of a request.
     pub resend_budget: ResendBudgetOptions,
     /// Address on which metrics are served; `None` serves none.
@@ -204,6 +206,7 @@
             },
             floor_share: options.floor_share,
             seed: rand::random(),
+            even_load: options.even_load,
         },
         resend_budget: options.resend_budget,
         seed: rand::random(),
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -242,6 +242,7 @@
             },
             floor_share: 0.7,
             seed: 1,
+            even_load: false,
         },
         resend_budget: ResendBudgetOptions {
             ratio: 0.2,
--- a/crates/auburnbridge_policy/examples/dispatch_cost.rs
+++ b/crates/auburnbridge_policy/examples/dispatch_cost.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p auburnbridge_policy --example dispatch_cost`
 //!
-//! Two sizes: 26 targets with 13 gateways, and 400 targets with 46. Each other gateway has requests
+//! Three sizes: 26 targets with 13 gateways, 400 targets with 46 and 322 with 162, without and with even load. Each other gateway has requests
 //! in flight on a twentieth of the targets; one target in ten has failed recently.
 
 #![expect(
@@ -27,13 +27,20 @@
 
 fn main() {
     println!("median of {ROUNDS} rounds of {CALLS} calls [min..max], in ns");
-    for (targets, gateways) in [(26, 13), (400, 46)] {
-        println!("{targets} targets, {gateways} gateways");
-        let mut dispatcher = dispatcher(targets, gateways);
+    let sizes = [(26, 13), (400, 46), (322, 162)];
+    for (size, even_load) in sizes
+        .into_iter()
+        .flat_map(|size| [(size, false), (size, true)])
+    {
+        let (targets, gateways) = size;
+        println!("{targets} targets, {gateways} gateways, even load: {even_load}");
+        let mut dispatcher = dispatcher(targets, gateways, even_load);
         let place = measure(|_| place_and_finish(&mut dispatcher));
         println!("  place and finish an at-most-once request: {place}");
         let reporters: Vec<VmId> = (1..gateways).map(vm).collect();
-        let reports: Vec<LoadReport> = (0..64).map(|offset| report(targets, offset)).collect();
+        let reports: Vec<LoadReport> = (0..64)
+            .map(|offset| report(targets, gateways, offset))
+            .collect();
         let apply = measure(|call| {
             let report = reports[call % reports.len()].clone();
             dispatcher.apply_load_report(START, &reporters[call % reporters.len()], report);
@@ -57,12 +64,13 @@
     }
 }
 
-fn dispatcher(targets: usize, gateways: usize) -> Dispatcher<()> {
+fn dispatcher(targets: usize, gateways: usize, even_load: bool) -> Dispatcher<()> {
     let mut dispatcher = Dispatcher::new(&DispatcherOptions {
         balancer: BalancerOptions {
             own: gateway_host(0),
             floor_share: 0.7,
             seed: 1,
+            even_load,
         },
         resend_budget: ResendBudgetOptions {
             ratio: 0.2,
@@ -84,7 +92,7 @@
         .collect();
     dispatcher.apply_findings(START, &findings);
     for other in 1..gateways {
-        dispatcher.apply_load_report(START, &vm(other), report(targets, other));
+        dispatcher.apply_load_report(START, &vm(other), report(targets, gateways, other));
     }
     dispatcher
 }
@@ -96,9 +104,9 @@
     }
 }
 
-/// A report of requests on a twentieth of the targets.
-fn report(targets: usize, offset: usize) -> LoadReport {
-    let loads = (0..targets.div_ceil(20)).map(|at| TargetLoad {
+/// A report of requests on a twentieth of the targets, or fewer if all reports together would fill them.
+fn report(targets: usize, gateways: usize, offset: usize) -> LoadReport {
+    let loads = (0..targets.div_ceil(20).min(3 * targets / gateways)).map(|at| TargetLoad {
         target: hash((at * 20 + offset) % targets),
         in_flight: 1,
         proof_age: 10,
--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -7,6 +7,7 @@
 use slotmap::SlotMap;
 
 use super::answer_times::AnswerTimes;
+use super::even::{FAILURE_MEMORY, LoadEstimate, ReportedLoad};
 use super::evidence::{Finding, Origin};
 use super::report::{LoadReport, ReportedFinding, TargetHash, TargetLoad};
 use super::subset::{GatewayHost, gateway_subset};
@@ -50,6 +51,8 @@
     pub floor_share: f64,
     /// Seed by which this gateway's trial intervals differ from those of other gateways.
     pub seed: u64,
+    /// Whether load reports are aged and requests spread by the expected load.
+    pub even_load: bool,
 }
 
 /// The target picked for one request.
@@ -67,6 +70,8 @@
     pub in_flight: u32,
     /// Evidence against it, in nats.
     pub suspicion: f64,
+    /// The load by which it was picked; absent without even load.
+    pub estimate: Option<LoadEstimate>,
 }
 
 /// Totals over a service's targets, for logs and estimates.
@@ -87,9 +92,11 @@
 pub struct Balancer {
     pub(super) options: BalancerOptions,
     /// All gateways, this one included.
-    gateways: Vec<GatewayHost>,
+    pub(super) gateways: Vec<GatewayHost>,
     /// Whether the subset of this gateway is large enough to be preferred.
     pub(super) prefers_subset: bool,
+    /// Whether this gateway uses its own slots before those of others.
+    pub(super) prefers_own_slots: bool,
     pub(super) targets: SlotMap<BalancedKey, BalancedTarget>,
     by_id: HashMap<TargetId, BalancedKey>,
     by_hash: HashMap<TargetHash, BalancedKey>,
@@ -98,6 +105,8 @@
     answer_times: AnswerTimes,
     /// Rate of failures on targets that were not suspected.
     surprises: EventRate,
+    /// The same over a longer time, without server errors.
+    pub(super) failures: EventRate,
     /// Requests of this gateway that were served, and those that were not.
     served: EventRate,
     lost: EventRate,
@@ -115,6 +124,7 @@
         Self {
             gateways: vec![options.own.clone()],
             prefers_subset: false,
+            prefers_own_slots: false,
             options,
             targets: SlotMap::with_key(),
             by_id: HashMap::new(),
@@ -122,6 +132,7 @@
             reports: HashMap::new(),
             answer_times: AnswerTimes::default(),
             surprises: EventRate::default(),
+            failures: EventRate::with_time_constant(FAILURE_MEMORY),
             served: EventRate::with_time_constant(OUTCOME_MEMORY),
             lost: EventRate::with_time_constant(OUTCOME_MEMORY),
             first_placed: None,
@@ -148,7 +159,8 @@
         for member in members {
             match self.by_id.get(&member.id) {
                 None => {
-                    let target = BalancedTarget::new(member.clone(), warmup_until);
+                    let mut target = BalancedTarget::new(member.clone(), warmup_until);
+                    target.reported_load = self.options.even_load.then(ReportedLoad::default);
                     let key = self.targets.insert(target);
                     self.by_id.insert(member.id.clone(), key);
                 }
@@ -195,6 +207,9 @@
         for target in self.targets.values_mut() {
             target.in_subset = subset.contains(&target.hash);
         }
+        if self.options.even_load {
+            self.share_slots();
+        }
     }
 
     /// Ends a request on a target and records its finding as evidence.
@@ -217,15 +232,14 @@
         let is_reported = finding.is_reported()
             || (matches!(finding, Finding::Answered | Finding::Slow)
                 && target.evidence.value(now) > 0.5);
-        if finding.is_failure() && !target.is_suspect(now) {
-            self.surprises.record(now);
-        }
+        let is_surprise = finding.is_failure() && !target.is_suspect(now);
         target.observe(now, finding, Origin::Own);
+        let target = target.hash;
+        if is_surprise {
+            self.record_surprise(now, finding);
+        }
         if is_reported {
-            self.unreported.push(ReportedFinding {
-                target: target.hash,
-                finding,
-            });
+            self.unreported.push(ReportedFinding { target, finding });
         }
     }
 
@@ -272,10 +286,19 @@
                 continue;
             };
             let target = &mut self.targets[*key];
-            if reported.finding.is_failure() && !target.is_suspect(now) {
-                self.surprises.record(now);
-            }
+            let is_surprise = reported.finding.is_failure() && !target.is_suspect(now);
             target.observe(now, reported.finding, Origin::Reported);
+            if is_surprise {
+                self.record_surprise(now, reported.finding);
+            }
+        }
+    }
+
+    /// Records the failure of a target that was not suspected.
+    fn record_surprise(&mut self, now: Timestamp, finding: Finding) {
+        self.surprises.record(now);
+        if finding != Finding::ServerError {
+            self.failures.record(now);
         }
     }
 
@@ -298,13 +321,18 @@
         let superseded = self
             .reports
             .extract_if(|vm, (at, _)| vm == from || now.since(*at) >= REPORT_LIFETIME);
-        for (_, (_, previous)) in superseded {
+        let answer_time = self.answer_times.average();
+        for (_, (at, previous)) in superseded {
             for (key, in_flight) in known_loads(&self.by_hash, &previous) {
-                self.targets[key].others_in_flight -= in_flight;
+                let target = &mut self.targets[key];
+                target.reported_in_flight -= in_flight;
+                if let Some(load) = &mut target.reported_load {
+                    load.remove(now, in_flight, at, answer_time);
+                }
             }
         }
         for (key, in_flight) in known_loads(&self.by_hash, &report) {
-            self.targets[key].others_in_flight += in_flight;
+            self.targets[key].add_reported(now, in_flight, now, answer_time);
         }
         self.reports.insert(from.clone(), (now, report));
     }
@@ -314,11 +342,12 @@
         self.reports
             .retain(|_, (at, _)| now.since(*at) < REPORT_LIFETIME);
         for target in self.targets.values_mut() {
-            target.others_in_flight = 0;
+            target.clear_reported();
         }
-        for (_, report) in self.reports.values() {
+        let answer_time = self.answer_times.average();
+        for (at, report) in self.reports.values() {
             for (key, in_flight) in known_loads(&self.by_hash, report) {
-                self.targets[key].others_in_flight += in_flight;
+                self.targets[key].add_reported(now, in_flight, *at, answer_time);
             }
         }
     }
@@ -391,7 +420,11 @@
     /// requests follow from those in flight and the average answer time.
     pub(super) fn loses_many(&self, now: Timestamp) -> bool {
         let lost_per_ms = self.surprises.per_ms(now);
-        let in_flight: u32 = self.targets.values().map(BalancedTarget::in_flight).sum();
+        let in_flight: u32 = self
+            .targets
+            .values()
+            .map(|target| target.in_flight(now))
+            .sum();
         let average_ms = u32::try_from(self.answer_times.average().0).unwrap_or(u32::MAX);
         let served_per_ms = f64::from(in_flight) / f64::from(average_ms.max(1));
         lost_per_ms >= MIN_HEAVY_LOSS_PER_MS
@@ -402,7 +435,7 @@
     pub fn summary(&self, now: Timestamp) -> TargetSummary {
         let mut summary = TargetSummary::default();
         for target in self.targets.values() {
-            summary.in_flight += target.in_flight();
+            summary.in_flight += target.in_flight(now);
             if target.is_down(now) || target.is_suspect(now) {
                 continue;
             }
--- a/crates/auburnbridge_policy/src/balance/mod.rs
+++ b/crates/auburnbridge_policy/src/balance/mod.rs
@@ -13,6 +13,7 @@
 mod answer_times;
 mod balancer;
 mod dispatcher;
+mod even;
 mod evidence;
 mod report;
 mod resend_budget;
@@ -24,6 +25,7 @@
 pub use answer_times::AnswerTimes;
 pub use balancer::{Balancer, BalancerOptions, Pick, TargetSummary};
 pub use dispatcher::{Dispatcher, DispatcherOptions, Placement, PlacementRequest};
+pub use even::LoadEstimate;
 pub use evidence::{Finding, Origin};
 pub use report::{LoadReport, ReportedFinding, TargetHash, TargetLoad};
 pub use resend_budget::{ResendBudget, ResendBudgetOptions};
--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -47,6 +47,8 @@
     /// Free, in this data centre, and unused for so long that a request should find out whether it
     /// works.
     Due,
+    /// Usable, not suspected and free, with a free slot of this gateway's own.
+    OwnFree,
     /// Usable, not suspected and free, in the subset of this gateway.
     SubsetFree,
     /// Usable, not suspected and free, in this data centre; traffic between data centres costs
@@ -127,6 +129,7 @@
     }
 
     fn start(&mut self, now: Timestamp, key: BalancedKey) -> Pick {
+        let own_slot = self.prefers_own_slots && self.targets[key].has_own_slot();
         let target = &mut self.targets[key];
         target.start(now);
         Pick {
@@ -134,8 +137,9 @@
             target: target.member.id.clone(),
             address: target.member.address,
             incarnation: target.member.incarnation,
-            in_flight: target.in_flight(),
+            in_flight: target.in_flight(now),
             suspicion: target.suspicion(now),
+            estimate: target.load_estimate(now, own_slot),
         }
     }
 
@@ -168,7 +172,7 @@
             && self.is_unused(now, RequestClass::Idempotent, target)
     }
 
-    fn is_local(&self, target: &BalancedTarget) -> bool {
+    pub(super) fn is_local(&self, target: &BalancedTarget) -> bool {
         target.member.data_centre == self.options.own.data_centre
     }
 
@@ -184,10 +188,11 @@
         Millis(min_interval.0 + spread)
     }
 
-    /// Selects a target of the best tier, up to `worst`. In the gateway's subset this is the target
-    /// with the latest proof, or the one with the oldest proof for a request that explores. In
-    /// other tiers it is drawn at random, weighted by free slots, so that gateways with the same
-    /// view pick different targets.
+    /// Selects a target of the best tier, up to `worst`. In the gateway's subset, or on its own slots,
+    /// this is the target with the latest proof, or the one with the oldest proof for a request that
+    /// explores. In other tiers it is drawn at random, weighted by free slots, so that gateways with
+    /// the same view pick different targets. With even load, proofs decide only while targets often
+    /// begin to fail; otherwise the load does.
     fn draw_up_to(
         &self,
         now: Timestamp,
@@ -219,7 +224,16 @@
             }
             candidates.push(key);
         }
-        if best == Tier::SubsetFree {
+        if self.options.even_load && !self.fails_often(now) {
+            match best {
+                Tier::OwnFree => return self.most_spare_own(now, explores, &candidates),
+                Tier::SubsetFree | Tier::LocalFree | Tier::RemoteFree => {
+                    return self.draw_spare(now, &candidates, rng);
+                }
+                _ => {}
+            }
+        }
+        if self.is_exclusive(best) {
             let proofs = candidates
                 .iter()
                 .map(|key| (self.targets[*key].proof_age(now), *key));
@@ -256,6 +270,16 @@
             })
     }
 
+    /// Whether the slots of this tier are used by no other gateway that has some of its own left.
+    fn is_exclusive(&self, tier: Tier) -> bool {
+        match tier {
+            Tier::OwnFree => true,
+            // With even load, a subset may be shared.
+            Tier::SubsetFree => !self.options.even_load,
+            _ => false,
+        }
+    }
+
     /// The local targets of other subsets that have at least two free slots, one of which its own gateway
     /// may take at the same moment, and a recent proof from any gateway.
     fn recently_proven(
@@ -341,12 +365,15 @@
         let is_free = target.free_slots(now) > 0 && now >= target.shed_until;
         match (is_usable, is_free) {
             (true, true) if !is_clear => Tier::FloorFree,
+            (true, true) if self.prefers_own_slots && target.has_own_slot() => Tier::OwnFree,
             (true, true) if target.in_subset && self.prefers_subset => Tier::SubsetFree,
             (true, true) if self.is_local(target) => Tier::LocalFree,
             (true, true) => Tier::RemoteFree,
             (false, true) if is_risky => Tier::Risky,
             (false, true) => Tier::SuspectFree,
-            (true, false) if target.in_flight() < target.capacity(now) + MAX_QUEUED => Tier::Busy,
+            (true, false) if target.in_flight(now) < target.capacity(now) + MAX_QUEUED => {
+                Tier::Busy
+            }
             (true | false, false) => Tier::LastResort,
         }
     }
@@ -364,7 +391,6 @@
         if suspicions.is_empty() {
             return SUSPECT_THRESHOLD;
         }
-        suspicions.sort_by(f64::total_cmp);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
@@ -372,7 +398,8 @@
             reason = "a share of a count of targets"
         )]
         let floor = (suspicions.len() as f64 * self.options.floor_share).ceil() as usize;
-        suspicions[floor.clamp(1, suspicions.len()) - 1]
+        let last = floor.clamp(1, suspicions.len()) - 1;
+        *suspicions.select_nth_unstable_by(last, f64::total_cmp).1
     }
 }
 
@@ -383,6 +410,7 @@
 fn weight(now: Timestamp, explores: bool, tier: Tier, target: &BalancedTarget) -> u32 {
     match tier {
         Tier::Due
+        | Tier::OwnFree
         | Tier::SubsetFree
         | Tier::LocalFree
         | Tier::RemoteFree
@@ -393,7 +421,7 @@
             // Load of other gateways is known with a delay, so targets that they use get less
             // weight: it is divided by the square of one plus the number of their requests, of which
             // at most seven count.
-            let crowding = (1 + target.others_in_flight).min(8);
+            let crowding = (1 + target.others_in_flight(now)).min(8);
             let weight = free * free * 1_024 / (crowding * crowding);
             let steps = proof_steps(target.proof_age(now));
             if explores {
--- a/crates/auburnbridge_policy/src/balance/subset.rs
+++ b/crates/auburnbridge_policy/src/balance/subset.rs
@@ -65,7 +65,7 @@
 }
 
 /// FNV-1a, whose result is the same in every build.
-fn vm_hash(vm: &VmId) -> u64 {
+pub(super) fn vm_hash(vm: &VmId) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
     vm.as_str().bytes().fold(OFFSET, |hash, byte| {
@@ -74,7 +74,7 @@
 }
 
 /// The finalizer of `SplitMix64`, which spreads similar values evenly.
-fn mix(value: u64) -> u64 {
+pub(super) fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
--- a/crates/auburnbridge_policy/src/balance/target.rs
+++ b/crates/auburnbridge_policy/src/balance/target.rs
@@ -10,6 +10,7 @@
 use auburnbridge_types::{DataCentre, Incarnation, Millis, Slots, TargetId, Timestamp};
 use slotmap::new_key_type;
 
+use super::even::{LoadEstimate, ReportedLoad};
 use super::evidence::{Evidence, Finding, Origin, PROOF_TIME};
 use super::report::TargetHash;
 
@@ -54,7 +55,11 @@
     /// Requests in flight from this gateway.
     pub(super) own_in_flight: u32,
     /// Requests in flight from the other gateways, by their reports.
-    pub(super) others_in_flight: u32,
+    pub(super) reported_in_flight: u32,
+    /// The same with even load, where reports lose weight with their age.
+    pub(super) reported_load: Option<ReportedLoad>,
+    /// Slots that this gateway uses before those of others; only with even load.
+    pub(super) own_slots: u32,
     pub(super) evidence: Evidence,
     /// Evidence about the path from this gateway to the target.
     pub(super) path_evidence: Evidence,
@@ -85,7 +90,9 @@
             member,
             in_subset: false,
             own_in_flight: 0,
-            others_in_flight: 0,
+            reported_in_flight: 0,
+            reported_load: None,
+            own_slots: 0,
             evidence: Evidence::default(),
             path_evidence: Evidence::default(),
             down_until: Timestamp(0),
@@ -102,8 +109,62 @@
         }
     }
 
-    pub(super) fn in_flight(&self) -> u32 {
-        self.own_in_flight + self.others_in_flight
+    pub(super) fn in_flight(&self, now: Timestamp) -> u32 {
+        self.own_in_flight + self.others_in_flight(now)
+    }
+
+    /// Requests of the other gateways.
+    pub(super) fn others_in_flight(&self, now: Timestamp) -> u32 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the sum of counts of 8 bits is neither negative nor above the maximum"
+        )]
+        match &self.reported_load {
+            Some(load) => load.value(now).round() as u32,
+            None => self.reported_in_flight,
+        }
+    }
+
+    /// Counts the requests of another gateway's report of the time `reported_at`.
+    pub(super) fn add_reported(
+        &mut self,
+        now: Timestamp,
+        in_flight: u32,
+        reported_at: Timestamp,
+        answer_time: Millis,
+    ) {
+        self.reported_in_flight += in_flight;
+        if let Some(load) = &mut self.reported_load {
+            load.add(now, in_flight, reported_at, answer_time);
+        }
+    }
+
+    /// Forgets the requests of the other gateways.
+    pub(super) fn clear_reported(&mut self) {
+        self.reported_in_flight = 0;
+        self.reported_load = self.reported_load.map(|_| ReportedLoad::default());
+    }
+
+    /// Slots that are expected to be free, less than none if it is overrun; only with even load.
+    pub(super) fn spare(&self, now: Timestamp) -> f64 {
+        let reported = self.reported_load.map_or(0.0, |load| load.value(now));
+        f64::from(self.capacity(now)) - f64::from(self.own_in_flight) - reported
+    }
+
+    /// The load by which it was picked, for logs; only with even load.
+    pub(super) fn load_estimate(&self, now: Timestamp, own_slot: bool) -> Option<LoadEstimate> {
+        let reported = self.reported_load?;
+        Some(LoadEstimate {
+            in_flight: f64::from(self.own_in_flight) + reported.value(now),
+            report_age: reported.newest_age(now),
+            own_slot,
+        })
+    }
+
+    /// Whether a slot of this gateway's own is free.
+    pub(super) fn has_own_slot(&self) -> bool {
+        self.own_in_flight < self.own_slots
     }
 
     /// Number of requests to send to it at a time: its slots, or half of them while it warms up.
@@ -117,7 +178,7 @@
     }
 
     pub(super) fn free_slots(&self, now: Timestamp) -> u32 {
-        self.capacity(now).saturating_sub(self.in_flight())
+        self.capacity(now).saturating_sub(self.in_flight(now))
     }
 
     /// Evidence against the target and the path to it, in nats.
@@ -194,7 +255,7 @@
     pub(super) fn restart(&mut self, now: Timestamp, member: BalancedMember) {
         self.hash = TargetHash::of(&member.id, member.incarnation);
         self.member = member;
-        self.others_in_flight = 0;
+        self.clear_reported();
         self.evidence.clear();
         self.path_evidence.clear();
         self.down_until = Timestamp(0);
--- a/crates/auburnbridge_policy/tests/balance_load/main.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/main.rs
@@ -14,6 +14,8 @@
     reason = "counts and times of the simulation are small"
 )]
 
+mod even_load;
+mod rules;
 mod simulation;
 
 use auburnbridge_policy::RequestClass;
@@ -82,6 +84,11 @@
         is_unreachable: none_unreachable,
         report_interval_ms: 40,
         local_reports_per_remote: 1,
+        report_delay_ms: 0,
+        loses_report: |_, _, _| false,
+        arrival_share: |_, _| 1.0,
+        even_load: false,
+        rule: None,
     }
 }
 
@@ -135,32 +142,37 @@
 #[test]
 fn partial_failure_diverts_at_most_once_requests_within_a_second() {
     for outcome in run_seeds(partial_failure) {
-        let first_sends: Vec<Option<u64>> = (0..26)
-            .map(|target| {
-                let mut sends = outcome.sends.iter();
-                let first = sends.find(|send| send.target == target && send.at_ms >= 5_000);
-                first.map(|send| send.at_ms)
-            })
-            .collect();
-        // A failing target is detected only by a failed send. Three in four sends fail, so nearly
-        // all failing targets are detected by the fourth send, within the next second.
-        let late = outcome.sends.iter().filter(|send| {
-            send.class == RequestClass::Once
-                && send.target % 10 < 3
-                && first_sends[send.target].is_some_and(|first| send.at_ms > first + 1_000)
-        });
-        let once = outcome
-            .sends
-            .iter()
-            .filter(|send| send.class == RequestClass::Once && send.at_ms > 6_000);
-        let share = late.count() as f64 / once.count() as f64;
-        assert!(
-            share < 0.01,
-            "{share:.3} of the sends went to failing targets"
-        );
+        assert_orders_leave_failing_targets(&outcome);
     }
 }
 
+/// Checks that a target of [`three_in_ten_fail`] receives no orders from a second after its first send on.
+fn assert_orders_leave_failing_targets(outcome: &Outcome) {
+    let first_sends: Vec<Option<u64>> = (0..26)
+        .map(|target| {
+            let mut sends = outcome.sends.iter();
+            let first = sends.find(|send| send.target == target && send.at_ms >= 5_000);
+            first.map(|send| send.at_ms)
+        })
+        .collect();
+    // A failing target is detected only by a failed send. Three in four sends fail, so nearly
+    // all failing targets are detected by the fourth send, within the next second.
+    let late = outcome.sends.iter().filter(|send| {
+        send.class == RequestClass::Once
+            && send.target % 10 < 3
+            && first_sends[send.target].is_some_and(|first| send.at_ms > first + 1_000)
+    });
+    let once = outcome
+        .sends
+        .iter()
+        .filter(|send| send.class == RequestClass::Once && send.at_ms > 6_000);
+    let share = late.count() as f64 / once.count() as f64;
+    assert!(
+        share < 0.01,
+        "{share:.3} of the sends went to failing targets"
+    );
+}
+
 /// Partial failure as above: idempotent requests must not fail twice on failing targets.
 #[test]
 fn idempotent_requests_survive_partial_failure() {
--- a/crates/auburnbridge_policy/tests/balance_load/simulation.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/simulation.rs
@@ -13,12 +13,14 @@
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{
     BalancedKey, BalancedMember, BalancerOptions, Dispatcher, DispatcherOptions, Finding,
-    GatewayHost, Pick, Placement, PlacementRequest, ResendBudgetOptions, WaitingKey,
+    GatewayHost, LoadReport, Pick, Placement, PlacementRequest, ResendBudgetOptions, WaitingKey,
 };
 use auburnbridge_types::{Incarnation, Millis, Slots, Timestamp, VmId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::rules::{KnownLoads, Rule};
+
 /// One-way delay between a gateway and a target or another gateway.
 const ONE_WAY_DELAY_MS: u64 = 1;
 /// Time after which a failing target has closed the connection.
@@ -29,6 +31,8 @@
 const MAX_SENDS: u32 = 2;
 /// Capacity of a target's own queue, beyond which it sheds requests.
 const TARGET_QUEUE_CAPACITY: usize = 16;
+/// Length of the windows of [`Outcome::busiest_over_mean`].
+const WINDOW_MS: u64 = 100;
 
 /// A kind of request and its arrival rate.
 #[derive(Clone, Debug)]
@@ -77,6 +81,16 @@
     pub report_interval_ms: u64,
     /// Number of reports within the data centre per report to the other ones.
     pub local_reports_per_remote: u64,
+    /// Age at which a load report is applied.
+    pub report_delay_ms: u64,
+    /// Whether a load report from one gateway to another is lost, by the time.
+    pub loses_report: fn(usize, usize, u64) -> bool,
+    /// Share of the arrivals at a gateway that it takes, by the time; the others go to another one.
+    pub arrival_share: fn(usize, u64) -> f64,
+    /// The setting `even_load` of the gateways.
+    pub even_load: bool,
+    /// Rule that picks targets in place of the dispatchers.
+    pub rule: Option<Rule>,
 }
 
 /// Results of the requests of one kind.
@@ -126,6 +140,16 @@
     pub arrivals_ms: Vec<u64>,
     /// Arrival times of the requests that were refused or failed.
     pub lost_ms: Vec<u64>,
+    /// Sends that met a target without a free slot.
+    pub met_full: u32,
+    /// Sends to a slot of the gateway's own.
+    pub own_slots: u32,
+    /// Those of them that did so while another target of the gateway's data centre had a free slot.
+    pub met_full_needlessly: u32,
+    /// Times from arrival to the start of work.
+    pub start_ms: Vec<u64>,
+    /// Load of the busiest target over the mean, in windows of [`WINDOW_MS`].
+    pub busiest_over_mean: Vec<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -162,6 +186,11 @@
         gateway: usize,
         round: u64,
     },
+    ApplyLoad {
+        report: usize,
+        to: usize,
+    },
+    EndWindow,
 }
 
 /// How a send to a target ended.
@@ -208,6 +237,21 @@
 struct Target {
     running: u32,
     queue: VecDeque<usize>,
+    /// Requests that it holds, summed over the time since the last window's end.
+    load_ms: u64,
+    load_until: u64,
+}
+
+impl Target {
+    fn load(&self) -> u64 {
+        u64::from(self.running) + self.queue.len() as u64
+    }
+
+    /// Adds the load since the last change; to be called before each change.
+    fn add_load(&mut self, now: u64) {
+        self.load_ms += self.load() * (now - self.load_until);
+        self.load_until = now;
+    }
 }
 
 /// Runs a scenario to its end.
@@ -233,6 +277,9 @@
     gateways: Vec<Dispatcher<usize>>,
     targets: Vec<Target>,
     requests: Vec<Request>,
+    /// Load reports that are on their way, with their senders.
+    reports: Vec<(usize, LoadReport)>,
+    known_loads: KnownLoads,
     outcome: Outcome,
 }
 
@@ -279,6 +326,7 @@
                         own: gateway_host(number, scenario.data_centres),
                         floor_share: 0.7,
                         seed: scenario.seed + number as u64,
+                        even_load: scenario.even_load,
                     },
                     resend_budget: ResendBudgetOptions {
                         ratio: 0.2,
@@ -301,11 +349,11 @@
             gateways,
             targets: (0..scenario.targets).map(|_| Target::default()).collect(),
             requests: Vec::new(),
+            reports: Vec::new(),
+            known_loads: KnownLoads::new(scenario),
             outcome: Outcome {
                 tallies: vec![Tally::default(); scenario.kinds.len()],
-                sends: Vec::new(),
-                arrivals_ms: Vec::new(),
-                lost_ms: Vec::new(),
+                ..Outcome::default()
             },
         }
     }
@@ -318,6 +366,7 @@
             let offset = self.rng.random_range(0..self.scenario.report_interval_ms);
             self.schedule(offset, Event::PublishLoad { gateway, round: 0 });
         }
+        self.schedule(WINDOW_MS, Event::EndWindow);
     }
 
     fn schedule(&mut self, after: u64, event: Event) {
@@ -362,12 +411,17 @@
             | Event::TimeOut { .. } => {}
             Event::Expire { request, wait } => self.expire(request, wait),
             Event::PublishLoad { gateway, round } => self.publish_load(gateway, round),
+            Event::ApplyLoad { report, to } => {
+                let (from, report) = self.reports[report].clone();
+                self.apply_load(from, to, &report);
+            }
+            Event::EndWindow => self.end_window(),
         }
     }
 
     fn arrive(&mut self, kind: usize) {
         self.schedule_arrival(kind);
-        let gateway = self.rng.random_range(0..self.scenario.gateways);
+        let gateway = self.arrival_gateway();
         self.outcome.arrivals_ms.push(self.now);
         if self.is_counted(self.now) {
             self.outcome.tallies[kind].offered += 1;
@@ -392,7 +446,25 @@
         self.place(self.requests.len() - 1);
     }
 
+    fn arrival_gateway(&mut self) -> usize {
+        loop {
+            let gateway = self.rng.random_range(0..self.scenario.gateways);
+            let share = (self.scenario.arrival_share)(gateway, self.now);
+            if share >= 1.0 || self.rng.random::<f64>() < share {
+                return gateway;
+            }
+        }
+    }
+
     fn place(&mut self, request: usize) {
+        if let Some(rule) = self.scenario.rule {
+            let gateway = self.requests[request].gateway;
+            let target = self
+                .known_loads
+                .pick(rule, gateway, self.now, &mut self.rng);
+            self.send_to(request, target);
+            return;
+        }
         let req = &self.requests[request];
         let kind = &self.scenario.kinds[req.kind];
         let tried = req.tried.clone();
@@ -452,21 +524,28 @@
 
     fn send(&mut self, request: usize, pick: Pick) {
         let target = pick.target.as_str()[2..].parse().unwrap();
-        let now = self.now;
         let req = &mut self.requests[request];
         req.waiting_key = None;
+        req.tried.push(pick.key);
+        self.outcome.own_slots +=
+            u32::from(pick.estimate.is_some_and(|estimate| estimate.own_slot));
+        req.pick = Some(pick);
+        self.send_to(request, target);
+    }
+
+    fn send_to(&mut self, request: usize, target: usize) {
+        let now = self.now;
+        let req = &mut self.requests[request];
         req.sent = now;
         req.send += 1;
         req.target = target;
         req.was_silent = false;
         let (send, arrived) = (req.send, req.arrived);
-        req.tried.push(pick.key);
-        req.pick = Some(pick);
         let (gateway, kind) = (req.gateway, req.kind);
         let left = (arrived + self.scenario.kinds[kind].deadline_ms).saturating_sub(now);
         self.schedule(left, Event::TimeOut { request, send });
         let silent_after = self.gateways[gateway].answer_times().silent_after().0;
-        if self.scenario.finds_silence {
+        if self.scenario.finds_silence && self.scenario.rule.is_none() {
             self.schedule(silent_after, Event::FindSilent { request, send });
         }
         if (self.scenario.is_unreachable)(gateway, target) {
@@ -502,6 +581,8 @@
 
     fn reach_target(&mut self, request: usize) {
         let target = self.requests[request].target;
+        self.count_full(request, target);
+        self.targets[target].add_load(self.now);
         let failure_share = (self.scenario.failure_share)(target, self.now);
         if self.rng.random::<f64>() < failure_share {
             match self.scenario.failure_mode {
@@ -520,6 +601,37 @@
         }
     }
 
+    fn count_full(&mut self, request: usize, target: usize) {
+        let slots = self.scenario.slots;
+        let is_counted = self.is_counted(self.requests[request].arrived);
+        if !is_counted || self.targets[target].running < slots {
+            return;
+        }
+        self.outcome.met_full += 1;
+        let data_centres = self.scenario.data_centres;
+        let own = self.requests[request].gateway % data_centres;
+        let local = self.targets.iter().skip(own).step_by(data_centres);
+        if local.map(|target| target.running).any(|load| load < slots) {
+            self.outcome.met_full_needlessly += 1;
+        }
+    }
+
+    fn end_window(&mut self) {
+        let mut loads = Vec::new();
+        for target in &mut self.targets {
+            target.add_load(self.now);
+            loads.push(std::mem::take(&mut target.load_ms) as f64);
+        }
+        let busiest = loads.iter().copied().fold(0.0, f64::max);
+        let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+        if mean > 0.0 && self.is_counted(self.now) {
+            self.outcome.busiest_over_mean.push(busiest / mean);
+        }
+        if self.now < self.scenario.duration_ms {
+            self.schedule(WINDOW_MS, Event::EndWindow);
+        }
+    }
+
     fn find_silent(&mut self, request: usize) {
         let req = &mut self.requests[request];
         req.was_silent = true;
@@ -532,6 +644,7 @@
     fn time_out(&mut self, request: usize) {
         let req = &self.requests[request];
         let target = req.target;
+        self.targets[target].add_load(self.now);
         match req.stage {
             Stage::Queued => {
                 let queue = &mut self.targets[target].queue;
@@ -553,7 +666,10 @@
     fn start_work(&mut self, request: usize, target: usize) {
         self.targets[target].running += 1;
         self.requests[request].stage = Stage::Running;
-        let send = self.requests[request].send;
+        let (send, arrived) = (self.requests[request].send, self.requests[request].arrived);
+        if self.is_counted(arrived) {
+            self.outcome.start_ms.push(self.now - arrived);
+        }
         let kind = &self.scenario.kinds[self.requests[request].kind];
         let spread = self.rng.random_range(0.5..1.5);
         let work_time_factor = (self.scenario.work_time_factor)(target, self.now);
@@ -564,6 +680,7 @@
     fn complete(&mut self, request: usize) {
         let target = self.requests[request].target;
         self.requests[request].stage = Stage::Elsewhere;
+        self.targets[target].add_load(self.now);
         self.release_slot(target);
         let lost = (self.scenario.lost_answer_share)(target, self.now);
         let result = if self.rng.random::<f64>() < lost {
@@ -581,6 +698,15 @@
         req.stage = Stage::Elsewhere;
         let (gateway, was_silent) = (req.gateway, req.was_silent);
         let time_taken = Millis(self.now - req.sent);
+        if self.scenario.rule.is_some() {
+            self.known_loads.end(gateway, req.target);
+            if result == SendResult::Answer {
+                self.answer(request);
+            } else {
+                self.retry(request, result);
+            }
+            return;
+        }
         let key = req.pick.as_ref().unwrap().key;
         let dispatcher = &mut self.gateways[gateway];
         let finding = match result {
@@ -656,17 +782,31 @@
     }
 
     fn publish_load(&mut self, from: usize, round: u64) {
+        self.known_loads.publish(from, self.now);
         let report = self.gateways[from].load_report(time(self.now));
-        let name: VmId = format!("gateway-{from}").parse().unwrap();
-        let now = time(self.now);
         let includes_remote = round.is_multiple_of(self.scenario.local_reports_per_remote);
         let data_centres = self.scenario.data_centres;
         for number in 0..self.gateways.len() {
             let is_local = number % data_centres == from % data_centres;
-            if number != from && (is_local || includes_remote) {
-                self.gateways[number].apply_load_report(now, &name, report.clone());
-                self.start_waiting(number);
+            if number == from
+                || !(is_local || includes_remote)
+                || (self.scenario.loses_report)(from, number, self.now)
+            {
+                continue;
+            }
+            if self.scenario.report_delay_ms == 0 {
+                self.apply_load(from, number, &report);
+                continue;
             }
+            let to = number;
+            let report = self.reports.len();
+            self.schedule(
+                self.scenario.report_delay_ms,
+                Event::ApplyLoad { report, to },
+            );
+        }
+        if self.scenario.report_delay_ms > 0 {
+            self.reports.push((from, report));
         }
         if self.now < self.scenario.duration_ms + 5_000 {
             let (gateway, round) = (from, round + 1);
@@ -677,6 +817,12 @@
         }
     }
 
+    fn apply_load(&mut self, from: usize, to: usize, report: &LoadReport) {
+        let name: VmId = format!("gateway-{from}").parse().unwrap();
+        self.gateways[to].apply_load_report(time(self.now), &name, report.clone());
+        self.start_waiting(to);
+    }
+
     fn start_waiting(&mut self, gateway: usize) {
         while let Some((request, pick)) = self.gateways[gateway].next_start(time(self.now)) {
             self.send(request, pick);
--- a/crates/auburnbridge_policy/tests/balancer.rs
+++ b/crates/auburnbridge_policy/tests/balancer.rs
@@ -1,7 +1,7 @@
 //! Tests of target selection: trials of suspected targets, the floor, and incarnations at one
 //! address.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{
@@ -27,6 +27,10 @@
 }
 
 fn balancer(members: &[BalancedMember]) -> Balancer {
+    balancer_with(members, false)
+}
+
+fn balancer_with(members: &[BalancedMember], even_load: bool) -> Balancer {
     let mut balancer = Balancer::new(BalancerOptions {
         own: GatewayHost {
             vm: "gateway-1".parse().unwrap(),
@@ -34,6 +38,7 @@
         },
         floor_share: 0.7,
         seed: 1,
+        even_load,
     });
     balancer.set_members(time(0), members);
     balancer
@@ -326,6 +331,7 @@
                 },
                 floor_share: 0.7,
                 seed: seed * 7_919,
+                even_load: false,
             });
             balancer.set_members(time(0), &[member("t-1", "north")]);
             let picked = pick(&mut balancer, 0, RequestClass::Once).unwrap();
@@ -380,3 +386,87 @@
     assert_eq!(balancer.summary(time(50)).in_flight, 100);
     assert!(!balancer.is_crowded(time(50)));
 }
+
+fn full_report(name: &str) -> LoadReport {
+    LoadReport {
+        in_flight: vec![TargetLoad {
+            target: TargetHash::of(&name.parse().unwrap(), Incarnation(1)),
+            in_flight: 2,
+            proof_age: 0,
+        }],
+    }
+}
+
+/// A gateway that is frozen sends no report that withdraws its last one, which must not keep its targets
+/// from use for long: after a second, four average answer times, hardly any of its requests is left.
+#[test]
+fn last_report_of_a_frozen_gateway_loses_its_weight() {
+    let mut balancer = balancer_with(&[member("t-1", "north")], true);
+    let other = "gateway-2".parse().unwrap();
+    balancer.apply_load_report(time(100), &other, full_report("t-1"));
+    assert_eq!(pick(&mut balancer, 110, RequestClass::Once), None);
+    let picked = pick(&mut balancer, 1_100, RequestClass::Once).expect("the report still counts");
+    assert!(picked.estimate.unwrap().in_flight < 1.1, "{picked:?}");
+    // Back again, it reports the requests that it has now.
+    balancer.finish(time(1_150), picked.key, None);
+    balancer.apply_load_report(time(1_200), &other, full_report("t-1"));
+    assert_eq!(pick(&mut balancer, 1_210, RequestClass::Once), None);
+}
+
+/// The first report of a restarted gateway must replace the one that it sent before.
+#[test]
+fn report_of_a_restarted_gateway_replaces_the_former_one() {
+    let mut balancer = balancer_with(&[member("t-1", "north")], true);
+    let other = "gateway-2".parse().unwrap();
+    balancer.apply_load_report(time(100), &other, full_report("t-1"));
+    balancer.apply_load_report(time(150), &other, LoadReport::default());
+    let picked = pick(&mut balancer, 150, RequestClass::Once).expect("the former report counts");
+    assert_eq!(picked.in_flight, 1);
+}
+
+/// Requests of others that were reported for the former incarnation of a target must not fill the new one.
+#[test]
+fn reported_load_ends_with_the_incarnation_of_the_target() {
+    let mut balancer = balancer_with(&[member("t-1", "north")], true);
+    let other = "gateway-2".parse().unwrap();
+    balancer.apply_load_report(time(100), &other, full_report("t-1"));
+    let restarted = BalancedMember {
+        incarnation: Incarnation(2),
+        ..member("t-1", "north")
+    };
+    balancer.set_members(time(110), &[restarted]);
+    let picked = pick(&mut balancer, 120, RequestClass::Once).expect("the former load counts");
+    assert_eq!(picked.estimate.unwrap().report_age, None);
+}
+
+/// Gateways that choose at the same moment without any report must choose slots of their own: together
+/// they use no target beyond its slots, and leave none without a request.
+#[test]
+fn gateways_use_different_slots_without_reports() {
+    let names: Vec<String> = (0..12).map(|number| format!("t-{number}")).collect();
+    let members: Vec<BalancedMember> = names.iter().map(|name| member(name, "north")).collect();
+    let hosts: Vec<GatewayHost> = (0..8)
+        .map(|number| GatewayHost {
+            vm: format!("gateway-{number}").parse().unwrap(),
+            data_centre: "north".parse().unwrap(),
+        })
+        .collect();
+    let mut loads: BTreeMap<String, u32> = BTreeMap::new();
+    for own in &hosts {
+        let mut balancer = Balancer::new(BalancerOptions {
+            own: own.clone(),
+            floor_share: 0.7,
+            seed: 1,
+            even_load: true,
+        });
+        balancer.set_members(time(0), &members);
+        let others: Vec<GatewayHost> = hosts.iter().filter(|host| *host != own).cloned().collect();
+        balancer.set_gateways(&others);
+        for _ in 0..3 {
+            let picked = pick(&mut balancer, 10, RequestClass::Once).unwrap();
+            *loads.entry(picked.target.to_string()).or_default() += 1;
+        }
+    }
+    assert_eq!(loads.len(), 12, "{loads:?}");
+    assert!(loads.values().all(|load| *load == 2), "{loads:?}");
+}
--- a/crates/auburnbridge_policy/tests/last_send.rs
+++ b/crates/auburnbridge_policy/tests/last_send.rs
@@ -32,6 +32,7 @@
             },
             floor_share: 0.7,
             seed,
+            even_load: false,
         },
         resend_budget: ResendBudgetOptions {
             ratio: 0.2,
--- a/crates/auburnbridge_policy/tests/resend_budget.rs
+++ b/crates/auburnbridge_policy/tests/resend_budget.rs
@@ -94,6 +94,7 @@
             },
             floor_share: 0.7,
             seed: 1,
+            even_load: false,
         },
         resend_budget: ResendBudgetOptions {
             ratio: 0.0,
--- a/crates/auburnbridge_settings/src/gateway.rs
+++ b/crates/auburnbridge_settings/src/gateway.rs
@@ -41,6 +41,9 @@
         /// Share of a service's targets that receive requests even if they are suspected to be
         /// faulty.
         floor_share: Share [default "0.7"] ["0" to "1"],
+        /// Whether requests are spread by the load that is expected from old reports of other gateways,
+        /// and each gateway first uses slots that no other one does.
+        even_load: bool [default "false"],
         /// Attempts after the first one of each request, as a share of the requests in a window of
         /// `resend_window`.
         resend_share: Share [default "0.1"] ["0" to "1"],
