--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -248,6 +248,7 @@
             },
             floor_share: 0.7,
             seed: 1,
+            even_load: false,
         },
         resend_budget: ResendBudgetOptions {
             ratio: 0.2,
--- a/crates/auburnbridge_policy/tests/fair_shares/dispatch.rs
+++ b/crates/auburnbridge_policy/tests/fair_shares/dispatch.rs
@@ -29,6 +29,7 @@
                 data_centre: data_centre.clone(),
             },
             floor_share: 0.7,
+            even_load: false,
             seed: 1,
         },
         resend_budget: ResendBudgetOptions {
--- a/crates/auburnbridge_policy/tests/fair_shares/load.rs
+++ b/crates/auburnbridge_policy/tests/fair_shares/load.rs
@@ -120,6 +120,11 @@
         local_reports_per_remote: 1,
         cells: false,
         gateway_weight: None,
+        report_delay_ms: 0,
+        loses_report: |_, _, _| false,
+        arrival_share: |_, _| 1.0,
+        even_load: false,
+        rule: None,
     }
 }
 
--- a/crates/auburnbridge_policy/tests/fair_shares/main.rs
+++ b/crates/auburnbridge_policy/tests/fair_shares/main.rs
@@ -17,5 +17,7 @@
     dead_code,
     reason = "the simulation of the balance_load tests has more to report than is read here"
 )]
+#[path = "../balance_load/rules.rs"]
+mod rules;
 #[path = "../balance_load/simulation.rs"]
 mod simulation;
