Test that one account's backlog leaves room for another

Cause: no test showed that a gateway passes the account to its dispatcher.

Change: a test with 40 requests of one account and one of another on a target with two slots.

--- a/crates/auburnbridge_gateway/tests/forwarding/accounts.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/accounts.rs
@@ -131,3 +131,29 @@
         assert_eq!(requests[1].headers.len() + 2, requests[0].headers.len());
     });
 }
+
+/// Guards against an account whose waiting requests keep those of another one from a target.
+#[test]
+fn a_backlog_of_one_account_leaves_room_for_another() {
+    block_on(async {
+        let target = start_target("t-1", Behaviour::RespondAfter(100, OK)).await;
+        let gateway = start_gateway(&[&target]);
+        assert!(gateway.install_routes(routes_with_accounts(2, &[KEY])));
+        let address = listen(&gateway).await;
+        let hot: Vec<_> = (0..40)
+            .map(|_| {
+                async_std::task::spawn(async move {
+                    send_with(address, "/order/1", 1_000, &[("Key", KEY)]).await
+                })
+            })
+            .collect();
+        async_std::task::sleep(std::time::Duration::from_millis(50)).await;
+        let light = send_with(address, "/order/1", 1_000, &[("Key", "k-ben-1")]).await;
+        assert_eq!(light.status, 200);
+        let mut refused = 0;
+        for response in hot {
+            refused += usize::from(response.await.status == 503);
+        }
+        assert!(refused > 0, "the hot account was not refused");
+    });
+}
