Split the admission of the wait queue into its estimates

Cause: try_enqueue had grown to over seventy lines.

Change: the estimate of a wait and the refusal that follows are functions of their own.

--- a/crates/auburnbridge_policy/src/balance/wait_queue.rs
+++ b/crates/auburnbridge_policy/src/balance/wait_queue.rs
@@ -10,7 +10,7 @@
 
 use auburnbridge_types::{Millis, Timestamp};
 
-use super::account_shares::{AccountKey, AccountShares, FlowKey};
+use super::account_shares::{AccountKey, AccountShares, FlowKey, Rank};
 
 /// Capacity of the queue; usually the estimate of the wait refuses requests before it is reached.
 const MAX_WAITING: usize = 512;
@@ -104,6 +104,19 @@
     }
 }
 
+/// Wait of a request that is to be queued, and what it depends on.
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    /// Waiting requests of the same flow that start earlier.
+    own_ahead: usize,
+    rank: Rank,
+    /// Waiting requests of higher priorities.
+    higher_priority: usize,
+    /// All waiting requests that start earlier.
+    ahead: usize,
+    wait: Millis,
+}
+
 /// The waiting requests of one service.
 #[derive(Clone, Debug)]
 pub struct WaitQueue<T> {
@@ -271,34 +284,15 @@
             let wait = Millis(wait.0 + wait.0 / WAIT_MARGIN_DIVISOR);
             wait > Millis(0) && now.after(wait).after(capacity.min_remaining()) > until
         };
-        let own_ahead = self.waiting.range(key.first_of_flow()..key).count();
-        let rank = self.shares.rank(flow, own_ahead);
-        let higher = self.higher_priority_waiting(priority);
-        let ahead = higher + own_ahead + rank.ahead;
-        let wait = self.wait_behind(now, key, own_ahead, ahead, capacity);
-        if is_too_late(wait) || self.is_full_for(flow) {
-            let fair_wait = capacity.estimated_wait(
-                higher + rank.ahead_of_unused,
-                0.0,
-                self.higher_priority_per_ms(now, priority),
-            );
-            let is_own_backlog =
-                account.is_some() && self.waiting.len() < MAX_WAITING && !is_too_late(fair_wait);
-            let backlog = self.shares.waiting(flow);
-            if backlog > own_ahead {
-                let refusal = self.refusal(now, priority, account, capacity);
-                return Err(Refusal {
-                    is_own_backlog,
-                    ..refusal
-                });
-            }
-            let ahead_of_refused = self.waiting.len() - rank.behind;
-            let wait = if ahead_of_refused == ahead {
-                wait
-            } else {
-                self.wait_behind(now, key, own_ahead, ahead_of_refused, capacity)
-            };
-            return Err(Refusal::new(wait, backlog, is_own_backlog));
+        let estimate = self.estimate(now, key, capacity);
+        if is_too_late(estimate.wait) || self.is_full_for(flow) {
+            let is_own_backlog = account.is_some()
+                && self.waiting.len() < MAX_WAITING
+                && !is_too_late(self.wait_without_backlog(now, key, &estimate, capacity));
+            return Err(Refusal {
+                is_own_backlog,
+                ..self.refusal_after(now, key, &estimate, account, capacity)
+            });
         }
         self.next_number += 1;
         if self.waiting.is_empty() {
@@ -309,6 +303,54 @@
         Ok(key)
     }
 
+    fn estimate(&self, now: Timestamp, key: WaitingKey, capacity: &Capacity) -> Estimate {
+        let own_ahead = self.waiting.range(key.first_of_flow()..key).count();
+        let rank = self.shares.rank(key.flow, own_ahead);
+        let higher_priority = self.higher_priority_waiting(key.priority);
+        let ahead = higher_priority + own_ahead + rank.ahead;
+        Estimate {
+            own_ahead,
+            rank,
+            higher_priority,
+            ahead,
+            wait: self.wait_behind(now, key, own_ahead, ahead, capacity),
+        }
+    }
+
+    /// Wait that the request would have if its account had nothing waiting and nothing beyond its share.
+    fn wait_without_backlog(
+        &self,
+        now: Timestamp,
+        key: WaitingKey,
+        estimate: &Estimate,
+        capacity: &Capacity,
+    ) -> Millis {
+        let ahead = estimate.higher_priority + estimate.rank.ahead_of_unused;
+        capacity.estimated_wait(ahead, 0.0, self.higher_priority_per_ms(now, key.priority))
+    }
+
+    /// The refusal of a request with this estimate.
+    fn refusal_after(
+        &self,
+        now: Timestamp,
+        key: WaitingKey,
+        estimate: &Estimate,
+        account: Option<AccountKey>,
+        capacity: &Capacity,
+    ) -> Refusal {
+        let backlog = self.shares.waiting(key.flow);
+        if backlog > estimate.own_ahead {
+            return self.refusal(now, key.priority, account, capacity);
+        }
+        let ahead = self.waiting.len() - estimate.rank.behind;
+        let wait = if ahead == estimate.ahead {
+            estimate.wait
+        } else {
+            self.wait_behind(now, key, backlog, ahead, capacity)
+        };
+        Refusal::new(wait, backlog, false)
+    }
+
     /// Whether a flow may have no further waiting requests. Unless it is alone, it may have as many as
     /// there is room left, so that a few accounts can't fill the queue.
     fn is_full_for(&self, flow: FlowKey) -> bool {
