--- a/crates/auburnbridge_policy/src/balance/cells.rs
+++ b/crates/auburnbridge_policy/src/balance/cells.rs
@@ -15,7 +15,7 @@
 use super::subset::{GatewayHost, mix, vm_hash};
 
 /// Preferred number of gateways in a cell.
-const CELL_SIZE: usize = 8;
+const CELL_SIZE: usize = 6;
 /// Share of a link that a full mesh of reports may use: one part in this many.
 const MESH_LINK_PARTS: u64 = 16;
 /// Share of a link that the reports of a gateway in a cell may use, in parts of this many: first that
