Place at-most-once requests by proofs while targets fail

While a tenth of the targets has begun to fail within 30 s, such requests are now placed as without even load.

A subset that several gateways share is drawn from instead of being used by the latest proof.

--- a/crates/auburnbridge_policy/src/balance/balancer.rs
+++ b/crates/auburnbridge_policy/src/balance/balancer.rs
@@ -95,8 +95,8 @@
     pub(super) gateways: Vec<GatewayHost>,
     /// Whether the subset of this gateway is large enough to be preferred.
     pub(super) prefers_subset: bool,
-    /// Whether this gateway uses its own slots before those of others.
-    pub(super) prefers_own_slots: bool,
+    /// Whether other gateways have targets of the subset in theirs.
+    pub(super) shares_subset: bool,
     pub(super) targets: SlotMap<BalancedKey, BalancedTarget>,
     by_id: HashMap<TargetId, BalancedKey>,
     by_hash: HashMap<TargetHash, BalancedKey>,
@@ -124,7 +124,7 @@
         Self {
             gateways: vec![options.own.clone()],
             prefers_subset: false,
-            prefers_own_slots: false,
+            shares_subset: false,
             options,
             targets: SlotMap::with_key(),
             by_id: HashMap::new(),
@@ -207,6 +207,7 @@
         for target in self.targets.values_mut() {
             target.in_subset = subset.contains(&target.hash);
         }
+        self.shares_subset = self.is_subset_shared();
         if self.options.even_load {
             self.share_slots();
         }
--- a/crates/auburnbridge_policy/src/balance/even.rs
+++ b/crates/auburnbridge_policy/src/balance/even.rs
@@ -10,8 +10,8 @@
 //!   Of the other slots, a gateway takes one of the target with the fewest requests among a few drawn
 //!   at random, so that gateways with the same view pick different targets.
 //!
-//! While targets often begin to fail, the newest proof decides within these rules, and not the load: a
-//! target that has just begun to fail has few requests.
+//! While targets often begin to fail, at-most-once requests go by the newest proof instead: a target that
+//! has just begun to fail has few requests, and these requests would be lost on it.
 
 use std::collections::HashMap;
 
@@ -20,8 +20,9 @@
 
 use super::balancer::Balancer;
 use super::report::TargetHash;
-use super::subset::{mix, vm_hash};
+use super::subset::{GatewayHost, mix, vm_hash};
 use super::target::BalancedKey;
+use crate::RequestClass;
 
 /// Targets on which a gateway should have slots of its own, so that a few that fail leave it some.
 const MIN_OWN_TARGETS: usize = 6;
@@ -30,7 +31,7 @@
 /// Targets drawn at random when a gateway has no slot of its own left.
 const DRAWN_TARGETS: usize = 3;
 /// Time for which the failure of a target counts.
-pub(super) const FAILURE_MEMORY: Millis = Millis(10_000);
+pub(super) const FAILURE_MEMORY: Millis = Millis(30_000);
 /// Failures within this time, as a share of the targets, from which targets often begin to fail.
 const FREQUENT_FAILURE_SHARE: f64 = 0.1;
 /// Shares into which a target's slots are divided at most, whatever number of slots it states.
@@ -147,14 +148,33 @@
             .filter(|target| self.is_local(target))
             .map(|target| (target.hash, target.member.slots))
             .collect();
-        let own_slots = own_slots(&own.vm, &gateways, &targets);
-        self.prefers_own_slots = own_slots.len() >= MIN_PREFERRED;
+        let mut own_slots = own_slots(&own.vm, &gateways, &targets);
+        if own_slots.len() < MIN_PREFERRED {
+            own_slots.clear();
+        }
         for target in self.targets.values_mut() {
-            target.own_slots = own_slots.get(&target.hash).copied().unwrap_or(0);
+            let is_excluded = self.shares_subset && !target.in_subset;
+            let slots = own_slots.get(&target.hash).filter(|_| !is_excluded);
+            target.own_slots = slots.copied().unwrap_or(0);
         }
     }
 
-    /// Whether so many targets have begun to fail lately that the load matters less than the proofs.
+    /// Whether the subset is larger than a division of the targets without sharing allows.
+    pub(super) fn is_subset_shared(&self) -> bool {
+        let is_local = |host: &&GatewayHost| host.data_centre == self.options.own.data_centre;
+        let gateways = self.gateways.iter().filter(is_local).count();
+        let targets = self.targets.values().filter(|target| self.is_local(target));
+        let in_subset = self.targets.values().filter(|target| target.in_subset);
+        self.prefers_subset && in_subset.count() * gateways >= 2 * targets.count()
+    }
+
+    /// Whether a request of this class uses slots of this gateway's own first. At-most-once requests go by proofs while
+    /// targets often begin to fail, since one that has just begun to fail has few requests.
+    pub(super) fn uses_own_slots(&self, now: Timestamp, class: RequestClass) -> bool {
+        self.options.even_load && (class == RequestClass::Idempotent || !self.fails_often(now))
+    }
+
+    /// Whether many targets have begun to fail lately.
     pub(super) fn fails_often(&self, now: Timestamp) -> bool {
         let targets = u32::try_from(self.targets.len()).unwrap_or(u32::MAX);
         self.failures.count(now) >= FREQUENT_FAILURE_SHARE * f64::from(targets)
--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -129,7 +129,7 @@
     }
 
     fn start(&mut self, now: Timestamp, key: BalancedKey) -> Pick {
-        let own_slot = self.prefers_own_slots && self.targets[key].has_own_slot();
+        let own_slot = self.targets[key].has_own_slot();
         let target = &mut self.targets[key];
         target.start(now);
         Pick {
@@ -188,11 +188,11 @@
         Millis(min_interval.0 + spread)
     }
 
-    /// Selects a target of the best tier, up to `worst`. In the gateway's subset, or on its own slots,
-    /// this is the target with the latest proof, or the one with the oldest proof for a request that
-    /// explores. In other tiers it is drawn at random, weighted by free slots, so that gateways with
-    /// the same view pick different targets. With even load, proofs decide only while targets often
-    /// begin to fail; otherwise the load does.
+    /// Selects a target of the best tier, up to `worst`. In a subset of this gateway alone this is the
+    /// target with the latest proof, or the one with the oldest proof for a request that explores. In
+    /// other tiers it is drawn at random, weighted by free slots, so that gateways with
+    /// the same view pick different targets. With even load, unless targets often begin to fail, it is
+    /// selected by the expected load instead.
     fn draw_up_to(
         &self,
         now: Timestamp,
@@ -233,7 +233,7 @@
                 _ => {}
             }
         }
-        if self.is_exclusive(best) {
+        if best == Tier::OwnFree || (best == Tier::SubsetFree && !self.shares_subset) {
             let proofs = candidates
                 .iter()
                 .map(|key| (self.targets[*key].proof_age(now), *key));
@@ -270,16 +270,6 @@
             })
     }
 
-    /// Whether the slots of this tier are used by no other gateway that has some of its own left.
-    fn is_exclusive(&self, tier: Tier) -> bool {
-        match tier {
-            Tier::OwnFree => true,
-            // With even load, a subset may be shared.
-            Tier::SubsetFree => !self.options.even_load,
-            _ => false,
-        }
-    }
-
     /// The local targets of other subsets that have at least two free slots, one of which its own gateway
     /// may take at the same moment, and a recent proof from any gateway.
     fn recently_proven(
@@ -363,9 +353,10 @@
             return Tier::LastResort;
         }
         let is_free = target.free_slots(now) > 0 && now >= target.shed_until;
+        let is_own = target.has_own_slot() && self.uses_own_slots(now, class);
         match (is_usable, is_free) {
             (true, true) if !is_clear => Tier::FloorFree,
-            (true, true) if self.prefers_own_slots && target.has_own_slot() => Tier::OwnFree,
+            (true, true) if is_own => Tier::OwnFree,
             (true, true) if target.in_subset && self.prefers_subset => Tier::SubsetFree,
             (true, true) if self.is_local(target) => Tier::LocalFree,
             (true, true) => Tier::RemoteFree,
--- a/crates/auburnbridge_policy/tests/balance_load/simulation.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/simulation.rs
@@ -9,6 +9,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
+use std::rc::Rc;
 
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{
@@ -275,10 +276,11 @@
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     rng: ChaCha8Rng,
     gateways: Vec<Dispatcher<usize>>,
+    names: Vec<VmId>,
     targets: Vec<Target>,
     requests: Vec<Request>,
     /// Load reports that are on their way, with their senders.
-    reports: Vec<(usize, LoadReport)>,
+    reports: Vec<(usize, Rc<LoadReport>)>,
     known_loads: KnownLoads,
     outcome: Outcome,
 }
@@ -347,6 +349,9 @@
             events: BinaryHeap::new(),
             rng: ChaCha8Rng::seed_from_u64(scenario.seed),
             gateways,
+            names: (0..scenario.gateways)
+                .map(|number| gateway_host(number, 1).vm)
+                .collect(),
             targets: (0..scenario.targets).map(|_| Target::default()).collect(),
             requests: Vec::new(),
             reports: Vec::new(),
@@ -412,7 +417,8 @@
             Event::Expire { request, wait } => self.expire(request, wait),
             Event::PublishLoad { gateway, round } => self.publish_load(gateway, round),
             Event::ApplyLoad { report, to } => {
-                let (from, report) = self.reports[report].clone();
+                let (from, report) = &self.reports[report];
+                let (from, report) = (*from, Rc::clone(report));
                 self.apply_load(from, to, &report);
             }
             Event::EndWindow => self.end_window(),
@@ -782,7 +788,9 @@
     }
 
     fn publish_load(&mut self, from: usize, round: u64) {
-        self.known_loads.publish(from, self.now);
+        if self.scenario.rule.is_some() {
+            self.known_loads.publish(from, self.now);
+        }
         let report = self.gateways[from].load_report(time(self.now));
         let includes_remote = round.is_multiple_of(self.scenario.local_reports_per_remote);
         let data_centres = self.scenario.data_centres;
@@ -806,7 +814,7 @@
             );
         }
         if self.scenario.report_delay_ms > 0 {
-            self.reports.push((from, report));
+            self.reports.push((from, Rc::new(report)));
         }
         if self.now < self.scenario.duration_ms + 5_000 {
             let (gateway, round) = (from, round + 1);
@@ -818,8 +826,8 @@
     }
 
     fn apply_load(&mut self, from: usize, to: usize, report: &LoadReport) {
-        let name: VmId = format!("gateway-{from}").parse().unwrap();
-        self.gateways[to].apply_load_report(time(self.now), &name, report.clone());
+        let from = &self.names[from];
+        self.gateways[to].apply_load_report(time(self.now), from, report.clone());
         self.start_waiting(to);
     }
 
