--- a/crates/auburnbridge_policy/tests/balance_load/simulation.rs
+++ b/crates/auburnbridge_policy/tests/balance_load/simulation.rs
@@ -11,6 +11,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
+use std::rc::Rc;
 
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{
@@ -335,10 +336,11 @@
     relayed: Vec<Vec<ReportedFinding>>,
     /// Sums of the gateways' weights, up to each one; empty if all weigh the same.
     arrival_weights: Vec<f64>,
+    names: Vec<VmId>,
     targets: Vec<Target>,
     requests: Vec<Request>,
     /// Load reports that are on their way, with their senders.
-    reports: Vec<(usize, LoadReport)>,
+    reports: Vec<(usize, Rc<LoadReport>)>,
     known_loads: KnownLoads,
     outcome: Outcome,
 }
@@ -433,6 +435,9 @@
             gateways,
             relayed: Vec::new(),
             arrival_weights,
+            names: (0..scenario.gateways)
+                .map(|number| gateway_host(number, 1).vm)
+                .collect(),
             targets: (0..scenario.targets).map(|_| Target::default()).collect(),
             requests: Vec::new(),
             reports: Vec::new(),
@@ -508,7 +513,8 @@
             Event::PublishLoad { gateway, round } => self.publish_load(gateway, round),
             Event::RelayFindings { from, number } => self.relay_findings(from, number),
             Event::ApplyLoad { report, to } => {
-                let (from, report) = self.reports[report].clone();
+                let (from, report) = &self.reports[report];
+                let (from, report) = (*from, Rc::clone(report));
                 self.apply_load(from, to, &report);
             }
             Event::EndWindow => self.end_window(),
@@ -954,7 +960,9 @@
     }
 
     fn publish_load(&mut self, from: usize, round: u64) {
-        self.known_loads.publish(from, self.now);
+        if self.scenario.rule.is_some() {
+            self.known_loads.publish(from, self.now);
+        }
         let report = self.gateways[from].load_report(time(self.now));
         let includes_remote = round.is_multiple_of(self.scenario.local_reports_per_remote);
         let data_centres = self.scenario.data_centres;
@@ -980,7 +988,7 @@
             );
         }
         if self.scenario.report_delay_ms > 0 {
-            self.reports.push((from, report));
+            self.reports.push((from, Rc::new(report)));
         }
         if self.now < self.scenario.duration_ms + 5_000 {
             let (gateway, round) = (from, round + 1);
@@ -992,8 +1000,8 @@
     }
 
     fn apply_load(&mut self, from: usize, to: usize, report: &LoadReport) {
-        let name: VmId = format!("gateway-{from}").parse().unwrap();
-        self.gateways[to].apply_load_report(time(self.now), &name, report.clone());
+        let from = &self.names[from];
+        self.gateways[to].apply_load_report(time(self.now), from, report.clone());
         self.start_waiting(to);
     }
 
