End a connection whose writer has ended, whatever is queued or buffered

Cause: the count of pending responses was kept by hand. A refusal that was queued while the last response was written stayed counted when the writer ended, and the reader waited for the caller to close. After a failed write, a caller that had sent over 256 KiB ahead hid the end of the stream: an upload that waited for room, or for its turn for 100 Continue, waited on, and the other requests of the connection weren't cancelled.

Ruled out: a response written twice, or a request dispatched behind the close; the checks of is_closing run on the same task as the writer.

Change: a guard counts each pending response until it is dropped, and the wait for room ends once the connection closes.

--- a/crates/auburnbridge_caller/src/pipeline.rs
+++ b/crates/auburnbridge_caller/src/pipeline.rs
@@ -75,9 +75,26 @@
     /// `Close` if the connection must close after this response.
     requested_keep_alive: KeepAlive,
     response_rx: Receiver<HeldResponse>,
+    _count: PendingCount,
     _guard: Option<TaskGuard>,
 }
 
+/// Counts a response as pending until it is dropped: written, or queued for a writer that has ended.
+struct PendingCount(Arc<AtomicUsize>);
+
+impl PendingCount {
+    fn new(pending: &Arc<AtomicUsize>) -> Self {
+        pending.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(pending))
+    }
+}
+
+impl Drop for PendingCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// A response with the memory that its body holds.
 struct HeldResponse {
     response: Response,
@@ -107,7 +124,7 @@
 /// State shared by the reader and the writer of a connection.
 struct PipelineState {
     /// Number of requests whose responses are not written yet.
-    pending: AtomicUsize,
+    pending: Arc<AtomicUsize>,
     /// Whether the connection closes after the last response; no further request is dispatched.
     is_closing: AtomicBool,
     memory: ConnectionMemory,
@@ -128,7 +145,7 @@
     ) {
         let (pending_tx, pending_rx) = async_channel::bounded(self.options.pipeline_depth);
         let state = PipelineState {
-            pending: AtomicUsize::new(0),
+            pending: Arc::default(),
             is_closing: AtomicBool::new(false),
             memory: ConnectionMemory::new(limits.connection_memory()),
         };
@@ -169,12 +186,8 @@
                 NextRequest::Ended => break,
             };
             let requested_keep_alive = pending_response.requested_keep_alive;
-            if pending_tx.send(pending_response).await.is_err() {
-                // The writer has ended and won't count it down.
-                state.pending.fetch_sub(1, Ordering::SeqCst);
-                break;
-            }
-            if requested_keep_alive == KeepAlive::Close
+            if pending_tx.send(pending_response).await.is_err()
+                || requested_keep_alive == KeepAlive::Close
                 || !self.skip_body(&mut reader, skipped).await
             {
                 break;
@@ -262,12 +275,16 @@
         }
     }
 
-    /// Waits until the connection may hold the body of this request; `false` if the caller
-    /// disconnects first.
+    /// Waits until the connection may hold the body of this request; `false` if the connection ends
+    /// or closes first.
     async fn wait_for_room(&self, reader: &mut RequestReader<'_>, head: &UnreadRequest) -> bool {
         let state = reader.state;
         let bytes = head.body_length().unwrap_or_default();
         loop {
+            // Bytes that were sent ahead may hide the end of the stream after a failed write.
+            if state.is_closing.load(Ordering::SeqCst) {
+                return false;
+            }
             // An interim response must not precede the responses to earlier requests.
             let is_in_turn = !head.awaits_continue() || state.pending.load(Ordering::SeqCst) == 0;
             if is_in_turn && state.memory.has_room(bytes) {
@@ -372,15 +389,13 @@
         reader: &RequestReader<'_>,
     ) -> NextRequest {
         let state = reader.state;
-        state.pending.fetch_add(1, Ordering::SeqCst);
+        let count = PendingCount::new(&state.pending);
         if state.is_closing.load(Ordering::SeqCst) {
-            state.pending.fetch_sub(1, Ordering::SeqCst);
             return NextRequest::Ended;
         }
         let info = RequestInfo::from(&req);
         let requested_keep_alive = req.keep_alive;
         let Some(guard) = self.lifecycle.begin_request() else {
-            state.pending.fetch_sub(1, Ordering::SeqCst);
             let problem = Problem::new(ErrorKind::ShuttingDown, "the process is shutting down");
             let response = problem.for_possible_resend().to_response();
             return NextRequest::Pending(answered(response, info, KeepAlive::Close, state));
@@ -401,6 +416,7 @@
             info,
             requested_keep_alive,
             response_rx,
+            _count: count,
             _guard: Some(guard),
         })
     }
@@ -423,7 +439,6 @@
             let written = self
                 .write_response(&mut stream, &held.response, next.info, keep_alive, min_rate)
                 .await;
-            state.pending.fetch_sub(1, Ordering::SeqCst);
             if let Err(error) = written {
                 debug!("can't write the response to {caller}: {error}");
                 break;
@@ -522,13 +537,13 @@
     requested_keep_alive: KeepAlive,
     state: &PipelineState,
 ) -> PendingResponse {
-    state.pending.fetch_add(1, Ordering::SeqCst);
     let (tx, response_rx) = async_channel::bounded(1);
     send_response(&tx, response, &state.memory);
     PendingResponse {
         info,
         requested_keep_alive,
         response_rx,
+        _count: PendingCount::new(&state.pending),
         _guard: None,
     }
 }
--- a/crates/auburnbridge_caller/tests/bodies.rs
+++ b/crates/auburnbridge_caller/tests/bodies.rs
@@ -13,21 +13,26 @@
     Transfer, TransferPace,
 };
 use auburnbridge_http::{
-    Connection, Limits, MemoryBudget, Request, RequestInfo, Response, UnreadRequest,
+    Connection, KeepAlive, Limits, MemoryBudget, Request, RequestInfo, Response, UnreadRequest,
 };
 use auburnbridge_types::{BoxFuture, ByteRate, ByteSize, Millis, Timestamp};
 use parking_lot::Mutex;
 
 const UPLOAD_BYTES: usize = 60 * 1024;
+/// Doesn't fit the buffers of the sockets.
+const LARGE_RESPONSE: usize = 8 << 20;
 const HEAD_TIMEOUT: Millis = Millis(400);
 
-/// Refuses `/refused`, answers `/large` with 8 MiB and other paths with the length of the body.
+/// Refuses `/refused`, answers `/large` with 8 MiB, `/never` only after a disconnect, and other paths
+/// with the length of the body.
 #[derive(Default)]
 struct UploadService {
     /// Lengths of the bodies in the order of their arrival.
     received: Mutex<Vec<usize>>,
     /// Requests in progress now, and at most so far.
     running: Mutex<(usize, usize)>,
+    /// Requests to `/never` that ended because their caller disconnected.
+    disconnected: Mutex<usize>,
     delay: Duration,
 }
 
@@ -36,10 +41,14 @@
         &self,
         req: Request,
         _caller: SocketAddr,
-        _disconnect: Disconnect,
+        disconnect: Disconnect,
     ) -> BoxFuture<'_, Response> {
         Box::pin(async move {
             self.received.lock().push(req.body.len());
+            if req.path == "/never" {
+                disconnect.wait().await;
+                *self.disconnected.lock() += 1;
+            }
             {
                 let mut running = self.running.lock();
                 running.0 += 1;
@@ -49,7 +58,7 @@
             self.running.lock().0 -= 1;
             let mut response = Response::new(200);
             response.body = match req.path.as_str() {
-                "/large" => vec![b'x'; 8 << 20].into(),
+                "/large" => vec![b'x'; LARGE_RESPONSE].into(),
                 _ => req.body.len().to_string().into_bytes().into(),
             };
             response
@@ -93,12 +102,14 @@
 
 struct Fixture {
     service: Arc<UploadService>,
+    lifecycle: Arc<Lifecycle>,
     budget: MemoryBudget,
     address: SocketAddr,
 }
 
 async fn start(service: UploadService) -> Fixture {
     let service = Arc::new(service);
+    let lifecycle = Arc::new(Lifecycle::default());
     let budget = MemoryBudget::new(ByteSize(4 << 20));
     let limits = UploadLimits {
         budget: budget.clone(),
@@ -110,7 +121,7 @@
     let listener = Listener::bind(
         "127.0.0.1:0".parse().unwrap(),
         Arc::clone(&service) as Arc<dyn Service>,
-        Arc::new(Lifecycle::default()),
+        Arc::clone(&lifecycle),
         options,
     )
     .await
@@ -119,6 +130,7 @@
     task::spawn(listener.run());
     Fixture {
         service,
+        lifecycle,
         budget,
         address,
     }
@@ -155,7 +167,7 @@
 }
 
 async fn read(connection: &mut Connection<TcpStream>) -> Response {
-    let limits = Limits::default();
+    let limits = Limits::default().with_body_bytes(ByteSize(LARGE_RESPONSE as u64));
     let answer = connection.read_response(RequestInfo::default(), &limits);
     timeout(Duration::from_secs(3), answer)
         .await
@@ -377,6 +389,88 @@
     });
 }
 
+const GET: &[u8] = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+const GET_LARGE: &[u8] = b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n";
+const GET_NEVER: &[u8] = b"GET /never HTTP/1.1\r\nHost: h\r\n\r\n";
+/// Bytes that can't be read as a request.
+const UNREADABLE: &[u8] = b"?\r\n\r\n";
+
+/// Checks that the listener closes a connection on which it has sent its last byte, although the
+/// caller keeps it open.
+async fn assert_closed(connection: &mut Connection<TcpStream>) {
+    // Longer than the input of a closed connection is drained.
+    task::sleep(Duration::from_secs(1)).await;
+    let writes = async {
+        while connection.get_mut().write_all(b"x").await.is_ok() {
+            task::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(Duration::from_millis(500), writes)
+        .await
+        .expect("the listener still holds the connection");
+}
+
+/// Guards against a connection that is held until its caller closes it, because a refusal came after
+/// the last response and is never written.
+#[test]
+fn refusal_behind_the_last_response_does_not_hold_the_connection() {
+    block_on(async {
+        for refused in [&upload("/refused"), UNREADABLE] {
+            let fixture = start(UploadService::default()).await;
+            fixture.lifecycle.begin_draining();
+            let mut connection = fixture.connect(GET).await;
+            assert_eq!(read(&mut connection).await.keep_alive, KeepAlive::Close);
+            connection.get_mut().write_all(refused).await.unwrap();
+            assert_closed(&mut connection).await;
+        }
+    });
+}
+
+/// Guards against a connection that is held because a refusal was queued while the last response was
+/// written.
+#[test]
+fn refusal_during_the_last_response_does_not_hold_the_connection() {
+    block_on(async {
+        let fixture = start(UploadService::default()).await;
+        fixture.lifecycle.begin_draining();
+        let mut connection = fixture.connect(GET_LARGE).await;
+        task::sleep(Duration::from_millis(150)).await;
+        connection.get_mut().write_all(UNREADABLE).await.unwrap();
+        task::sleep(Duration::from_millis(50)).await;
+        let response = read(&mut connection).await;
+        assert_eq!(response.keep_alive, KeepAlive::Close);
+        assert_eq!(response.body.len(), LARGE_RESPONSE);
+        assert_closed(&mut connection).await;
+    });
+}
+
+/// Guards against requests that go on for a caller that reads nothing and whose connection was given
+/// up, because the bytes it sent ahead fill the buffer in front of the end of the stream.
+#[test]
+fn unread_connection_ends_while_an_upload_waits_for_room() {
+    block_on(async {
+        for extra in ["", "Expect: 100-continue\r\n"] {
+            let fixture = start(UploadService::default()).await;
+            let mut bytes = [GET_LARGE, GET_NEVER].concat();
+            bytes.extend(head("/", 1 << 20, extra));
+            let connection = fixture.connect(&bytes).await;
+            let mut sending = connection.get_ref().clone();
+            let send = task::spawn(async move {
+                let _ = sending.write_all(&vec![b'u'; 1 << 20]).await;
+            });
+            let cancelled = async {
+                while *fixture.service.disconnected.lock() == 0 {
+                    task::sleep(Duration::from_millis(10)).await;
+                }
+            };
+            timeout(Duration::from_secs(3), cancelled)
+                .await
+                .expect("the request goes on");
+            send.cancel().await;
+        }
+    });
+}
+
 const PACE: TransferPace = TransferPace {
     max_pause: Millis(3_000),
     min_rate: ByteRate(8 * 1024),
