Keep waiting uploads from misleading the queue, and let them use a target that becomes free

Causes, found in a review of: - An upload that gave back its slot counted as a completion of the service.

Ruled out: queueing an upload with the full targets as tried ones; the queue considers only its first request of each class, so such an upload would block those behind it.

--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -11,6 +11,7 @@
 use futures_lite::FutureExt;
 use log::info;
 
+use crate::bodies::BodyInFlight;
 use crate::exchange::{Exchanger, Outcome, SendResult};
 use crate::failure::Failure;
 use crate::gateway::{Gateway, Incoming};
@@ -121,7 +122,7 @@
         if let Some(result) = responded.or(timed_out).await {
             return self.record_send(result);
         }
-        let Some(hedge) = self.acquire_hedge() else {
+        let Some((hedge, _body_in_flight)) = self.acquire_hedge() else {
             return self.record_send(first.await);
         };
         self.tried.push(hedge.key());
@@ -143,14 +144,14 @@
 
     /// A second target for a request that is still in flight on the first one, if a target has a free
     /// slot and the resend budget allows it.
-    fn acquire_hedge(&mut self) -> Option<Assignment> {
+    fn acquire_hedge(&self) -> Option<(Assignment, Option<BodyInFlight>)> {
         let is_allowed = self.sends + 1 < self.exchanger.incoming.route.max_attempts;
-        let dispatcher = self.exchanger.dispatcher;
         if !is_allowed {
             return None;
         }
-        let hedge = dispatcher.pick_hedge(&self.placement_request())?;
-        dispatcher.try_resend().then_some(hedge)
+        let hedge = self.exchanger.acquire_hedge(self.placement_request())?;
+        let has_resend = self.exchanger.dispatcher.try_resend();
+        has_resend.then_some(hedge)
     }
 
     fn record_send(&mut self, result: SendResult) -> Outcome {
--- a/crates/auburnbridge_gateway/src/service_dispatcher.rs
+++ b/crates/auburnbridge_gateway/src/service_dispatcher.rs
@@ -55,6 +55,12 @@
         self.is_finished = true;
         self.dispatcher.finish(self.pick.key, finding);
     }
+
+    /// Gives back the slot for a request that is not sent to this target.
+    pub fn give_back(mut self) {
+        self.is_finished = true;
+        self.dispatcher.give_back(self.pick.key);
+    }
 }
 
 impl Drop for Assignment {
@@ -182,6 +188,17 @@
         Some(self.assignment(pick))
     }
 
+    /// Picks another target with a free slot for a request that can't use the one it was given,
+    /// without waiting.
+    pub(crate) fn pick_free(
+        self: &Arc<Self>,
+        request: &PlacementRequest<'_>,
+    ) -> Option<Assignment> {
+        let now = self.clock.now();
+        let pick = self.inner.lock().pick_free(now, request)?;
+        Some(self.assignment(pick))
+    }
+
     /// Records a finding about the target of a request that is still in flight.
     pub(crate) fn observe(&self, key: BalancedKey, finding: Finding) {
         let now = self.clock.now();
@@ -208,6 +225,12 @@
         self.start_waiting();
     }
 
+    fn give_back(self: &Arc<Self>, key: BalancedKey) {
+        let now = self.clock.now();
+        self.inner.lock().give_back(now, key);
+        self.start_waiting();
+    }
+
     /// Starts the waiting requests for which there is a free slot.
     pub fn start_waiting(self: &Arc<Self>) {
         loop {
--- a/crates/auburnbridge_gateway/tests/forwarding/uploads.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/uploads.rs
@@ -14,7 +14,9 @@
 use auburnbridge_types::ByteSize;
 
 use crate::accounts::routes_with_accounts;
-use crate::targets::{Behaviour, OK, SHED, Target, listen, send, start_gateway, start_target};
+use crate::targets::{
+    Behaviour, OK, SHED, Target, announcement, listen, send, start_gateway, start_target,
+};
 
 const UPLOAD_BYTES: usize = 60 * 1024;
 /// Memory for the bodies of requests: half of that of all bodies.
@@ -63,6 +65,15 @@
     wait_until(failure, || gateway.body_memory() == ByteSize(0)).await;
 }
 
+fn start_gateway_with_one_upload_per_target(targets: &[&Target]) -> Arc<Gateway> {
+    let options = BodyOptions {
+        in_flight_per_target: ByteSize(UPLOAD_BYTES as u64),
+        ..BodyOptions::default()
+    };
+    let gateway = Arc::into_inner(start_gateway(targets)).unwrap();
+    Arc::new(gateway.with_body_options(options))
+}
+
 fn received(target: &Target) -> usize {
     target.requests.lock().len()
 }
@@ -211,12 +222,7 @@
             start_target("t-1", Behaviour::RespondAfter(300, OK)).await,
             start_target("t-2", Behaviour::RespondAfter(300, OK)).await,
         ];
-        let gateway = start_gateway(&[&targets[0], &targets[1]]);
-        let options = BodyOptions {
-            in_flight_per_target: ByteSize(UPLOAD_BYTES as u64),
-            ..BodyOptions::default()
-        };
-        let gateway = Arc::new(Arc::into_inner(gateway).unwrap().with_body_options(options));
+        let gateway = start_gateway_with_one_upload_per_target(&[&targets[0], &targets[1]]);
         let address = listen(&gateway).await;
         let uploads: Vec<_> = (0..3)
             .map(|_| task::spawn(upload(address, "/order/1", UPLOAD_BYTES)))
@@ -234,3 +240,48 @@
         assert_eq!(both(), 4);
     });
 }
+
+/// Guards against an upload that waits for the end of another one although a target without a body
+/// could take it meanwhile.
+#[test]
+fn waiting_upload_is_sent_to_a_target_that_joins() {
+    block_on(async {
+        let targets = [
+            start_target("t-1", Behaviour::RespondAfter(700, OK)).await,
+            start_target("t-2", Behaviour::Respond(OK)).await,
+        ];
+        let gateway = start_gateway_with_one_upload_per_target(&[&targets[0]]);
+        let address = listen(&gateway).await;
+        let first = task::spawn(upload(address, "/order/1", UPLOAD_BYTES));
+        wait_until("no upload was sent", || received(&targets[0]) == 1).await;
+        let start = Instant::now();
+        let second = task::spawn(upload(address, "/order/1", UPLOAD_BYTES));
+        task::sleep(Duration::from_millis(100)).await;
+        let announcements = [announcement(&targets[0]), announcement(&targets[1])];
+        gateway.services().apply_targets(&announcements);
+        assert_eq!(second.await.status, 200);
+        assert!(start.elapsed() < Duration::from_millis(400));
+        assert_eq!(received(&targets[1]), 1);
+        assert_eq!(first.await.status, 200);
+    });
+}
+
+/// Guards against a hedge that puts a second upload on a target over its limit of bytes in flight.
+#[test]
+fn hedge_of_an_upload_respects_the_limit_of_its_target() {
+    block_on(async {
+        let targets = [
+            start_target("t-1", Behaviour::RespondAfter(900, OK)).await,
+            start_target("t-2", Behaviour::RespondAfter(900, OK)).await,
+        ];
+        let gateway = start_gateway_with_one_upload_per_target(&[&targets[0], &targets[1]]);
+        let address = listen(&gateway).await;
+        let uploads: Vec<_> = (0..2)
+            .map(|_| task::spawn(upload(address, "/lookup/1", UPLOAD_BYTES)))
+            .collect();
+        for upload in uploads {
+            assert_eq!(upload.await.status, 200);
+        }
+        assert_eq!((received(&targets[0]), received(&targets[1])), (1, 1));
+    });
+}
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -267,6 +267,15 @@
         if !self.waiting.is_empty() || !self.has_unreserved_resends(now) {
             return None;
         }
+        self.pick_free(now, request)
+    }
+
+    /// Picks another target with a free slot for a request that can't use the one it was given, if
+    /// no request waits.
+    pub fn pick_free(&mut self, now: Timestamp, request: &PlacementRequest<'_>) -> Option<Pick> {
+        if !self.waiting.is_empty() {
+            return None;
+        }
         self.balancer
             .pick(now, RequestClass::Once, request.tried, &mut self.rng)
     }
@@ -287,6 +296,12 @@
         self.balancer.finish(now, key, finding);
     }
 
+    /// Gives back the slot of a request that was not sent. It says nothing about the capacity, unlike
+    /// the end of a request.
+    pub fn give_back(&mut self, now: Timestamp, key: BalancedKey) {
+        self.balancer.finish(now, key, None);
+    }
+
     /// Adds an answer that took `time` to the average answer time and classifies it.
     pub fn record_answer(&mut self, time: Millis, was_silent: bool) -> Finding {
         self.balancer.record_answer(time, was_silent)
