Announce the close behind a refused body that is given up

Cause: when the body of a refused request came too slowly to be skipped, the reader ended, but the responses not yet written were sent without Connection: close, and both directions were closed right behind them. Input that still drips in then resets the connection, and the answers to requests that have run can be lost.

Ruled out: a refusal that was written before; its body is given up at least head_timeout later.

Change: the reader marks the connection as closing, so that the last response closes it and its input is drained, as at a shutdown.

--- a/crates/auburnbridge_caller/src/pipeline.rs
+++ b/crates/auburnbridge_caller/src/pipeline.rs
@@ -188,10 +188,13 @@
             let requested_keep_alive = pending_response.requested_keep_alive;
             if pending_tx.send(pending_response).await.is_err()
                 || requested_keep_alive == KeepAlive::Close
-                || !self.skip_body(&mut reader, skipped).await
             {
                 break;
             }
+            if !self.skip_body(&mut reader, skipped).await {
+                state.is_closing.store(true, Ordering::SeqCst);
+                break;
+            }
         }
         drop(pending_tx);
         self.watch_for_disconnect(&mut reader.connection, &reader.signal, state)
@@ -485,7 +488,10 @@
     /// Decides whether the response that is written next closes the connection, and stops
     /// dispatching requests if the connection is to close.
     fn next_keep_alive(&self, requested_keep_alive: KeepAlive, state: &PipelineState) -> KeepAlive {
-        if requested_keep_alive == KeepAlive::Reuse && self.lifecycle.phase() == Phase::Serving {
+        if requested_keep_alive == KeepAlive::Reuse
+            && self.lifecycle.phase() == Phase::Serving
+            && !state.is_closing.load(Ordering::SeqCst)
+        {
             return KeepAlive::Reuse;
         }
         state.is_closing.store(true, Ordering::SeqCst);
--- a/crates/auburnbridge_caller/tests/bodies.rs
+++ b/crates/auburnbridge_caller/tests/bodies.rs
@@ -471,6 +471,43 @@
     });
 }
 
+/// Guards against answers that are lost by a reset, because the connection is closed behind them while
+/// the body of a refused request still drips in.
+#[test]
+fn refused_body_that_stops_closes_behind_the_last_response() {
+    block_on(async {
+        let service = UploadService {
+            delay: Duration::from_millis(800),
+            ..UploadService::default()
+        };
+        let fixture = start(service).await;
+        let mut bytes = GET.to_vec();
+        bytes.extend(head("/refused", UPLOAD_BYTES, ""));
+        let mut connection = fixture.connect(&bytes).await;
+        let mut dripping = connection.get_ref().clone();
+        let drip = task::spawn(async move {
+            while dripping.write_all(b"u").await.is_ok() {
+                task::sleep(Duration::from_millis(20)).await;
+            }
+        });
+        // The time for the refused body has passed.
+        task::sleep(Duration::from_millis(1_200)).await;
+        let mut text = String::new();
+        let reading = connection.get_mut().read_to_string(&mut text);
+        timeout(Duration::from_secs(2), reading)
+            .await
+            .unwrap()
+            .unwrap();
+        let responses: Vec<&str> = text.split("HTTP/1.1 ").skip(1).collect();
+        assert_eq!(responses.len(), 2, "{text}");
+        assert!(responses[0].starts_with("200"), "{text}");
+        assert!(!responses[0].contains("Connection: close"), "{text}");
+        assert!(responses[1].starts_with("503"), "{text}");
+        assert!(responses[1].contains("Connection: close"), "{text}");
+        drip.cancel().await;
+    });
+}
+
 const PACE: TransferPace = TransferPace {
     max_pause: Millis(3_000),
     min_rate: ByteRate(8 * 1024),
