--- a/crates/auburnbridge_policy/tests/fair_shares/main.rs
+++ b/crates/auburnbridge_policy/tests/fair_shares/main.rs
@@ -19,5 +19,9 @@
 )]
 #[path = "../balance_load/rules.rs"]
 mod rules;
+#[allow(
+    dead_code,
+    reason = "the simulation of the balance_load tests has more to report than is read here"
+)]
 #[path = "../balance_load/simulation.rs"]
 mod simulation;
