Explain where a request would go, without sending it

Cause: operators asked for a command that says where a given request would go now, and why. Ruled out: a second copy of the decisions, which would drift from them; the explanation makes the dispatcher's decisions on copies of its state. Limits of accounts are not explained yet. Measured: two tests of the gateway pass; nothing is sent or counted.

--- a/crates/auburnbridge/src/commands/mod.rs
+++ b/crates/auburnbridge/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod check;
 pub(crate) mod control;
 pub(crate) mod entry;
+pub(crate) mod explain;
 pub(crate) mod gateway;
 pub(crate) mod keeper;
 pub(crate) mod keys;
--- a/crates/auburnbridge/src/main.rs
+++ b/crates/auburnbridge/src/main.rs
@@ -21,6 +21,7 @@
 enum Command {
     Entry(commands::entry::EntryArguments),
     Keeper(commands::keeper::KeeperArguments),
+    Explain(commands::explain::ExplainArguments),
     Gateway(commands::gateway::GatewayArguments),
     Control(commands::control::ControlArguments),
     Check(commands::check::CheckArguments),
@@ -46,6 +47,7 @@
     let result = match arguments.command {
         Command::Entry(arguments) => commands::entry::run(&arguments),
         Command::Keeper(arguments) => commands::keeper::run(&arguments),
+        Command::Explain(arguments) => commands::explain::run(&arguments),
         Command::Gateway(arguments) => commands::gateway::run(&arguments),
         Command::Control(arguments) => commands::control::run(&arguments),
         Command::Check(arguments) => commands::check::run(&arguments),
--- a/crates/auburnbridge_gateway/src/failure.rs
+++ b/crates/auburnbridge_gateway/src/failure.rs
@@ -37,7 +37,7 @@
         }
     }
 
-    fn status(self) -> u16 {
+    pub(crate) fn status(self) -> u16 {
         match self {
             Self::NoConfiguration | Self::NoRoom | Self::Poisoned => 503,
             Self::UnknownKey => 401,
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -278,6 +278,15 @@
     }
 }
 
+/// `Retry-After` of a request that is refused before a service is chosen.
+pub(crate) fn refusal_retry_after(failure: Failure) -> Option<Millis> {
+    match failure {
+        Failure::NoConfiguration => Some(CONFIGURATION_RETRY_AFTER),
+        Failure::Poisoned => Some(POISON_RETRY_AFTER),
+        _ => None,
+    }
+}
+
 /// Logs the refusal of a request that was assigned to no service, and returns the response.
 fn refuse(
     request: &Request,
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod authentication;
 mod departures;
 mod exchange;
+mod explain;
 mod failure;
 mod feed;
 mod forward;
@@ -20,6 +21,10 @@
 mod service_table;
 mod stop_times;
 
+pub use explain::{
+    EXPLAIN_HOST, EXPLAIN_KEY, EXPLAIN_METHOD, EXPLAIN_PATH, EXPLAIN_TARGET, ExplainedRefusal,
+    ExplainedService, ExplainedTarget, Explanation, OperatorService,
+};
 pub use feed::KeeperWatcher;
 pub use gateway::{CallerService, Gateway, GatewayDependencies, request_digest};
 pub use neighbours::{GatewayReport, GatewayReporter};
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -25,6 +25,7 @@
 use log::info;
 use parking_lot::Mutex;
 
+use crate::explain::OperatorService;
 use crate::feed::KeeperWatcher;
 use crate::gateway::{CallerService, Gateway, GatewayDependencies};
 use crate::neighbours::GatewayReporter;
@@ -157,7 +158,10 @@
         if let Some(address) = options.metrics_address {
             listen(
                 address,
-                Arc::new(MetricsService(Arc::clone(&gateway.metrics))),
+                Arc::new(OperatorService {
+                    gateway: Arc::clone(&gateway),
+                    metrics: MetricsService(Arc::clone(&gateway.metrics)),
+                }),
                 Arc::new(Lifecycle::default()),
                 ListenerOptions::builder().clock(Arc::clone(&clock)).build(),
             )
--- a/crates/auburnbridge_gateway/src/service_dispatcher.rs
+++ b/crates/auburnbridge_gateway/src/service_dispatcher.rs
@@ -9,7 +9,8 @@
 use async_channel::Sender;
 use auburnbridge_policy::balance::{
     AnswerTimes, BalancedKey, BalancedMember, Dispatcher, DispatcherOptions, Finding, GatewayHost,
-    LoadReport, Pick, Placement, PlacementRequest, Refusal, ReportedFinding, WaitingKey,
+    LoadReport, Pick, Placement, PlacementForecast, PlacementRequest, Refusal, ReportedFinding,
+    WaitingKey,
 };
 use auburnbridge_types::{Clock, Millis, ServiceName, TargetId, VmId};
 use futures_lite::FutureExt;
@@ -132,6 +133,15 @@
         self.inner.lock().answer_times()
     }
 
+    /// What would happen to a request now. Nothing changes.
+    pub(crate) fn forecast(&self, request: &PlacementRequest<'_>) -> PlacementForecast {
+        let (tx, _rx) = async_channel::bounded(1);
+        let now = self.clock.now();
+        // The copy is made under the lock, and the draws after its release.
+        let copy = self.inner.lock().clone();
+        copy.forecast(now, request, &tx)
+    }
+
     /// The refusal for a request of this priority, which states when to retry.
     pub(crate) fn refusal(&self, priority: u32) -> Refusal {
         let now = self.clock.now();
--- a/crates/auburnbridge_gateway/tests/forwarding/accounts.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/accounts.rs
@@ -13,7 +13,7 @@
 const KEY: &str = "k-ana-1";
 
 /// Routes with two accounts, of which `ana` holds `keys`.
-fn routes_with_accounts(version: u64, keys: &[&str]) -> RouteSet {
+pub fn routes_with_accounts(version: u64, keys: &[&str]) -> RouteSet {
     let account = |name: &str| ClientAccount {
         id: name.parse().unwrap(),
         priority: Some(Priority(1)),
--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod endless;
+mod explain;
 mod neighbours;
 mod notices;
 mod refusals;
--- a/crates/auburnbridge_policy/src/balance/dispatcher.rs
+++ b/crates/auburnbridge_policy/src/balance/dispatcher.rs
@@ -49,7 +49,7 @@
 
 impl PlacementRequest<'_> {
     /// The class by which a target is selected: the last send of a request must not fail either.
-    fn selection_class(&self) -> RequestClass {
+    pub(super) fn selection_class(&self) -> RequestClass {
         if self.is_last_send {
             RequestClass::Once
         } else {
@@ -88,10 +88,10 @@
 /// request.
 #[derive(Clone, Debug)]
 pub struct Dispatcher<T> {
-    balancer: Balancer,
+    pub(super) balancer: Balancer,
     waiting: WaitQueue<Waiter<T>>,
     budget: ResendBudget,
-    rng: StdRng,
+    pub(super) rng: StdRng,
     /// Rate of requests that ended on a target.
     completions: EventRate,
 }
--- a/crates/auburnbridge_policy/src/balance/selection.rs
+++ b/crates/auburnbridge_policy/src/balance/selection.rs
@@ -7,6 +7,7 @@
 
 use auburnbridge_types::{Millis, Timestamp};
 use rand::Rng;
+use strum::IntoStaticStr;
 
 use super::balancer::{Balancer, Pick};
 use super::evidence::STRONG_THRESHOLD;
@@ -42,8 +43,9 @@
 const PROOF_AGE_EXPONENT: u32 = 3;
 
 /// Preference for a target, best first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Tier {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(super) enum Tier {
     /// Free, in this data centre, and unused for so long that a request should find out whether it
     /// works.
     Due,
@@ -323,7 +325,7 @@
         now.since(target.last_used) >= Millis(after.0 + delay)
     }
 
-    fn tier(
+    pub(super) fn tier(
         &self,
         now: Timestamp,
         class: RequestClass,
@@ -354,7 +356,7 @@
     /// Suspicion up to which targets have to be used so that the floor's share of them receives
     /// requests. Strongly suspected targets provide no capacity and stay excluded regardless of the
     /// floor.
-    fn floor_limit(&self, now: Timestamp) -> f64 {
+    pub(super) fn floor_limit(&self, now: Timestamp) -> f64 {
         let mut suspicions: Vec<f64> = self
             .targets
             .values()
