--- a/crates/auburnbridge_gateway/src/failure.rs
+++ b/crates/auburnbridge_gateway/src/failure.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    fn status(self) -> u16 {
+    pub(crate) fn status(self) -> u16 {
         match self {
             Self::NoConfiguration
             | Self::LimitUnknown
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod cell_reports;
 mod departures;
 mod exchange;
+mod explain;
 mod failure;
 mod feed;
 mod forward;
@@ -28,6 +29,10 @@
 pub use account_limits::{AccountLimitOptions, AccountLimits};
 pub use bodies::{BodyBudgets, BodyInFlight, BodyOptions, TargetBodies, body_memory};
 pub use cell_reports::{CellReports, Outgoing, Reported};
+pub use explain::{
+    EXPLAIN_HOST, EXPLAIN_KEY, EXPLAIN_METHOD, EXPLAIN_PATH, EXPLAIN_TARGET, ExplainedRefusal,
+    ExplainedService, ExplainedTarget, Explanation, OperatorService,
+};
 pub use feed::KeeperWatcher;
 pub use gateway::{CallerService, Gateway, GatewayDependencies, request_digest};
 pub use neighbours::{GatewayReport, GatewayReporter, ReportKind};
--- a/crates/auburnbridge_gateway/src/run.rs
+++ b/crates/auburnbridge_gateway/src/run.rs
@@ -29,6 +29,7 @@
 
 use crate::account_limits::{AccountLimitOptions, AccountLimits};
 use crate::bodies::BodyOptions;
+use crate::explain::OperatorService;
 use crate::feed::KeeperWatcher;
 use crate::gateway::{CallerService, Gateway, GatewayDependencies};
 use crate::neighbours::GatewayReporter;
@@ -173,7 +174,10 @@
         if let Some(address) = options.metrics_address {
             listen(
                 address,
-                Arc::new(MetricsService(Arc::clone(&gateway.metrics))),
+                Arc::new(OperatorService {
+                    gateway: Arc::clone(&gateway),
+                    metrics: MetricsService(Arc::clone(&gateway.metrics)),
+                }),
                 Arc::new(Lifecycle::default()),
                 ListenerOptions::builder().clock(Arc::clone(&clock)).build(),
             )
--- a/crates/auburnbridge_policy/src/balance/mod.rs
+++ b/crates/auburnbridge_policy/src/balance/mod.rs
@@ -17,6 +17,7 @@
 mod dispatcher;
 mod even;
 mod evidence;
+mod explain;
 mod relay;
 mod report;
 mod resend_budget;
@@ -32,6 +33,7 @@
 pub use dispatcher::{Dispatcher, DispatcherOptions, Placement, PlacementRequest};
 pub use even::LoadEstimate;
 pub use evidence::{Finding, Origin};
+pub use explain::{ForecastOutcome, PlacementForecast, TargetForecast};
 pub use relay::{RelayBatch, RelayQueue};
 pub use report::{LoadReport, ReportedFinding, TargetHash, TargetLoad};
 pub use resend_budget::{Requester, ResendBudget, ResendBudgetOptions};
