Find the route of a request in one place

Cause: the arrival of a request, the admission of its body and its explanation each looked up the configuration and the route. Change: `Gateway::find_route`; the checks keep their order. Measured: the tests of explanations, accounts and uploads pass.

--- a/crates/auburnbridge_gateway/src/admission.rs
+++ b/crates/auburnbridge_gateway/src/admission.rs
@@ -11,7 +11,7 @@
 
 use crate::authentication::{authenticate, priority};
 use crate::failure::Failure;
-use crate::gateway::{CONFIGURATION_RETRY_AFTER, Gateway, refuse};
+use crate::gateway::{Gateway, refusal_retry_after, refuse};
 
 /// `Retry-After` if the memory for bodies is in use, which the requests in progress release.
 const MEMORY_RETRY_AFTER: Millis = Millis(500);
@@ -30,27 +30,20 @@
             self.metrics.record_unread_request(failure.into());
             refuse(request, self.headers, failure, retry_after)
         };
-        let Some(routes) = self.routes() else {
-            return Err(refuse(
-                Failure::NoConfiguration,
-                Some(CONFIGURATION_RETRY_AFTER),
-            ));
-        };
-        let host = request.headers.text("Host").unwrap_or_default();
-        let Some(route) = routes.find(host, &request.path) else {
-            return Err(refuse(Failure::NoRoute, None));
-        };
-        let Ok(account) = authenticate(request, self.headers, &routes, route) else {
+        let (routes, route) = self
+            .find_route(request)
+            .map_err(|failure| refuse(failure, refusal_retry_after(failure)))?;
+        let Ok(account) = authenticate(request, self.headers, &routes, &route) else {
             return Err(refuse(Failure::UnknownKey, None));
         };
-        if let Some(retry_after) = self.wait_for_targets(route, account.as_deref()) {
+        if let Some(retry_after) = self.wait_for_targets(&route, account.as_deref()) {
             return Err(refuse(Failure::NoRoom, Some(retry_after)));
         }
         let room = head.body_length().unwrap_or(CHUNKED_BODY_ROOM);
         if !self.budgets.requests.has_room(room) {
             return Err(refuse(Failure::NoMemory, Some(MEMORY_RETRY_AFTER)));
         }
-        Ok(arrived.after(self.wait(request, route)))
+        Ok(arrived.after(self.wait(request, &route)))
     }
 
     /// Time for which the caller of a request waits, at most the route's timeout.
--- a/crates/auburnbridge_gateway/src/explain.rs
+++ b/crates/auburnbridge_gateway/src/explain.rs
@@ -104,45 +104,24 @@
     /// Explains where `request` would go now.
     pub fn explain(&self, request: &Request) -> Explanation {
         let mut explanation = Explanation::default();
-        match self.check(request, &mut explanation) {
-            Ok((routes, route, account)) => {
-                explanation.services = self.explain_services(&routes, &route, account.as_deref());
-            }
-            Err(failure) => {
-                explanation.refusal = Some(ExplainedRefusal {
-                    reason: failure.to_string(),
-                    status: failure.status(),
-                    retry_after_ms: refusal_retry_after(failure).map(|wait| wait.0),
-                });
-            }
+        if let Err(failure) = self.explain_into(request, &mut explanation) {
+            explanation.refusal = Some(ExplainedRefusal {
+                reason: failure.to_string(),
+                status: failure.status(),
+                retry_after_ms: refusal_retry_after(failure).map(|wait| wait.0),
+            });
         }
         explanation
     }
 
-    /// Makes the checks that precede the choice of a service, and notes what they found.
-    #[expect(
-        clippy::type_complexity,
-        reason = "the parts are used once, by the only caller"
-    )]
-    fn check(
+    /// Makes the checks of a request in their order, and notes what they find.
+    fn explain_into(
         &self,
         request: &Request,
         explanation: &mut Explanation,
-    ) -> Result<
-        (
-            Arc<RouteSet>,
-            Arc<PublishedRoute>,
-            Option<Arc<ClientAccount>>,
-        ),
-        Failure,
-    > {
-        let routes = self.routes().ok_or(Failure::NoConfiguration)?;
-        explanation.version = Some(routes.version().0);
-        let host = request.headers.text("Host").unwrap_or_default();
-        let route = routes
-            .find(host, &request.path)
-            .cloned()
-            .ok_or(Failure::NoRoute)?;
+    ) -> Result<(), Failure> {
+        explanation.version = self.routes().map(|routes| routes.version().0);
+        let (routes, route) = self.find_route(request)?;
         explanation.route = Some(route.name.clone());
         explanation.class = Some(route.class.to_string());
         let account = authenticate(request, self.headers, &routes, &route)
@@ -152,7 +131,8 @@
         if self.is_poisoned(&request_digest(request)) {
             return Err(Failure::Poisoned);
         }
-        Ok((routes, route, account))
+        explanation.services = self.explain_services(&routes, &route, account.as_deref());
+        Ok(())
     }
 
     fn explain_services(
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -279,12 +279,9 @@
         disconnect: Disconnect,
     ) -> Response {
         let refuse = |failure, retry_after| refuse(&request, self.headers, failure, retry_after);
-        let Some(routes) = self.routes() else {
-            return refuse(Failure::NoConfiguration, Some(CONFIGURATION_RETRY_AFTER));
-        };
-        let host = request.headers.text("Host").unwrap_or_default();
-        let Some(route) = routes.find(host, &request.path).cloned() else {
-            return refuse(Failure::NoRoute, None);
+        let (routes, route) = match self.find_route(&request) {
+            Ok(found) => found,
+            Err(failure) => return refuse(failure, refusal_retry_after(failure)),
         };
         let Ok(account) = authenticate(&request, self.headers, &routes, &route) else {
             return refuse(Failure::UnknownKey, None);
@@ -321,6 +318,17 @@
             .await
     }
 
+    /// The configuration in force, and the route of a request.
+    pub(crate) fn find_route(
+        &self,
+        request: &Request,
+    ) -> Result<(Arc<RouteSet>, Arc<PublishedRoute>), Failure> {
+        let routes = self.routes().ok_or(Failure::NoConfiguration)?;
+        let host = request.headers.text("Host").unwrap_or_default();
+        let route = routes.find(host, &request.path).cloned();
+        Ok((routes, route.ok_or(Failure::NoRoute)?))
+    }
+
     /// Waits for the permit of a request; `None` if its account has no limit.
     async fn admit(
         &self,
