Refuse parts of answers whose reset only the write saw

Seen: a target answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is being written. Cause: the kernel reports a reset to one operation only. The pool writes and reads at the same time and polls the write first; the write took ECONNRESET, and the reads that followed saw a regular end of the stream, which ends an answer without a length. Ruled out: a reset that the read sees, and answers with a length or in chunks, which were errors before; entries, which accept no answer without a length. Change: a connection keeps the error of a failed write, and a read at the end of the stream returns it. A broken pipe is left out: the kernel reports it only if the target had ended its direction before the reset, so the answer is whole. This holds for every reader of a connection, whichever of write and read learns of the reset first.

--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -8,6 +8,7 @@
 mod neighbours;
 mod notices;
 mod refusals;
+mod resets;
 mod statuses;
 mod targets;
 mod uploads;
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -182,7 +182,7 @@
     }
 }
 
-fn route(name: &str, prefix: &str, class: RequestClass) -> PublishedRoute {
+fn route(name: &str, prefix: &str, class: RequestClass, timeout: Millis) -> PublishedRoute {
     PublishedRoute {
         name: name.to_owned(),
         prefix: prefix.to_owned(),
@@ -190,7 +190,7 @@
         priority: Priority(0),
         is_public: false,
         latency_objective: Millis(800),
-        timeout: Millis(1_200),
+        timeout,
         max_attempts: 2,
         destinations: vec![Destination {
             service: "stock".parse().unwrap(),
@@ -212,6 +212,15 @@
         head_timeout: Millis(1_000),
         idle_timeout: Millis(5_000),
     };
+    routes_builder_with(version, limits, Millis(1_200))
+}
+
+/// Routes like those of [`routes_builder`] with these limits and this timeout.
+pub fn routes_builder_with(
+    version: ConfigVersion,
+    limits: CallerLimits,
+    timeout: Millis,
+) -> RouteSetBuilder {
     let mut routes = RouteSet::builder(version, limits);
     let service = PublishedService {
         name: "stock".parse().unwrap(),
@@ -219,12 +228,12 @@
         connection_limit: 100,
     };
     routes.service(service).unwrap();
-    let lookups = route("lookups", "/lookup/", RequestClass::Idempotent);
-    let orders = route("orders", "/order/", RequestClass::Once);
+    let lookups = route("lookups", "/lookup/", RequestClass::Idempotent, timeout);
+    let orders = route("orders", "/order/", RequestClass::Once, timeout);
     routes.route("h", lookups).unwrap();
     let public = PublishedRoute {
         is_public: true,
-        ..route("public", "/public/", RequestClass::Idempotent)
+        ..route("public", "/public/", RequestClass::Idempotent, timeout)
     };
     routes.route("h", orders).unwrap();
     routes.route("h", public).unwrap();
--- a/crates/auburnbridge_http/src/connection.rs
+++ b/crates/auburnbridge_http/src/connection.rs
@@ -12,7 +12,10 @@
 use crate::chunked::parse_chunk_size;
 use crate::encode::{CONTINUE, encode_request, encode_response};
 use crate::head::{self, Framing};
-use crate::{Body, FramingError, KeepAlive, Limits, Request, RequestInfo, Response, UnreadRequest};
+use crate::{
+    Body, FramingError, KeepAlive, Limits, Request, RequestInfo, Response, UnreadRequest,
+    WriteFailure,
+};
 
 const READ_BYTES: usize = 8 * 1024;
 /// Increment in which a body buffer grows; the budget is charged for it before its bytes arrive.
@@ -53,6 +56,7 @@
     buf: Vec<u8>,
     start: usize,
     bytes_received: ByteCounter,
+    write_failure: WriteFailure,
 }
 
 impl<S> Connection<S> {
@@ -63,6 +67,7 @@
             buf: Vec::new(),
             start: 0,
             bytes_received: ByteCounter::default(),
+            write_failure: WriteFailure::default(),
         }
     }
 
@@ -91,6 +96,11 @@
         self.bytes_received.clone()
     }
 
+    /// Where writes that bypass the connection record their failure.
+    pub fn write_failure(&self) -> WriteFailure {
+        self.write_failure.clone()
+    }
+
     fn consume(&mut self, count: usize) {
         self.start += count;
         if self.start < self.buf.len() {
@@ -128,8 +138,13 @@
     }
 
     async fn write(&mut self, bytes: &[u8]) -> Result<(), FramingError> {
-        self.stream.write_all(bytes).await?;
-        Ok(self.stream.flush().await?)
+        let written = async {
+            self.stream.write_all(bytes).await?;
+            self.stream.flush().await
+        };
+        Ok(written
+            .await
+            .inspect_err(|error| self.write_failure.record(error))?)
     }
 }
 
@@ -417,14 +432,15 @@
         }
     }
 
-    /// Reads more bytes into the buffer; returns 0 at the end of the stream.
+    /// Reads more bytes into the buffer; returns 0 at the end of the stream, and fails there if a
+    /// write has failed before.
     async fn fill(&mut self) -> Result<usize, FramingError> {
         if self.start > 0 {
             self.buf.drain(..self.start);
             self.start = 0;
         }
         // The zeroed space exists only within a poll, so that a dropped read leaves none of it.
-        poll_fn(|cx| {
+        let read = poll_fn(|cx| {
             let filled = self.buf.len();
             self.buf.resize(filled + READ_BYTES, 0);
             let polled = Pin::new(&mut self.stream).poll_read(cx, &mut self.buf[filled..]);
@@ -436,8 +452,11 @@
             self.bytes_received.add(read as u64);
             polled
         })
-        .await
-        .map_err(FramingError::from)
+        .await?;
+        match self.write_failure.hidden_from_reads() {
+            Some(kind) if read == 0 => Err(FramingError::Io(kind)),
+            Some(_) | None => Ok(read),
+        }
     }
 }
 
--- a/crates/auburnbridge_http/src/lib.rs
+++ b/crates/auburnbridge_http/src/lib.rs
@@ -18,6 +18,7 @@
 mod hop_by_hop;
 mod limits;
 mod message;
+mod write_failure;
 
 pub use body::{Body, MemoryBudget};
 pub use connection::{ByteCounter, Connection};
@@ -28,3 +29,4 @@
 pub use headers::Headers;
 pub use limits::Limits;
 pub use message::{KeepAlive, Request, RequestInfo, Response, UnreadRequest};
+pub use write_failure::WriteFailure;
--- a/crates/auburnbridge_http/tests/unframed.rs
+++ b/crates/auburnbridge_http/tests/unframed.rs
@@ -1,5 +1,5 @@
 //! Tests responses whose body ends with the connection: accepted after a close, rejected after a
-//! reset, and rejected by default.
+//! reset or a failed write, and rejected by default.
 
 use std::io;
 use std::pin::Pin;
@@ -35,12 +35,12 @@
 
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nX: 1\r\n\r\nwhole body";
 
+fn connection(bytes: &'static [u8], end: Option<io::ErrorKind>) -> Connection<Stream> {
+    Connection::new(Stream { bytes, end })
+}
+
 fn read(end: Option<io::ErrorKind>, limits: &Limits) -> Result<Response, FramingError> {
-    let mut connection = Connection::new(Stream {
-        bytes: RESPONSE,
-        end,
-    });
-    block_on(connection.read_response(RequestInfo::default(), limits))
+    block_on(connection(RESPONSE, end).read_response(RequestInfo::default(), limits))
 }
 
 #[test]
@@ -58,6 +58,53 @@
     assert_eq!(error, FramingError::Io(io::ErrorKind::ConnectionReset));
 }
 
+/// Guards against an end of the stream that is taken for a close although a write was told that the
+/// connection failed. A broken pipe is no such failure: the peer had ended its direction before.
+#[test]
+fn unframed_body_is_rejected_after_a_failed_write() {
+    let limits = Limits::default().with_unframed_responses();
+    for (kind, is_accepted) in [
+        (io::ErrorKind::ConnectionReset, false),
+        (io::ErrorKind::ConnectionAborted, false),
+        (io::ErrorKind::TimedOut, false),
+        (io::ErrorKind::HostUnreachable, false),
+        (io::ErrorKind::BrokenPipe, true),
+    ] {
+        let mut connection = connection(RESPONSE, None);
+        connection.write_failure().record(&kind.into());
+        // The first failure tells why the connection ended.
+        connection
+            .write_failure()
+            .record(&io::ErrorKind::BrokenPipe.into());
+        let result = block_on(connection.read_response(RequestInfo::default(), &limits));
+        let body = result.map(|response| response.body.to_vec());
+        let expected = if is_accepted {
+            Ok(b"whole body".to_vec())
+        } else {
+            Err(FramingError::Io(kind))
+        };
+        assert_eq!(body, expected);
+    }
+}
+
+/// Guards against losing a response that a target sent before it closed the connection early.
+#[test]
+fn framed_body_is_accepted_after_a_failed_write() {
+    let responses: [&[u8]; 2] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nwhole body",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nwhole body\r\n0\r\n\r\n",
+    ];
+    for response in responses {
+        let mut connection = connection(response, None);
+        connection
+            .write_failure()
+            .record(&io::ErrorKind::ConnectionReset.into());
+        let limits = Limits::default();
+        let result = block_on(connection.read_response(RequestInfo::default(), &limits));
+        assert_eq!(&*result.unwrap().body, b"whole body");
+    }
+}
+
 #[test]
 fn unframed_body_is_limited() {
     let limits = Limits::default()
--- a/crates/auburnbridge_target/src/exchange.rs
+++ b/crates/auburnbridge_target/src/exchange.rs
@@ -209,7 +209,12 @@
     }
 
     let stream = connection.get_ref().clone();
-    let mut write = pin!(write_request(stream, request, written));
+    let write_failure = connection.write_failure();
+    let mut write = pin!(async {
+        write_request(stream, request, written)
+            .await
+            .inspect_err(|error| write_failure.record(error))
+    });
     let mut read = pin!(read_answer(connection, request, limits));
     let step = or(async { Step::Wrote(write.as_mut().await) }, async {
         Step::Read(read.as_mut().await)
--- /dev/null
+++ b/crates/auburnbridge_target/tests/resets.rs
@@ -0,0 +1,159 @@
+//! Tests answers without a length to uploads, whose targets reset or end the connection while the
+//! request is being written.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::pin::{Pin, pin};
+use std::thread;
+
+use async_std::io::{ReadExt, WriteExt};
+
+use async_std::net::TcpStream;
+use auburnbridge_http::{Body, Connection, Limits, Request};
+use auburnbridge_target::{Exchange, ExchangeResult, UnknownReason};
+use futures_lite::future::{or, poll_once};
+
+use support::{Fixture, START, TIME_LIMIT, answered, describe};
+
+/// Larger than the kernel's buffers, so that a part is unwritten while the target doesn't read.
+const BODY_BYTES: usize = 32 << 20;
+/// Fits into the kernel's buffers, so that the read learns of a reset and the write doesn't.
+const BUFFERED_BODY_BYTES: usize = 256 << 10;
+/// A head without a length, and the first part of a body.
+const PART: &[u8] = b"HTTP/1.1 200 OK\r\n\r\npart";
+const RACING_ROUNDS: usize = 300;
+
+fn upload(body_bytes: usize) -> Request {
+    let mut request = Request::new("POST", "/slips");
+    request.headers.append("Host", "h");
+    request.body = Body::from(vec![b'u'; body_bytes]);
+    request
+}
+
+async fn send(fixture: &Fixture, address: SocketAddr, request: &Request) -> Exchange {
+    let deadline = START.after(TIME_LIMIT);
+    let pool = &fixture.pool;
+    pool.exchange(address, request, &limits(), deadline).await
+}
+
+/// Like [`send`], for a request that must not be resent.
+async fn send_once(fixture: &Fixture, address: SocketAddr, request: &Request) -> Exchange {
+    let deadline = START.after(TIME_LIMIT);
+    let pool = &fixture.pool;
+    pool.exchange_on_recent(address, request, &limits(), deadline)
+        .await
+}
+
+fn limits() -> Limits {
+    Limits::default().with_unframed_responses()
+}
+
+/// Accepts the connection of `exchange` and waits until its write waits for the target to read.
+async fn accept_upload(
+    fixture: &Fixture,
+    mut exchange: Pin<&mut impl Future<Output = Exchange>>,
+) -> Connection<TcpStream> {
+    let accepting = async {
+        let mut connection = fixture.accept().await;
+        let mut first = [0];
+        connection.get_mut().read_exact(&mut first).await.unwrap();
+        connection
+    };
+    or(accepting, async {
+        exchange.as_mut().await;
+        panic!("the exchange ended before the target sent anything")
+    })
+    .await
+}
+
+fn assert_unknown(exchange: Exchange) {
+    let is_unknown = matches!(
+        exchange.result,
+        ExchangeResult::Unknown {
+            reason: UnknownReason::Framing(_),
+            answer_started: true
+        }
+    );
+    assert!(is_unknown, "{:?}", describe(exchange));
+}
+
+/// Guards against a part of an answer that is taken for the whole one because the write, and not the
+/// read, learns of the reset.
+#[async_std::test]
+async fn reset_that_the_write_sees_first_breaks_the_answer() {
+    for reads_part_before in [false, true] {
+        let fixture = Fixture::new(1).await;
+        let request = upload(BODY_BYTES);
+        let mut exchange = pin!(send(&fixture, fixture.address, &request));
+        let mut connection = accept_upload(&fixture, exchange.as_mut()).await;
+        connection.get_mut().write_all(PART).await.unwrap();
+        if reads_part_before {
+            assert!(poll_once(exchange.as_mut()).await.is_none());
+        }
+        // Closing with unread bytes resets the connection.
+        drop(connection);
+        assert_unknown(exchange.await);
+        assert_eq!(fixture.pool.idle_connections(fixture.address), 0);
+    }
+}
+
+/// Guards against a part of an answer that is taken for the whole one in any order in which the write
+/// and the read fail.
+#[async_std::test]
+async fn reset_that_races_with_the_exchange_breaks_the_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let target = thread::spawn(move || {
+        for round in 0..RACING_ROUNDS {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut part = vec![0; 1 + (round % 7) * 30_000];
+            stream.read_exact(&mut part).unwrap();
+            stream.write_all(PART).unwrap();
+            for _ in 0..round % 5 {
+                thread::yield_now();
+            }
+            // Closing with unread bytes resets the connection.
+        }
+    });
+    let fixture = Fixture::new(1).await;
+    let requests = [BUFFERED_BODY_BYTES, BODY_BYTES, BODY_BYTES].map(upload);
+    let mut whole = 0;
+    for round in 0..RACING_ROUNDS {
+        let request = &requests[round % requests.len()];
+        let exchange = if round % 2 == 0 {
+            send(&fixture, address, request).await
+        } else {
+            send_once(&fixture, address, request).await
+        };
+        whole += usize::from(matches!(exchange.result, ExchangeResult::Answered(_)));
+    }
+    target.join().unwrap();
+    assert_eq!(whole, 0, "parts taken for whole answers");
+}
+
+/// Guards against a whole answer that is discarded because the target closed the connection without
+/// reading the rest of the request: it ended its answer before the connection was reset.
+#[async_std::test]
+async fn answer_that_ends_before_the_reset_is_whole() {
+    for reads_end_before in [false, true] {
+        let fixture = Fixture::new(1).await;
+        let request = upload(BODY_BYTES);
+        let mut exchange = pin!(send(&fixture, fixture.address, &request));
+        let mut connection = accept_upload(&fixture, exchange.as_mut()).await;
+        connection.get_mut().write_all(PART).await.unwrap();
+        connection.get_ref().shutdown(Shutdown::Write).unwrap();
+        let early = if reads_end_before {
+            poll_once(exchange.as_mut()).await
+        } else {
+            None
+        };
+        drop(connection);
+        let exchange = match early {
+            Some(exchange) => exchange,
+            None => exchange.await,
+        };
+        assert_eq!(describe(exchange), answered("part", false));
+    }
+}
