--- a/crates/auburnbridge_gateway/tests/forwarding/main.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/main.rs
@@ -2,6 +2,7 @@
 //! the request.
 
 mod accounts;
+mod broken_heads;
 mod endless;
 mod explain;
 mod limits;
--- a/crates/auburnbridge_http/tests/framing.rs
+++ b/crates/auburnbridge_http/tests/framing.rs
@@ -4,7 +4,7 @@
 
 use std::fmt::Debug;
 
-use auburnbridge_http::{FramingError, KeepAlive, Request, RequestInfo, Response};
+use auburnbridge_http::{FramingError, KeepAlive, Limits, Request, RequestInfo, Response};
 use support::{Outcome, Parts, read_request, read_response, small_limits};
 
 /// One case per line, as `name: bytes` with the escapes `\r`, `\n`, `\t` and `\xNN`.
@@ -46,6 +46,37 @@
     check_truncations(RESPONSES, response_of);
 }
 
+/// Guards against a name that another parser reads as another header, on all bytes and at all positions
+/// of a name longer than the blocks in which the parser reads.
+#[test]
+fn header_names_of_responses_are_tokens() {
+    const NAME: &[u8; 40] = b"X-Name-Of-A-Header-Longer-Than-One-Block";
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
+    const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    for byte in 0..=u8::MAX {
+        for at in 0..NAME.len() {
+            let mut name = *NAME;
+            name[at] = byte;
+            // A colon ends the name, which must not be empty.
+            let is_token = byte.is_ascii_alphanumeric()
+                || b"!#$%&'*+-.^_`|~".contains(&byte)
+                || (byte == b':' && at > 0);
+            for raw in [
+                [HEAD, &name, b": 1\r\n\r\nok"].concat(),
+                [CHUNKED, &name, b": 1\r\n\r\n"].concat(),
+            ] {
+                let result = read_response(
+                    Parts::whole(&raw),
+                    RequestInfo::default(),
+                    &Limits::default(),
+                );
+                let accepted = result.message.is_ok();
+                assert_eq!(accepted, is_token, "{}", raw.escape_ascii());
+            }
+        }
+    }
+}
+
 fn request_of(_: &str, parts: Parts) -> Outcome<Request> {
     read_request(parts, &small_limits())
 }
