Show that an answer that stops within its head is none

Not so here: a head ends with an empty line, and the end of the connection before it ends the exchange. Change: tests only.

--- a/crates/auburnbridge_http/tests/unframed.rs
+++ b/crates/auburnbridge_http/tests/unframed.rs
@@ -105,6 +105,22 @@
     }
 }
 
+/// Guards against taking a head that breaks off for a whole one with an empty or short body.
+#[test]
+fn cut_head_is_rejected() {
+    let limits = Limits::default().with_unframed_responses();
+    let head_bytes = RESPONSE.len() - b"whole body".len();
+    for cut in 1..head_bytes {
+        let mut connection = connection(&RESPONSE[..cut], None);
+        let result = block_on(connection.read_response(RequestInfo::default(), &limits));
+        assert_eq!(
+            result.unwrap_err(),
+            FramingError::ClosedInHead,
+            "cut at {cut}"
+        );
+    }
+}
+
 #[test]
 fn unframed_body_is_limited() {
     let limits = Limits::default()
