Show that commands, the pool and peers refuse broken answers

Change: tests only. A status of 000, names that are none, a cut head, no length and a cut body, sent to `rules status`; the first two as rows of the pool's table; a reply frame between processes, cut at each byte. Stand-ins read with the same `Connection` and default limits as commands do. Streams between processes with keys carry lengths too (auburnbridge_peer::wire); no new test for these.

--- a/crates/auburnbridge/tests/processes/main.rs
+++ b/crates/auburnbridge/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! Tests that run whole fleets as real processes on loopback addresses.
 
+mod broken_answers;
 mod control;
 mod fleet;
 mod health;
--- a/crates/auburnbridge_peer/tests/plain.rs
+++ b/crates/auburnbridge_peer/tests/plain.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::io::ReadExt;
+use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpListener;
 use async_std::task::{self, block_on};
 use auburnbridge_peer::plain::{PlainServer, PlainTransport};
 use auburnbridge_peer::{Handler, Options, PeerAddress, PeerError, PeerIdentity, Role, Transport};
 use auburnbridge_types::{BoxFuture, ByteSize, Millis};
+use futures_lite::future::zip;
 use parking_lot::Mutex;
 
 /// Replies with the body, to `slow` after 300 ms. Gives no reply to `nothing` and to bodies that
@@ -149,6 +150,35 @@
     });
 }
 
+/// Guards against a part of a reply that is taken for the whole one because the connection ended.
+#[test]
+fn reply_that_breaks_off_is_no_reply() {
+    // Length of what follows, kind of a reply, number of the first call, body.
+    const REPLY: &[u8] = b"\0\0\0\x0d\x03\0\0\0\0\0\0\0\x01body";
+    block_on(async {
+        for cut in 0..=REPLY.len() {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let to = PeerAddress {
+                vm: "10.0.0.2".parse().unwrap(),
+                address: listener.local_addr().unwrap(),
+            };
+            let transport = PlainTransport::new(identity(), options());
+            let server = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                stream.write_all(&REPLY[..cut]).await.unwrap();
+            };
+            let call = transport.call(&to, b"c".to_vec(), Millis(2_000));
+            let (reply, ()) = zip(call, server).await;
+            if cut == REPLY.len() {
+                assert_eq!(reply, Ok(b"body".to_vec()));
+            } else {
+                let is_lost = matches!(reply, Err(PeerError::ConnectionLost { .. }));
+                assert!(is_lost, "cut at {cut}: {reply:?}");
+            }
+        }
+    });
+}
+
 /// Guards against keeping an open connection whose peer no longer answers.
 #[test]
 fn silent_connection_is_replaced() {
--- a/crates/auburnbridge_target/tests/exchange.rs
+++ b/crates/auburnbridge_target/tests/exchange.rs
@@ -21,7 +21,7 @@
 /// failure after the write as not sent, and against keeping a connection in an uncertain state.
 #[async_std::test]
 async fn answers_that_close_the_connection() {
-    let cases: [(&[u8], &str); 8] = [
+    let cases: [(&[u8], &str); 11] = [
         (
             b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
             "200 ok",
@@ -50,6 +50,18 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n",
             "unknown: Framing(BodyTooLarge), answer started: true",
         ),
+        (
+            b"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok",
+            "unknown: Framing(Status), answer started: true",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok",
+            "unknown: Framing(HeaderName), answer started: true",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length\x01: 2\r\n\r\nok",
+            "unknown: Framing(HeaderName), answer started: true",
+        ),
         (
             b"220 smtp ready\r\n\r\n",
             "unknown: Framing(Version), answer started: true",
