Let resets meet the read of an exchange before its write

Change: a test of 2,000 rounds polls the exchange without a pause, so that a reset can come between the write and the read of one poll; requests that may be resent and those that must not in turn. The former race keeps its rounds and bodies under the name reset_that_wakes_the_exchange_breaks_the_answer. No check changes.

--- a/crates/auburnbridge_target/tests/resets.rs
+++ b/crates/auburnbridge_target/tests/resets.rs
@@ -7,6 +7,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::pin::{Pin, pin};
 use std::thread;
+use std::time::Duration;
 
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpStream;
@@ -22,7 +23,8 @@
 const BUFFERED_BODY_BYTES: usize = 256 << 10;
 /// A head without a length, and some bytes of a body.
 const UNFRAMED: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nbytes";
-const RACING_ROUNDS: usize = 300;
+const WOKEN_ROUNDS: usize = 300;
+const POLLED_ROUNDS: usize = 2_000;
 
 fn upload(body_bytes: usize) -> Request {
     let mut request = Request::new("POST", "/slips");
@@ -98,33 +100,69 @@
     }
 }
 
-/// Guards against a part of an answer that is taken for the whole one in any order in which the write
-/// and the read fail.
-#[async_std::test]
-async fn reset_that_races_with_the_exchange_breaks_the_answer() {
+/// Starts a target that sends a part of its answer to each upload and resets the connection some time
+/// later.
+fn start_resetting_target(rounds: usize) -> (SocketAddr, thread::JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let target = thread::spawn(move || {
-        for round in 0..RACING_ROUNDS {
+        for round in 0..rounds {
             let (mut stream, _) = listener.accept().unwrap();
             let mut part = vec![0; 1 + (round % 7) * 30_000];
             stream.read_exact(&mut part).unwrap();
             stream.write_all(UNFRAMED).unwrap();
-            for _ in 0..round % 5 {
-                thread::yield_now();
-            }
+            thread::sleep(Duration::from_micros(round as u64 % 400));
             // Closing with unread bytes resets the connection.
         }
     });
+    (address, target)
+}
+
+/// Sends a request as one that may be resent or as one that must not.
+async fn send_alternately(
+    round: usize,
+    fixture: &Fixture,
+    address: SocketAddr,
+    request: &Request,
+) -> Exchange {
+    if round.is_multiple_of(2) {
+        send(fixture, address, request).await
+    } else {
+        send_once(fixture, address, request).await
+    }
+}
+
+/// Guards against a part of an answer that is taken for the whole one when the reset wakes the exchange:
+/// the write learns of it, or the read if the request is in the kernel's buffers.
+#[async_std::test]
+async fn reset_that_wakes_the_exchange_breaks_the_answer() {
+    let (address, target) = start_resetting_target(WOKEN_ROUNDS);
     let fixture = Fixture::new(1).await;
     let requests = [BUFFERED_BODY_BYTES, BODY_BYTES, BODY_BYTES].map(upload);
     let mut whole = 0;
-    for round in 0..RACING_ROUNDS {
+    for round in 0..WOKEN_ROUNDS {
         let request = &requests[round % requests.len()];
-        let exchange = if round % 2 == 0 {
-            send(&fixture, address, request).await
-        } else {
-            send_once(&fixture, address, request).await
+        let exchange = send_alternately(round, &fixture, address, request).await;
+        whole += usize::from(matches!(exchange.result, ExchangeResult::Answered(_)));
+    }
+    target.join().unwrap();
+    assert_eq!(whole, 0, "parts taken for whole answers");
+}
+
+/// Guards against a part of an answer that is taken for the whole one when the reset arrives within a
+/// poll of the exchange, before its write or between its write and its read.
+#[async_std::test]
+async fn reset_within_a_poll_breaks_the_answer() {
+    let (address, target) = start_resetting_target(POLLED_ROUNDS);
+    let fixture = Fixture::new(1).await;
+    let request = upload(BODY_BYTES);
+    let mut whole = 0;
+    for round in 0..POLLED_ROUNDS {
+        let mut exchange = pin!(send_alternately(round, &fixture, address, &request));
+        let exchange = loop {
+            if let Some(exchange) = poll_once(exchange.as_mut()).await {
+                break exchange;
+            }
         };
         whole += usize::from(matches!(exchange.result, ExchangeResult::Answered(_)));
     }
