--- a/crates/auburnbridge/src/commands/explain.rs
+++ b/crates/auburnbridge/src/commands/explain.rs
@@ -1,12 +1,12 @@
 //! `auburnbridge explain`: shows where a request would go now, and why.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 use argh::FromArgs;
 use auburnbridge_gateway::{
-    EXPLAIN_HOST, EXPLAIN_KEY, EXPLAIN_METHOD, EXPLAIN_PATH, EXPLAIN_TARGET, ExplainedService,
-    Explanation,
+    EXPLAIN_CALLER, EXPLAIN_HOST, EXPLAIN_KEY, EXPLAIN_METHOD, EXPLAIN_PATH, EXPLAIN_TARGET,
+    ExplainedService, Explanation,
 };
 
 use crate::commands::api;
@@ -28,6 +28,9 @@
     /// method of the request (default GET)
     #[argh(option, default = "\"GET\".to_owned()")]
     method: String,
+    /// IP address of the caller, to see whether its request is refused because it crashes targets
+    #[argh(option)]
+    caller: Option<IpAddr>,
     /// file with the API key of a client account
     #[argh(option)]
     key_file: Option<PathBuf>,
@@ -41,6 +44,9 @@
     req.headers.append(EXPLAIN_HOST, &arguments.host);
     req.headers.append(EXPLAIN_METHOD, &arguments.method);
     req.headers.append(EXPLAIN_TARGET, &arguments.path);
+    if let Some(caller) = arguments.caller {
+        req.headers.append(EXPLAIN_CALLER, caller.to_string());
+    }
     if let Some(path) = &arguments.key_file {
         req.headers.append(EXPLAIN_KEY, api::read_key(path)?);
     }
--- a/crates/auburnbridge_entry/src/dispatch.rs
+++ b/crates/auburnbridge_entry/src/dispatch.rs
@@ -129,7 +129,7 @@
     /// Reason why the request must not be sent to any target now.
     fn refusal(&self) -> Option<Problem> {
         if self.entry.is_poisoned(&self.digest) {
-            let detail = "it crashed two targets";
+            let detail = "it crashed each target that ran it lately";
             return Some(Problem::new(ErrorKind::RequestPoisoned, detail));
         }
         // After a wait or a pause of this process, the caller may have stopped waiting for the
@@ -172,12 +172,18 @@
         let target = assignment.target().clone();
         let incarnation = assignment.incarnation();
         let start = self.entry.deps.clock.now();
+        let history = self.entry.run_history(&self.digest);
         let result = self
             .entry
             .run_exchange(self.req, attempt, assignment, self.disconnect)
             .await;
-        if let (ExchangeOutcome::Answered(_), Some(permit)) = (&result, &self.permit) {
-            permit.record_answer(self.entry.deps.clock.now().since(start));
+        if let ExchangeOutcome::Answered(response) = &result {
+            if let Some(permit) = &self.permit {
+                permit.record_answer(self.entry.deps.clock.now().since(start));
+            }
+            if response.status < 500 {
+                self.entry.record_answer(&self.digest);
+            }
         }
         let failure = match result {
             ExchangeOutcome::Answered(response) => return Some(DispatchResult::Answered(response)),
@@ -196,6 +202,7 @@
                         request: self.digest,
                         target,
                         incarnation,
+                        history,
                     };
                     self.entry.report_crash(report).await;
                 }
--- a/crates/auburnbridge_entry/src/entry.rs
+++ b/crates/auburnbridge_entry/src/entry.rs
@@ -11,7 +11,8 @@
 use auburnbridge_ledger::Command;
 use auburnbridge_messages::ServiceEvidence;
 use auburnbridge_metrics::{Counter, Metrics, Timer};
-use auburnbridge_policy::{AccountLimit, AccountLimiter, CrashReport, PoisonTable};
+use auburnbridge_policy::poison::{CrashReport, PoisonTable, RunHistory, SuspectReport, Verdict};
+use auburnbridge_policy::{AccountLimit, AccountLimiter};
 use auburnbridge_rules::{RouteClass, Rules};
 use auburnbridge_types::{
     AttemptId, BoxFuture, Clock, DataCentre, ErrorKind, Millis, RequestDigest, Revision, Timestamp,
@@ -37,10 +38,11 @@
     pub rules: Arc<Rules>,
 }
 
-/// Reports the crash of a target to the other entries before its request is retried or answered.
+/// Reports what an entry learned of a request that crashes targets to the other entries, a crash before
+/// its request is retried or answered.
 pub trait CrashReporter: Send + Sync {
     /// Sends the report and waits up to 100 ms for acknowledgements.
-    fn report(&self, report: CrashReport) -> BoxFuture<'_, ()>;
+    fn report(&self, report: SuspectReport) -> BoxFuture<'_, ()>;
 }
 
 /// Spawns tasks that outlive the request that started them.
@@ -177,15 +179,22 @@
         self.fleets.merge_evidence(now, from, evidence);
     }
 
-    /// Records a crash that another entry reported.
-    pub fn record_crash(&self, report: CrashReport) {
+    /// Records what another entry reported of a request that crashes targets.
+    pub fn record_suspect(&self, report: &SuspectReport) {
         let now = self.deps.clock.now();
         self.poison.lock().record(now, report);
     }
 
     pub(crate) fn is_poisoned(&self, digest: &RequestDigest) -> bool {
         let now = self.deps.clock.now();
-        self.poison.lock().is_poisoned(now, digest)
+        let verdict = self.poison.lock().verdict(now, digest);
+        matches!(verdict, Verdict::Poisoned(_))
+    }
+
+    /// What is known of a request that is about to be sent to a target.
+    pub(crate) fn run_history(&self, digest: &RequestDigest) -> RunHistory {
+        let now = self.deps.clock.now();
+        self.poison.lock().history(now, digest)
     }
 
     pub(crate) fn random_in(&self, range: RangeInclusive<u64>) -> u64 {
@@ -309,9 +318,22 @@
             report.target, report.incarnation, report.request
         );
         self.deps.metrics.count(Counter::Crash, &[]);
-        self.record_crash(report.clone());
+        let report = SuspectReport::Crashed(report);
+        self.record_suspect(&report);
         self.deps.crashes.report(report).await;
     }
+
+    /// Records an answered run of a request. If it refutes crashes, the other entries learn it in the
+    /// background.
+    pub(crate) fn record_answer(&self, digest: &RequestDigest) {
+        let Some(report) = self.poison.lock().record_answer(digest) else {
+            return;
+        };
+        info!("answered after crashes request={digest}");
+        let crashes = Arc::clone(&self.deps.crashes);
+        let reported = async move { crashes.report(report).await };
+        self.deps.tasks.spawn(Box::pin(reported));
+    }
 }
 
 impl Service for Entry {
--- a/crates/auburnbridge_entry/src/neighbours.rs
+++ b/crates/auburnbridge_entry/src/neighbours.rs
@@ -13,7 +13,7 @@
 };
 use auburnbridge_messages::{self as messages, Reply, Request, ServiceEvidence};
 use auburnbridge_peer::{PeerAddress, Transport};
-use auburnbridge_policy::{CrashReport, Member, Presence};
+use auburnbridge_policy::{Member, Presence, SuspectReport};
 use auburnbridge_types::{BoxFuture, Clock, Millis, Revision, ServiceName, Timestamp};
 use futures_lite::FutureExt;
 use log::{debug, info, warn};
@@ -316,9 +316,9 @@
 }
 
 impl CrashReporter for Neighbours {
-    fn report(&self, report: CrashReport) -> BoxFuture<'_, ()> {
+    fn report(&self, report: SuspectReport) -> BoxFuture<'_, ()> {
         Box::pin(async move {
-            let request = Request::Crash(report);
+            let request = Request::Suspect(report);
             let peers = self.peers();
             let acknowledged = async {
                 let mut calls: Vec<_> = peers
--- a/crates/auburnbridge_entry/src/server.rs
+++ b/crates/auburnbridge_entry/src/server.rs
@@ -27,8 +27,8 @@
             (Request::FetchRules { have, .. }, _) => {
                 Reply::Rules(self.neighbours.rules().lock().delta_since(have))
             }
-            (Request::Crash(report), Role::Entry) => {
-                self.entry.record_crash(report);
+            (Request::Suspect(report), Role::Entry) => {
+                self.entry.record_suspect(&report);
                 Reply::Done
             }
             (Request::Evidence(evidence), Role::Entry) => {
--- a/crates/auburnbridge_gateway/src/cell_reports.rs
+++ b/crates/auburnbridge_gateway/src/cell_reports.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 
 use auburnbridge_messages::GatewayLocation;
-use auburnbridge_policy::CrashReport;
+use auburnbridge_policy::SuspectReport;
 use auburnbridge_policy::balance::{
     CellPlace, CellSwitch, Cells, GatewayHost, LoadReport, Proximity, RelayQueue, ReportBudget,
     ReportedFinding,
@@ -19,17 +19,11 @@
 use log::{info, warn};
 
 use crate::neighbours::{GatewayReport, ReportKind, encode};
+use crate::suspect_resends::{MAX_REPORTS, RESEND_INTERVAL, SuspectResends};
 
-/// Number of times that a crash is sent.
-const CRASH_SENDS: u32 = 4;
-/// Delay before a crash is sent again. All sends together take less than the time in which a crash
-/// must be known everywhere, a few seconds.
-const CRASH_INTERVAL: Millis = Millis(600);
-/// Time for which the same crash isn't passed on again, shorter than [`CRASH_INTERVAL`]. Gateways
+/// Time for which the same report isn't passed on again, shorter than [`RESEND_INTERVAL`]. Gateways
 /// whose lists differ could otherwise pass it around in circles.
-const PASS_ON_INTERVAL: Millis = Millis(500);
-/// Maximum number of crashes in one datagram.
-const MAX_CRASHES: usize = 16;
+const PASS_ON_INTERVAL: Millis = Millis(RESEND_INTERVAL.0 * 5 / 6);
 /// Bytes of the IP and UDP headers of a datagram.
 const HEADER_BYTES: usize = 28;
 
@@ -58,20 +52,13 @@
     relays: ReportBudget,
 }
 
-/// A crash that is sent again at `due`.
-struct PendingCrash {
-    due: Timestamp,
-    sends: u32,
-    crash: CrashReport,
-}
-
 /// What a gateway reports at one moment.
 #[derive(Clone, Debug, Default)]
 pub struct Reported {
     /// Its new findings.
     pub findings: Vec<ReportedFinding>,
-    /// Crashes that it has observed.
-    pub crashes: Vec<CrashReport>,
+    /// What it knows of requests that crash targets.
+    pub suspects: Vec<SuspectReport>,
     /// Present if a load report is due.
     pub load: Option<LoadReport>,
 }
@@ -87,9 +74,9 @@
     budgets: Option<Budgets>,
     link_rate: Option<LinkRate>,
     relays: RelayQueue,
-    crashes: Vec<PendingCrash>,
-    /// Crashes of other gateways that were passed on within [`PASS_ON_INTERVAL`].
-    passed_on: Vec<(Timestamp, CrashReport)>,
+    suspects: SuspectResends,
+    /// Reports of other gateways that were passed on within [`PASS_ON_INTERVAL`].
+    passed_on: Vec<(Timestamp, SuspectReport)>,
     /// Round of batches, which selects the relays.
     round: u64,
     sent_load_to: HashSet<VmId>,
@@ -107,7 +94,7 @@
             budgets: None,
             link_rate,
             relays: RelayQueue::default(),
-            crashes: Vec::new(),
+            suspects: SuspectResends::default(),
             passed_on: Vec::new(),
             round: 0,
             sent_load_to: HashSet::new(),
@@ -165,13 +152,8 @@
             return Vec::new();
         };
         self.relays.add(now, None, &reported.findings);
-        let new_crashes = reported.crashes.into_iter().map(|crash| PendingCrash {
-            due: now,
-            sends: 0,
-            crash,
-        });
-        self.crashes.extend(new_crashes);
-        let mut outgoing = self.crash_datagrams(now, &cells);
+        self.suspects.add(now, reported.suspects);
+        let mut outgoing = self.suspect_datagrams(now, &cells);
         let urgent = self.urgent_datagram(&cells, &reported.findings);
         // A due load report carries the findings along if the budget allows it.
         let load = reported.load.and_then(|load| {
@@ -202,48 +184,40 @@
             to.extend(cells.local_relays(self.round));
         }
         let to = self.addresses_of(to);
-        let crashes = self.not_passed_on(now, &report.crashes);
-        let outgoing = self.crash_reports(&crashes, &to);
+        let suspects = self.not_passed_on(now, &report.suspects);
+        let outgoing = self.suspect_reports(&suspects, &to);
         self.charge(now, &outgoing);
         outgoing
     }
 
-    /// The crashes that this gateway has not passed on lately, which counts as passing them on.
-    fn not_passed_on(&mut self, now: Timestamp, crashes: &[CrashReport]) -> Vec<CrashReport> {
+    /// The reports that this gateway has not passed on lately, which counts as passing them on.
+    fn not_passed_on(&mut self, now: Timestamp, reports: &[SuspectReport]) -> Vec<SuspectReport> {
         self.passed_on
             .retain(|(at, _)| now.since(*at) < PASS_ON_INTERVAL);
         let is_new =
-            |crash: &&CrashReport| !self.passed_on.iter().any(|(_, known)| known == *crash);
-        let new: Vec<CrashReport> = crashes.iter().filter(is_new).cloned().collect();
+            |report: &&SuspectReport| !self.passed_on.iter().any(|(_, known)| known == *report);
+        let new: Vec<SuspectReport> = reports.iter().filter(is_new).cloned().collect();
         self.passed_on
-            .extend(new.iter().map(|crash| (now, crash.clone())));
+            .extend(new.iter().map(|report| (now, report.clone())));
         new
     }
 
-    fn crash_datagrams(&mut self, now: Timestamp, cells: &Cells) -> Vec<Outgoing> {
-        let mut due: HashMap<u32, Vec<CrashReport>> = HashMap::new();
-        for pending in self.crashes.iter_mut().filter(|pending| pending.due <= now) {
-            let crashes = due.entry(pending.sends).or_default();
-            crashes.push(pending.crash.clone());
-            pending.sends += 1;
-            pending.due = now.after(CRASH_INTERVAL);
-        }
-        self.crashes.retain(|pending| pending.sends < CRASH_SENDS);
+    fn suspect_datagrams(&mut self, now: Timestamp, cells: &Cells) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
-        for (sends, crashes) in due {
+        for (sends, suspects) in self.suspects.due(now) {
             let round = self.round.wrapping_add(u64::from(sends));
             let relays = cells.local_relays(round).chain(cells.remote_relays(round));
             let to = self.addresses_of(cells.peers().chain(relays));
-            outgoing.extend(self.crash_reports(&crashes, &to));
+            outgoing.extend(self.suspect_reports(&suspects, &to));
         }
         self.charge(now, &outgoing);
         outgoing
     }
 
-    fn crash_reports(&self, crashes: &[CrashReport], to: &[SocketAddr]) -> Vec<Outgoing> {
-        crashes
-            .chunks(MAX_CRASHES)
-            .filter_map(|crashes| self.datagram(ReportKind::Crashes, to, &[], crashes, None))
+    fn suspect_reports(&self, suspects: &[SuspectReport], to: &[SocketAddr]) -> Vec<Outgoing> {
+        suspects
+            .chunks(MAX_REPORTS)
+            .filter_map(|suspects| self.datagram(ReportKind::Crashes, to, &[], suspects, None))
             .collect()
     }
 
@@ -319,16 +293,16 @@
         kind: ReportKind,
         to: &[SocketAddr],
         findings: &[ReportedFinding],
-        crashes: &[CrashReport],
+        suspects: &[SuspectReport],
         load: Option<LoadReport>,
     ) -> Option<Outgoing> {
-        if to.is_empty() || (findings.is_empty() && crashes.is_empty() && load.is_none()) {
+        if to.is_empty() || (findings.is_empty() && suspects.is_empty() && load.is_none()) {
             return None;
         }
         let report = GatewayReport {
             from: self.own.vm.clone(),
             findings: findings.to_vec(),
-            crashes: crashes.to_vec(),
+            suspects: suspects.to_vec(),
             load,
         };
         Some(Outgoing {
--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 use async_std::task;
 use auburnbridge_http::{FramingError, KeepAlive, Request, Response};
 use auburnbridge_policy::balance::Finding;
+use auburnbridge_policy::poison::RunHistory;
 use auburnbridge_policy::{CrashReport, RequestClass};
 use auburnbridge_target::{
     Exchange, ExchangeResult, NotSentReason, UnknownReason, refuses_connections,
@@ -94,6 +95,7 @@
     pub(crate) async fn send(self, assignment: Assignment) -> SendResult {
         let start = self.gateway.clock.now();
         let request = self.outgoing_request(&assignment, start);
+        let history = self.gateway.suspects.history(start, &self.incoming.digest);
         let was_silent = AtomicBool::new(false);
         let silence = self.watch_for_silence(&assignment, &was_silent);
         let exchange = self.exchange(&assignment, &request).or(silence).await;
@@ -103,7 +105,26 @@
         if let ExchangeResult::Answered(response) = &exchange.result {
             self.heed_notices(response, &assignment);
         }
-        let (outcome, finding) = self.classify(exchange, time, was_silent, &assignment).await;
+        let (outcome, finding) = match exchange.result {
+            ExchangeResult::Answered(response) => {
+                self.classify_response(response, time, was_silent)
+            }
+            ExchangeResult::NotSent(reason) => (Outcome::NotRun, finding_for_not_sent(reason)),
+            ExchangeResult::Unknown {
+                reason,
+                answer_started,
+            } => {
+                if !answer_started && is_disconnect(reason) {
+                    self.check_crash(&assignment, history).await;
+                }
+                classify_unknown(reason, time)
+            }
+        };
+        if let Outcome::Answered(response) = &outcome
+            && self.is_sealed(response)
+        {
+            self.gateway.suspects.record_answer(&self.incoming.digest);
+        }
         self.log_exchange(&assignment, &outcome, finding, time, reused);
         let is_unsent = matches!(outcome, Outcome::NotRun) && finding != Some(Finding::Shed);
         assignment.finish(finding);
@@ -188,47 +209,20 @@
         }
     }
 
-    /// Determines the outcome of an exchange and the finding about the target.
-    async fn classify(
-        &self,
-        exchange: Exchange,
-        time: Millis,
-        was_silent: bool,
-        assignment: &Assignment,
-    ) -> (Outcome, Option<Finding>) {
-        match exchange.result {
-            ExchangeResult::Answered(response) => {
-                self.classify_response(response, time, was_silent)
-            }
-            ExchangeResult::NotSent(reason) => (Outcome::NotRun, finding_for_not_sent(reason)),
-            ExchangeResult::Unknown {
-                reason: UnknownReason::Deadline,
-                ..
-            } => {
-                // A long silence has been recorded already, and a short remaining time must not count
-                // against a healthy target.
-                (Outcome::MayHaveRun(Failure::TimedOut), None)
-            }
-            ExchangeResult::Unknown {
-                reason,
-                answer_started,
-            } => {
-                if !answer_started && is_disconnect(reason) {
-                    let check = check_crash(
-                        Arc::clone(self.gateway),
-                        assignment.address(),
-                        self.crash_report(assignment),
-                    );
-                    if self.incoming.route.class == RequestClass::Idempotent {
-                        // A crash must be known before the request is retried on another target.
-                        check.await;
-                    } else {
-                        task::spawn(check);
-                    }
-                }
-                let finding = (!reason.is_local()).then(|| Finding::from_closed_connection(time));
-                (Outcome::MayHaveRun(Failure::Broken), finding)
-            }
+    /// Reports a crash if the target refuses connections after the connection broke.
+    async fn check_crash(self, assignment: &Assignment, history: RunHistory) {
+        let crash = CrashReport {
+            request: self.incoming.digest,
+            target: assignment.target().clone(),
+            incarnation: assignment.pick().incarnation,
+            history,
+        };
+        let check = check_crash(Arc::clone(self.gateway), assignment.address(), crash);
+        // A crash must be known before the request is retried on another target, and before the next
+        // request is on trial.
+        let check = task::spawn(check);
+        if self.incoming.route.class == RequestClass::Idempotent || history.crashes > 0 {
+            check.await;
         }
     }
 
@@ -246,9 +240,8 @@
             return (Outcome::NotRun, Some(Finding::Shed));
         }
         if response.status < 400 {
-            let is_valid = response.headers.get(headers.seal).is_some()
-                && response.headers.get(headers.attempt) == self.attempt_header()
-                && response.headers.get("Content-Encoding").is_none();
+            let is_valid =
+                self.is_sealed(&response) && response.headers.get("Content-Encoding").is_none();
             if !is_valid {
                 return (Outcome::MayHaveRun(Failure::Broken), Some(Finding::Broken));
             }
@@ -273,12 +266,11 @@
         )
     }
 
-    fn crash_report(&self, assignment: &Assignment) -> CrashReport {
-        CrashReport {
-            request: self.incoming.digest,
-            target: assignment.target().clone(),
-            incarnation: assignment.pick().incarnation,
-        }
+    /// Whether the response states that its target ran this request.
+    fn is_sealed(&self, response: &Response) -> bool {
+        let headers = self.gateway.headers;
+        response.headers.get(headers.seal).is_some()
+            && response.headers.get(headers.attempt) == self.attempt_header()
     }
 
     fn log_exchange(
@@ -331,8 +323,19 @@
 /// Reports a crash if the target refuses connections after the connection broke.
 async fn check_crash(gateway: Arc<Gateway>, address: SocketAddr, crash: CrashReport) {
     if refuses_connections(address).await {
-        gateway.report_crash(crash);
+        gateway.suspects.report_crash(gateway.clock.now(), crash);
+    }
+}
+
+/// The outcome of a request that a target may have run, and the finding about the target.
+fn classify_unknown(reason: UnknownReason, time: Millis) -> (Outcome, Option<Finding>) {
+    if matches!(reason, UnknownReason::Deadline) {
+        // A long silence has been recorded already, and a short remaining time must not count against a
+        // healthy target.
+        return (Outcome::MayHaveRun(Failure::TimedOut), None);
     }
+    let finding = (!reason.is_local()).then(|| Finding::from_closed_connection(time));
+    (Outcome::MayHaveRun(Failure::Broken), finding)
 }
 
 fn finding_for_not_sent(reason: NotSentReason) -> Option<Finding> {
--- a/crates/auburnbridge_gateway/src/explain.rs
+++ b/crates/auburnbridge_gateway/src/explain.rs
@@ -4,20 +4,22 @@
 //! is that of the dispatcher. No state changes: no request is counted, no budget is used, and a traffic
 //! split doesn't move on.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use auburnbridge_caller::{Disconnect, Service};
 use auburnbridge_http::{Request, Response};
 use auburnbridge_policy::balance::{AccountKey, ForecastOutcome, PlacementRequest, TargetForecast};
+use auburnbridge_policy::poison::Verdict;
 use auburnbridge_routing::{ClientAccount, PublishedRoute, RouteSet};
 use auburnbridge_telemetry::MetricsService;
-use auburnbridge_types::BoxFuture;
+use auburnbridge_types::{BoxFuture, Millis};
 use serde::{Deserialize, Serialize};
 
 use crate::authentication::{authenticate, priority};
 use crate::failure::Failure;
-use crate::gateway::{Gateway, refusal_retry_after, request_digest};
+use crate::gateway::{Gateway, refusal_retry_after};
+use crate::suspects::{CallerIdentity, request_digest};
 
 /// Path of the explanation on the address of the metrics.
 pub const EXPLAIN_PATH: &str = "/explain";
@@ -30,6 +32,9 @@
 /// Header with the API key of the request to explain; no reply contains it.
 pub const EXPLAIN_KEY: &str = "Auburnbridge-Explain-Key";
 
+/// Header with the IP address of the caller, which identifies one without a client account.
+pub const EXPLAIN_CALLER: &str = "Auburnbridge-Explain-Caller";
+
 /// Where a request would go.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Explanation {
@@ -101,14 +106,16 @@
 }
 
 impl Gateway {
-    /// Explains where `request` would go now.
-    pub fn explain(&self, request: &Request) -> Explanation {
+    /// Explains where `request` of `caller` would go now. Without a caller, it isn't checked whether the
+    /// request crashes targets.
+    pub fn explain(&self, request: &Request, caller: Option<IpAddr>) -> Explanation {
         let mut explanation = Explanation::default();
-        if let Err(failure) = self.explain_into(request, &mut explanation) {
+        let explained = self.explain_into(request, caller, &mut explanation);
+        if let Err((failure, retry_after)) = explained {
             explanation.refusal = Some(ExplainedRefusal {
                 reason: failure.to_string(),
                 status: failure.status(),
-                retry_after_ms: refusal_retry_after(failure).map(|wait| wait.0),
+                retry_after_ms: retry_after.map(|wait| wait.0),
             });
         }
         explanation
@@ -118,18 +125,25 @@
     fn explain_into(
         &self,
         request: &Request,
+        caller: Option<IpAddr>,
         explanation: &mut Explanation,
-    ) -> Result<(), Failure> {
+    ) -> Result<(), (Failure, Option<Millis>)> {
         explanation.version = self.routes().map(|routes| routes.version().0);
-        let (routes, route) = self.find_route(request)?;
+        let (routes, route) = self
+            .find_route(request)
+            .map_err(|failure| (failure, refusal_retry_after(failure)))?;
         explanation.route = Some(route.name.clone());
         explanation.class = Some(route.class.to_string());
         let account = authenticate(request, self.headers, &routes, &route)
-            .map_err(|_| Failure::UnknownKey)?;
+            .map_err(|_| (Failure::UnknownKey, None))?;
         explanation.account = account.as_ref().map(|account| account.id.to_string());
         explanation.priority = Some(priority(&route, account.as_deref()).0);
-        if self.is_poisoned(&request_digest(request)) {
-            return Err(Failure::Poisoned);
+        let verdict = caller.map(|address| {
+            let caller = CallerIdentity::new(account.as_deref(), address);
+            self.verdict(&request_digest(request, &caller))
+        });
+        if let Some(Verdict::Poisoned(left)) = verdict {
+            return Err((Failure::Poisoned, Some(left)));
         }
         explanation.services = self.explain_services(&routes, &route, account.as_deref());
         Ok(())
@@ -216,7 +230,9 @@
             return self.metrics.respond(req, caller, disconnect);
         }
         let explained = explained_request(&req, self.gateway.headers.api_key);
-        let body = serde_json::to_vec(&self.gateway.explain(&explained))
+        let caller = req.headers.text(EXPLAIN_CALLER);
+        let caller = caller.and_then(|text| text.parse().ok());
+        let body = serde_json::to_vec(&self.gateway.explain(&explained, caller))
             .expect("an explanation has only text keys and finite numbers");
         let mut response = Response::new(200);
         response.headers.append("Content-Type", "application/json");
--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -6,6 +6,7 @@
 use auburnbridge_http::Response;
 use auburnbridge_policy::RequestClass;
 use auburnbridge_policy::balance::{AccountKey, BalancedKey, PlacementRequest, Refusal};
+use auburnbridge_policy::poison::Verdict;
 use auburnbridge_telemetry::RequestLabels;
 use futures_lite::FutureExt;
 use log::info;
@@ -15,6 +16,7 @@
 use crate::failure::Failure;
 use crate::gateway::{Gateway, Incoming};
 use crate::service_dispatcher::{Assignment, ServiceDispatcher};
+use crate::suspects::{NotAdmitted, Trial};
 
 /// A request is given up after more than this many sends that don't count (see
 /// [`SendResult::counts_as_send`]).
@@ -84,13 +86,20 @@
     async fn serve(&mut self) -> Response {
         let mut last_error = None;
         loop {
+            if self.wait_for_admission().await.is_err() {
+                return self.give_up(last_error, None);
+            }
             let placed = self.exchanger.acquire(self.placement_request()).await;
             let (assignment, _body_in_flight) = match placed {
                 Ok(placed) => placed,
                 Err(refusal) => return self.give_up(last_error, Some(refusal)),
             };
+            let Some(trial) = self.begin_run().await else {
+                assignment.give_back();
+                continue;
+            };
             self.tried.push(assignment.key());
-            match self.send(assignment).await {
+            match self.send(assignment, trial.is_some()).await {
                 Outcome::Answered(response) => return self.deliver(response),
                 Outcome::ServerError(response) => {
                     self.may_have_run = true;
@@ -109,10 +118,11 @@
     }
 
     /// Sends the request to a target. An idempotent request that gets no response in the usual time is
-    /// hedged: it is also sent to a second target, and the first usable response is taken.
-    async fn send(&mut self, assignment: Assignment) -> Outcome {
+    /// hedged: it is also sent to a second target, and the first usable response is taken. One that is
+    /// on trial isn't, since it must run on one target at a time.
+    async fn send(&mut self, assignment: Assignment, is_on_trial: bool) -> Outcome {
         let exchanger = self.exchanger;
-        if exchanger.incoming.route.class == RequestClass::Once {
+        if exchanger.incoming.route.class == RequestClass::Once || is_on_trial {
             return self.record_send(exchanger.send(assignment).await);
         }
         let left = exchanger
@@ -153,7 +163,8 @@
     /// A second target for a request that is still in flight on the first one, if a target has a free
     /// slot and the resend budget allows it.
     fn acquire_hedge(&self) -> Option<(Assignment, Option<BodyInFlight>)> {
-        let is_allowed = self.sends + 1 < self.exchanger.incoming.route.max_attempts;
+        let is_allowed = self.sends + 1 < self.exchanger.incoming.route.max_attempts
+            && self.verdict() == Verdict::Sound;
         if !is_allowed {
             return None;
         }
@@ -162,6 +173,34 @@
         has_resend.then_some(hedge)
     }
 
+    async fn wait_for_admission(&self) -> Result<(), NotAdmitted> {
+        let Exchanger {
+            gateway, incoming, ..
+        } = self.exchanger;
+        let admitted = gateway.suspects.wait_for_admission(
+            gateway.clock.as_ref(),
+            &incoming.digest,
+            incoming.deadline,
+        );
+        admitted.await
+    }
+
+    /// Begins a run on the target that was found; `None` if the request may not be sent now.
+    async fn begin_run(&self) -> Option<Option<Trial<'a>>> {
+        let Exchanger {
+            gateway, incoming, ..
+        } = self.exchanger;
+        let clock = gateway.clock.as_ref();
+        gateway.suspects.begin_run(clock, &incoming.digest).await
+    }
+
+    fn verdict(&self) -> Verdict {
+        let Exchanger {
+            gateway, incoming, ..
+        } = self.exchanger;
+        gateway.verdict(&incoming.digest)
+    }
+
     fn record_send(&mut self, result: SendResult) -> Outcome {
         if result.counts_as_send {
             self.sends += 1;
@@ -195,7 +234,9 @@
         if self.may_have_run && !is_idempotent {
             return false;
         }
-        if gateway.clock.now() >= incoming.deadline || gateway.is_poisoned(&incoming.digest) {
+        if gateway.clock.now() >= incoming.deadline
+            || matches!(self.verdict(), Verdict::Poisoned(_))
+        {
             return false;
         }
         if self.unsent > MAX_UNSENT {
@@ -231,15 +272,16 @@
             return response;
         }
         self.give_permit_back();
-        let failure = if exchanger.gateway.is_poisoned(&exchanger.incoming.digest) {
+        let mut refusal = refusal.unwrap_or_else(|| {
+            let priority = exchanger.incoming.priority.0;
+            exchanger.dispatcher.refusal(priority, self.account)
+        });
+        let failure = if let Verdict::Poisoned(left) = self.verdict() {
+            refusal.retry_after = left;
             Failure::Poisoned
         } else {
             Failure::NoRoom
         };
-        let refusal = refusal.unwrap_or_else(|| {
-            let priority = exchanger.incoming.priority.0;
-            exchanger.dispatcher.refusal(priority, self.account)
-        });
         if refusal.is_own_backlog {
             let metrics = &exchanger.gateway.metrics;
             metrics.record_backlog_refusal(exchanger.dispatcher.name().as_str());
--- a/crates/auburnbridge_gateway/src/gateway.rs
+++ b/crates/auburnbridge_gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use auburnbridge_membership::Announcement;
 use auburnbridge_policy::account_limit::{Refused, RefusedReason};
 use auburnbridge_policy::balance::Pick;
-use auburnbridge_policy::{CrashReport, PoisonTable};
+use auburnbridge_policy::poison::{SuspectReport, Verdict};
 use auburnbridge_routing::{
     CallerLimits, ClientAccount, Dialect, HeaderNames, PublishedRoute, RouteSet, TrafficSplits,
 };
@@ -24,7 +24,6 @@
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use sha2::{Digest, Sha256};
 
 use crate::account_limits::{AccountLimits, AccountPermit};
 use crate::authentication::{authenticate, priority};
@@ -34,11 +33,10 @@
 use crate::forward::Forwarder;
 use crate::service_dispatcher::ServiceDispatcher;
 use crate::service_table::ServiceTable;
+use crate::suspects::{CallerIdentity, SuspectRegister, request_digest};
 
 /// `Retry-After` while no configuration has been received, which takes a few round trips.
 pub(crate) const CONFIGURATION_RETRY_AFTER: Millis = Millis(500);
-/// `Retry-After` of a request that crashes targets: the time after which its crashes expire.
-const POISON_RETRY_AFTER: Millis = auburnbridge_policy::POISON_TIME;
 /// Maximum body size of a target's response.
 const RESPONSE_BODY_LIMIT: ByteSize = ByteSize(64 << 20);
 /// Limits until a configuration has been received.
@@ -67,8 +65,7 @@
 
 /// State of a gateway.
 ///
-/// Lock order: `splits` before the locks of `services`. `poison` and `unreported_crashes` are never
-/// held together with another lock.
+/// Lock order: `splits` before the locks of `services`.
 pub struct Gateway {
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) headers: HeaderNames,
@@ -82,10 +79,10 @@
     account_limits: Option<Arc<AccountLimits>>,
     routes: ArcSwapOption<RouteSet>,
     splits: Mutex<(TrafficSplits, StdRng)>,
-    poison: Mutex<PoisonTable>,
-    unreported_crashes: Mutex<Vec<CrashReport>>,
+    /// Requests that crash targets.
+    pub(crate) suspects: SuspectRegister,
     pub(crate) unreported_departures: UnreportedDepartures,
-    /// Notified when a finding or crash is to be reported to the other gateways immediately.
+    /// Notified when a finding is to be reported to the other gateways immediately.
     pub(crate) urgent_report: Event,
 }
 
@@ -120,6 +117,7 @@
             headers: dependencies.dialect.headers(),
             pool: dependencies.pool,
             services,
+            suspects: SuspectRegister::new(Arc::clone(&dependencies.metrics)),
             metrics: dependencies.metrics,
             budgets: BodyBudgets::new(&dependencies.budget),
             body_options: BodyOptions::default(),
@@ -132,8 +130,6 @@
                 TrafficSplits::default(),
                 StdRng::seed_from_u64(dependencies.seed),
             )),
-            poison: Mutex::default(),
-            unreported_crashes: Mutex::default(),
             unreported_departures: UnreportedDepartures::default(),
             urgent_report: Event::new(),
         }
@@ -211,26 +207,18 @@
         true
     }
 
-    /// Records a crash that this or another gateway observed.
-    pub fn record_crash(&self, report: CrashReport) {
-        let now = self.clock.now();
-        self.poison.lock().record(now, report);
+    /// Records what another gateway knows of a request that crashes targets.
+    pub fn record_suspect(&self, report: &SuspectReport) {
+        self.suspects.record(self.clock.now(), report);
     }
 
-    /// Records a crash and queues it for the other gateways.
-    pub(crate) fn report_crash(&self, report: CrashReport) {
-        info!(
-            target_id:% = report.target, incarnation = report.incarnation.0, request:% = report.request;
-            "target crashed while it ran a request"
-        );
-        self.record_crash(report.clone());
-        self.unreported_crashes.lock().push(report);
-        self.urgent_report.notify(usize::MAX);
+    /// Takes the reports about requests that crash targets, for the other gateways.
+    pub fn take_suspect_reports(&self) -> Vec<SuspectReport> {
+        self.suspects.take_unreported()
     }
 
-    /// Takes the crashes that have not been reported to the other gateways yet.
-    pub fn take_unreported_crashes(&self) -> Vec<CrashReport> {
-        std::mem::take(&mut self.unreported_crashes.lock())
+    pub(crate) fn verdict(&self, request: &RequestDigest) -> Verdict {
+        self.suspects.verdict(self.clock.now(), request)
     }
 
     /// Takes a target out of use that stated its departure in a response, and queues the departure for
@@ -257,11 +245,6 @@
         self.unreported_departures.take()
     }
 
-    pub(crate) fn is_poisoned(&self, digest: &RequestDigest) -> bool {
-        let now = self.clock.now();
-        self.poison.lock().is_poisoned(now, digest)
-    }
-
     /// Limits of a target's response. It may be delimited by the end of its connection, since
     /// targets seal their responses. Only the presence of the seal is checked.
     pub(crate) fn response_limits(&self) -> Limits {
@@ -275,6 +258,7 @@
     async fn handle(
         self: Arc<Self>,
         request: Request,
+        caller: SocketAddr,
         arrived: Timestamp,
         disconnect: Disconnect,
     ) -> Response {
@@ -286,9 +270,12 @@
         let Ok(account) = authenticate(&request, self.headers, &routes, &route) else {
             return refuse(Failure::UnknownKey, None);
         };
-        let digest = request_digest(&request);
-        if self.is_poisoned(&digest) {
-            return refuse(Failure::Poisoned, Some(POISON_RETRY_AFTER));
+        let caller = CallerIdentity::new(account.as_deref(), caller.ip());
+        let digest = request_digest(&request, &caller);
+        if let Verdict::Poisoned(left) = self.verdict(&digest) {
+            let attempt = request.headers.text(self.headers.attempt).unwrap_or("-");
+            self.suspects.record_refusal(attempt, &digest, left);
+            return refuse(Failure::Poisoned, Some(left));
         }
         let Some(dispatcher) = self.dispatcher_for(&route) else {
             return refuse(Failure::NoConfiguration, Some(CONFIGURATION_RETRY_AFTER));
@@ -382,7 +369,6 @@
 pub(crate) fn refusal_retry_after(failure: Failure) -> Option<Millis> {
     match failure {
         Failure::NoConfiguration => Some(CONFIGURATION_RETRY_AFTER),
-        Failure::Poisoned => Some(POISON_RETRY_AFTER),
         _ => None,
     }
 }
@@ -402,24 +388,6 @@
     failure.to_response(retry_after)
 }
 
-/// Digest of host, method, path and body, which identifies a request across the attempts of its
-/// caller, whose attempt ids differ.
-pub fn request_digest(request: &Request) -> RequestDigest {
-    let mut hasher = Sha256::new();
-    let host = request.headers.get("Host").unwrap_or_default();
-    for part in [
-        host,
-        request.method.as_bytes(),
-        request.path.as_bytes(),
-        &request.body,
-    ] {
-        // The length prefix keeps requests apart whose parts are divided differently.
-        hasher.update((part.len() as u64).to_be_bytes());
-        hasher.update(part);
-    }
-    RequestDigest(hasher.finalize().into())
-}
-
 /// The [`Service`] that forwards the requests of callers through a shared gateway.
 pub struct CallerService(pub Arc<Gateway>);
 
@@ -427,11 +395,11 @@
     fn respond(
         &self,
         req: Request,
-        _caller: SocketAddr,
+        caller: SocketAddr,
         disconnect: Disconnect,
     ) -> BoxFuture<'_, Response> {
         let arrived = self.0.clock.now();
-        Box::pin(Arc::clone(&self.0).handle(req, arrived, disconnect))
+        Box::pin(Arc::clone(&self.0).handle(req, caller, arrived, disconnect))
     }
 
     fn admit(
@@ -446,10 +414,10 @@
         &self,
         req: Request,
         arrived: Timestamp,
-        _caller: SocketAddr,
+        caller: SocketAddr,
         disconnect: Disconnect,
     ) -> BoxFuture<'_, Response> {
-        Box::pin(Arc::clone(&self.0).handle(req, arrived, disconnect))
+        Box::pin(Arc::clone(&self.0).handle(req, caller, arrived, disconnect))
     }
 }
 
--- a/crates/auburnbridge_gateway/src/lib.rs
+++ b/crates/auburnbridge_gateway/src/lib.rs
@@ -25,18 +25,21 @@
 mod service_dispatcher;
 mod service_table;
 mod stop_times;
+mod suspect_resends;
+mod suspects;
 
 pub use account_limits::{AccountLimitOptions, AccountLimits};
 pub use bodies::{BodyBudgets, BodyInFlight, BodyOptions, TargetBodies, body_memory};
 pub use cell_reports::{CellReports, Outgoing, Reported};
 pub use explain::{
-    EXPLAIN_HOST, EXPLAIN_KEY, EXPLAIN_METHOD, EXPLAIN_PATH, EXPLAIN_TARGET, ExplainedRefusal,
-    ExplainedService, ExplainedTarget, Explanation, OperatorService,
+    EXPLAIN_CALLER, EXPLAIN_HOST, EXPLAIN_KEY, EXPLAIN_METHOD, EXPLAIN_PATH, EXPLAIN_TARGET,
+    ExplainedRefusal, ExplainedService, ExplainedTarget, Explanation, OperatorService,
 };
 pub use feed::KeeperWatcher;
-pub use gateway::{CallerService, Gateway, GatewayDependencies, request_digest};
+pub use gateway::{CallerService, Gateway, GatewayDependencies};
 pub use neighbours::{GatewayReport, GatewayReporter, ReportKind};
 pub use run::{GatewayError, GatewayOptions, RunningGateway};
 pub use service_dispatcher::{Assignment, ServiceDispatcher};
 pub use service_table::ServiceTable;
 pub use stop_times::StopTimes;
+pub use suspects::{CallerIdentity, request_digest};
--- a/crates/auburnbridge_gateway/src/neighbours.rs
+++ b/crates/auburnbridge_gateway/src/neighbours.rs
@@ -10,7 +10,7 @@
 use async_std::net::UdpSocket;
 use auburnbridge_messages::GatewayLocation;
 use auburnbridge_peer::codec;
-use auburnbridge_policy::CrashReport;
+use auburnbridge_policy::SuspectReport;
 use auburnbridge_policy::balance::{CellPlace, GatewayHost, LoadReport, ReportedFinding};
 use auburnbridge_types::{ByteSize, DataCentre, LinkRate, Millis, Timestamp, VmId};
 use futures_lite::FutureExt;
@@ -20,6 +20,7 @@
 
 use crate::cell_reports::{CellReports, Outgoing, Reported};
 use crate::gateway::Gateway;
+use crate::suspect_resends::{MAX_REPORTS, SuspectResends};
 
 /// Maximum datagram size. A larger datagram would be fragmented.
 const DATAGRAM_LIMIT: ByteSize = ByteSize(1_400);
@@ -49,9 +50,9 @@
     pub from: VmId,
     /// Findings about targets.
     pub findings: Vec<ReportedFinding>,
-    /// Requests that crashed a target.
-    pub crashes: Vec<CrashReport>,
-    /// In-flight requests by target; absent if the report carries only findings and crashes.
+    /// Requests that crash targets.
+    pub suspects: Vec<SuspectReport>,
+    /// In-flight requests by target; absent if the report carries only findings or suspects.
     pub load: Option<LoadReport>,
 }
 
@@ -65,14 +66,14 @@
     Findings,
     /// Findings of other gateways, or for gateways outside the cell.
     Relayed,
-    /// Crashes.
+    /// Requests that crash targets.
     Crashes,
 }
 
 impl ReportKind {
     /// The kind of a received report, which doesn't show whether it was relayed.
     fn of(report: &GatewayReport) -> Self {
-        if !report.crashes.is_empty() {
+        if !report.suspects.is_empty() {
             Self::Crashes
         } else if report.load.is_some() {
             Self::Load
@@ -89,6 +90,8 @@
     socket: UdpSocket,
     others: Mutex<Vec<GatewayLocation>>,
     cell_reports: Mutex<CellReports>,
+    /// Reports to all gateways while they form no cells.
+    suspect_resends: Mutex<SuspectResends>,
 }
 
 impl GatewayReporter {
@@ -112,6 +115,7 @@
             socket: UdpSocket::bind(address).await?,
             others: Mutex::default(),
             cell_reports: Mutex::new(CellReports::new(own, None)),
+            suspect_resends: Mutex::default(),
         })
     }
 
@@ -166,7 +170,7 @@
                     gateway.metrics.record_report("received", kind, length);
                     let now = gateway.clock.now();
                     let outgoing = self.cell_reports.lock().pass_on(now, &report);
-                    apply(&gateway, report);
+                    apply(&gateway, &report);
                     self.send_all(&gateway, outgoing).await;
                 }
                 Err(error) => {
@@ -184,11 +188,12 @@
         let mut sent_load_to: HashSet<VmId> = HashSet::new();
         loop {
             let urgent_report = gateway.urgent_report.listen();
+            let suspect_report = gateway.suspects.listen_for_reports();
             let now = gateway.clock.now();
             let wait = next_report.since(now);
             if wait > Millis(0) {
                 let is_urgent = async {
-                    urgent_report.await;
+                    urgent_report.or(suspect_report).await;
                     true
                 };
                 let is_due = async {
@@ -215,6 +220,7 @@
                 self.send_in_cells(&gateway, load).await;
                 continue;
             }
+            self.send_suspects(&gateway).await;
             let includes_remote =
                 is_crowded || reports_made.is_multiple_of(LOCAL_REPORTS_PER_REMOTE);
             self.send_reports(&gateway, load, includes_remote, &mut sent_load_to)
@@ -240,10 +246,10 @@
         let mut report = GatewayReport {
             from: self.vm.clone(),
             findings: take_findings(gateway),
-            crashes: gateway.take_unreported_crashes(),
+            suspects: Vec::new(),
             load: None,
         };
-        let has_urgent = !report.findings.is_empty() || !report.crashes.is_empty();
+        let has_urgent = !report.findings.is_empty();
         let has_load = load.as_ref().is_some_and(|load| !load.in_flight.is_empty());
         // Every gateway gets one of these two datagrams, so each is encoded only once.
         let urgent_kind = ReportKind::of(&report);
@@ -278,10 +284,37 @@
         }
     }
 
+    /// Sends the reports about requests that crash targets that are due to all gateways.
+    async fn send_suspects(&self, gateway: &Gateway) {
+        let now = gateway.clock.now();
+        let due = {
+            let mut resends = self.suspect_resends.lock();
+            resends.add(now, gateway.take_suspect_reports());
+            resends.due(now)
+        };
+        let suspects: Vec<SuspectReport> = due.into_values().flatten().collect();
+        for suspects in suspects.chunks(MAX_REPORTS) {
+            let report = GatewayReport {
+                from: self.vm.clone(),
+                findings: Vec::new(),
+                suspects: suspects.to_vec(),
+                load: None,
+            };
+            let Some(datagram) = encode(&report) else {
+                continue;
+            };
+            let others = self.others.lock().clone();
+            for other in others {
+                self.send(gateway, ReportKind::Crashes, other.address, &datagram)
+                    .await;
+            }
+        }
+    }
+
     async fn send_in_cells(&self, gateway: &Gateway, load: Option<LoadReport>) {
         let reported = Reported {
             findings: take_findings(gateway),
-            crashes: gateway.take_unreported_crashes(),
+            suspects: gateway.take_suspect_reports(),
             load,
         };
         let now = gateway.clock.now();
@@ -345,11 +378,11 @@
     LoadReport { in_flight }
 }
 
-fn apply(gateway: &Gateway, report: GatewayReport) {
+fn apply(gateway: &Gateway, report: &GatewayReport) {
     gateway
         .services
         .apply_report(&report.from, &report.findings, report.load.as_ref());
-    for crash in report.crashes {
-        gateway.record_crash(crash);
+    for suspect in &report.suspects {
+        gateway.record_suspect(suspect);
     }
 }
--- /dev/null
+++ b/crates/auburnbridge_gateway/src/suspects.rs
@@ -0,0 +1,255 @@
+//! Requests that crash targets: what this gateway knows of them, and their trials.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use auburnbridge_http::Request;
+use auburnbridge_policy::poison::{
+    Admission, CrashReport, RunHistory, SETTLING_TIME, SuspectReport, Suspects, Verdict,
+};
+use auburnbridge_routing::ClientAccount;
+use auburnbridge_telemetry::ProcessMetrics;
+use auburnbridge_types::{AccountId, Clock, Millis, RequestDigest, Timestamp, TrialClaim};
+use event_listener::{Event, EventListener};
+use futures_lite::FutureExt;
+use log::info;
+use parking_lot::Mutex;
+use sha2::{Digest, Sha256};
+use strum::IntoStaticStr;
+
+/// Who sent a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallerIdentity {
+    /// A client account, at any address.
+    Account(AccountId),
+    /// A caller without an account.
+    Address(IpAddr),
+}
+
+impl CallerIdentity {
+    /// The account of a caller, or its address if it has none.
+    pub fn new(account: Option<&ClientAccount>, address: IpAddr) -> Self {
+        account.map_or(Self::Address(address), |account| {
+            Self::Account(account.id.clone())
+        })
+    }
+}
+
+/// Digest of caller, host, method, path and body, which identifies a request across the attempts of
+/// its caller, whose attempt ids differ.
+pub fn request_digest(request: &Request, caller: &CallerIdentity) -> RequestDigest {
+    let host = request.headers.get("Host").unwrap_or_default();
+    let (kind, caller) = match caller {
+        CallerIdentity::Account(account) => ("account", account.to_string()),
+        CallerIdentity::Address(address) => ("address", address.to_string()),
+    };
+    let mut hasher = Sha256::new();
+    for part in [
+        kind.as_bytes(),
+        caller.as_bytes(),
+        host,
+        request.method.as_bytes(),
+        request.path.as_bytes(),
+        &request.body,
+    ] {
+        // The length prefix keeps requests apart whose parts are divided differently.
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    RequestDigest(hasher.finalize().into())
+}
+
+/// Why a request may not be sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotAdmitted {
+    /// It is a poison request.
+    Poisoned,
+    /// Its deadline passed while another request was on trial.
+    DeadlinePassed,
+}
+
+/// The requests that crashed targets, shared by all requests of a gateway.
+///
+/// No lock is held together with another one.
+pub(crate) struct SuspectRegister {
+    metrics: Arc<ProcessMetrics>,
+    suspects: Mutex<Suspects>,
+    /// Reports for the other gateways.
+    unreported: Mutex<Vec<SuspectReport>>,
+    /// Notified when a request that waits for the trial may start.
+    changed: Event,
+    /// Notified when there is a report for the other gateways.
+    reported: Event,
+}
+
+/// The trial of a request; ends when it is dropped.
+pub(crate) struct Trial<'a> {
+    register: &'a SuspectRegister,
+    claim: TrialClaim,
+}
+
+impl Drop for Trial<'_> {
+    fn drop(&mut self) {
+        self.register.suspects.lock().trial.release(self.claim);
+        self.register.changed.notify(usize::MAX);
+    }
+}
+
+/// What happens to a request that may crash targets, for the metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum SuspectEvent {
+    Crashed,
+    Answered,
+    Trial,
+    Refused,
+}
+
+impl SuspectRegister {
+    pub(crate) fn new(metrics: Arc<ProcessMetrics>) -> Self {
+        Self {
+            metrics,
+            suspects: Mutex::default(),
+            unreported: Mutex::default(),
+            changed: Event::new(),
+            reported: Event::new(),
+        }
+    }
+
+    /// Records a report of another gateway.
+    pub(crate) fn record(&self, now: Timestamp, report: &SuspectReport) {
+        self.suspects.lock().record(now, report);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Records a crash that this gateway observed.
+    pub(crate) fn report_crash(&self, now: Timestamp, crash: CrashReport) {
+        let (target, request) = (crash.target.clone(), crash.request);
+        let incarnation = crash.incarnation.0;
+        self.report(now, SuspectReport::Crashed(crash));
+        let suspects = self.suspects.lock();
+        let history = suspects.table.history(now, &request);
+        let verdict = suspects.table.verdict(now, &request);
+        drop(suspects);
+        self.metrics.record_suspect(SuspectEvent::Crashed.into());
+        info!(
+            target_id:% = target, incarnation = incarnation, request:% = request,
+            crashes_in_a_row = history.crashes, verdict:% = verdict;
+            "target crashed while it ran a request"
+        );
+    }
+
+    /// Records an answered run of a request, which refutes its crashes.
+    pub(crate) fn record_answer(&self, request: &RequestDigest) {
+        let report = self.suspects.lock().record_answer(request);
+        if let Some(report) = report {
+            self.metrics.record_suspect(SuspectEvent::Answered.into());
+            info!(request:% = request; "request answered after crashes of its targets");
+            self.queue(report);
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Counts and logs the refusal of a request that arrived at this gateway.
+    pub(crate) fn record_refusal(
+        &self,
+        attempt: &str,
+        request: &RequestDigest,
+        retry_after: Millis,
+    ) {
+        self.metrics.record_suspect(SuspectEvent::Refused.into());
+        info!(
+            attempt = attempt, request:% = request, retry_after_ms = retry_after.0;
+            "request crashes targets"
+        );
+    }
+
+    /// What is known of a request that is about to be sent.
+    pub(crate) fn history(&self, now: Timestamp, request: &RequestDigest) -> RunHistory {
+        self.suspects.lock().table.history(now, request)
+    }
+
+    pub(crate) fn verdict(&self, now: Timestamp, request: &RequestDigest) -> Verdict {
+        self.suspects.lock().table.verdict(now, request)
+    }
+
+    /// Notifies of the next report for the other gateways.
+    pub(crate) fn listen_for_reports(&self) -> EventListener {
+        self.reported.listen()
+    }
+
+    /// Takes the reports that have not been sent to the other gateways yet.
+    pub(crate) fn take_unreported(&self) -> Vec<SuspectReport> {
+        std::mem::take(&mut self.unreported.lock())
+    }
+
+    /// Waits until a request may be sent to a target, on trial if needed.
+    pub(crate) async fn wait_for_admission(
+        &self,
+        clock: &dyn Clock,
+        request: &RequestDigest,
+        deadline: Timestamp,
+    ) -> Result<(), NotAdmitted> {
+        loop {
+            let changed = self.changed.listen();
+            let now = clock.now();
+            let until = match self.suspects.lock().admit(now, request) {
+                Admission::Run | Admission::Trial => return Ok(()),
+                Admission::Refuse(_) => return Err(NotAdmitted::Poisoned),
+                Admission::Wait(until) => until,
+            };
+            if now >= deadline {
+                return Err(NotAdmitted::DeadlinePassed);
+            }
+            changed
+                .or(clock.sleep(until.min(deadline).since(now)))
+                .await;
+        }
+    }
+
+    /// Begins a run of a request that has a target; returns its trial if it needs one, or `None` in place
+    /// of a result if it may not be sent now, since targets crashed while it waited for one or another
+    /// request is on trial.
+    pub(crate) async fn begin_run(
+        &self,
+        clock: &dyn Clock,
+        request: &RequestDigest,
+    ) -> Option<Option<Trial<'_>>> {
+        let now = clock.now();
+        let claim = TrialClaim(rand::random());
+        {
+            let mut suspects = self.suspects.lock();
+            match suspects.admit(now, request) {
+                Admission::Run => return Some(None),
+                Admission::Trial => suspects.claim(now, *request, claim),
+                Admission::Wait(_) | Admission::Refuse(_) => return None,
+            }
+        }
+        let trial = Trial {
+            register: self,
+            claim,
+        };
+        self.queue(SuspectReport::Trial {
+            request: *request,
+            claim,
+        });
+        clock.sleep(SETTLING_TIME).await;
+        let has_won = self.suspects.lock().has_won(clock.now(), request, claim);
+        if !has_won {
+            return None;
+        }
+        self.metrics.record_suspect(SuspectEvent::Trial.into());
+        info!(request:% = request, claim = claim.0; "request on trial");
+        Some(Some(trial))
+    }
+
+    fn report(&self, now: Timestamp, report: SuspectReport) {
+        self.record(now, &report);
+        self.queue(report);
+    }
+
+    fn queue(&self, report: SuspectReport) {
+        self.unreported.lock().push(report);
+        self.reported.notify(usize::MAX);
+    }
+}
--- a/crates/auburnbridge_messages/src/lib.rs
+++ b/crates/auburnbridge_messages/src/lib.rs
@@ -12,7 +12,7 @@
 use auburnbridge_membership::{Announcement, EntryAnnouncement, SyncMessage};
 use auburnbridge_peer::codec::{self, CodecError};
 use auburnbridge_peer::{Delivery, PeerAddress, PeerError, Transport};
-use auburnbridge_policy::{CrashReport, EvidenceReport};
+use auburnbridge_policy::{EvidenceReport, SuspectReport};
 use auburnbridge_types::{
     ByteSize, ConfigVersion, DataCentre, Millis, Revision, ServiceName, VmId,
 };
@@ -51,8 +51,9 @@
     },
     /// Between keepers, one way: a message of the log replication.
     Log(Box<Message>),
-    /// Between entries: a target crashed while it ran a request.
-    Crash(CrashReport),
+    /// Between entries: what the sender learned of a request that crashes targets.
+    #[strum(serialize = "crash")]
+    Suspect(SuspectReport),
     /// Between entries, one way: the sender's evidence about suspected targets.
     Evidence(Vec<ServiceEvidence>),
     /// Between entries, one way: announcements that are new to the sender.
--- a/crates/auburnbridge_policy/src/lib.rs
+++ b/crates/auburnbridge_policy/src/lib.rs
@@ -8,7 +8,7 @@
 //! - A *gateway* has no idempotency keys. It uses [`balance`], which ejects no targets: it ranks them
 //!   by evidence that decays within seconds.
 //!
-//! [`PoisonTable`] and [`RequestClass`] are used by both. Similar types of the two sets, such as
+//! [`poison`] and [`RequestClass`] are used by both. Similar types of the two sets, such as
 //! [`Observation`] and [`balance::Finding`], [`Choice`] and [`balance::Pick`], or [`Rejected`] and
 //! [`balance::Refusal`], are never converted to each other.
 //!
@@ -27,7 +27,7 @@
 mod fleet;
 mod health;
 mod limits;
-mod poison;
+pub mod poison;
 mod policy;
 mod retry;
 mod target;
@@ -40,7 +40,7 @@
 pub use fleet::{Choice, Fleet, TargetKey, TargetView};
 pub use health::{Health, Observation};
 pub use limits::{AccountLimit, AccountLimiter};
-pub use poison::{CRASH_LIMIT, CrashReport, POISON_TIME, PoisonTable};
+pub use poison::{CrashReport, PoisonTable, SuspectReport};
 pub use policy::{EjectionPolicy, EjectionPolicyBuilder, Sensitivity};
 pub use retry::RetryBudget;
 pub use target::{Member, Presence, ServiceState};
--- a/crates/auburnbridge_policy/src/poison.rs
+++ b/crates/auburnbridge_policy/src/poison.rs
@@ -1,100 +1,103 @@
 //! Detection of poison requests, which crash each target that runs them.
 //!
-//! A request is identified by a full digest that the process computes, so that no other request is
-//! refused by mistake. Despite its type's name the digest covers more than the body: a gateway
-//! hashes the host, method, path and body. The table is bounded; when it is full, the oldest report
-//! is evicted.
+//! A crash says little about the requests that its target ran: targets also go down by themselves,
+//! several at a time, and beside a poison request. Three things tell a poison request from the others:
+//!
+//! - It is never answered. An answered run of a request refutes all its crashes until then.
+//! - It crashes one target after another. Runs of the same request that were under way at the same
+//!   time count as one crash in a row, however many targets went down under them ([`RunHistory`]).
+//! - Other targets stay up. While targets crash that didn't run the request, more crashes in a row
+//!   are needed.
+//!
+//! A request that crashed several targets is *on trial*: it runs on one target of the fleet at a time
+//! ([`TrialSlot`]), never beside another request on trial, until it is answered or refused. The number
+//! of targets that a poison request crashes is bounded that way even if its copies arrive at all
+//! gateways at once.
+//!
+//! A refusal isn't final: a request that is refused gets a trial from time to time, and is served again
+//! once it is answered.
+//!
+//! A request is identified by a full digest that the process computes, with its caller, so that no
+//! other request is refused by mistake.
 
-use std::collections::{HashMap, VecDeque};
+mod table;
+mod trial_slot;
 
-use auburnbridge_types::{Incarnation, Millis, RequestDigest, TargetId, Timestamp};
-use serde::{Deserialize, Serialize};
+pub use table::{
+    CRASHES_ALONE, CRASHES_AMID_OTHERS, CrashReport, FIRST_REFUSAL_TIME, LATE_AFTER, LATE_CRASHES,
+    PoisonTable, REFUSAL_TIME, RunHistory, SuspectReport, Verdict,
+};
+pub use trial_slot::{SETTLING_TIME, TRIAL_TIME, TrialSlot};
 
-/// Number of crashed target instances after which a request is refused.
-pub const CRASH_LIMIT: usize = 2;
-/// Time for which crashes are kept and a poisoned request is refused.
-pub const POISON_TIME: Millis = Millis(10 * 60 * 1000);
-/// Maximum number of requests in the table.
-const MAX_REQUESTS: usize = 4_096;
+use auburnbridge_types::{Millis, RequestDigest, Timestamp, TrialClaim};
 
-/// A crash of a target while it ran a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// The request.
-    pub request: RequestDigest,
-    /// The target that crashed.
-    pub target: TargetId,
-    /// Incarnation of the target that crashed.
-    pub incarnation: Incarnation,
+/// Whether a request may be sent to a target now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent.
+    Run,
+    /// It may be sent on trial (see [`Suspects::claim`]).
+    Trial,
+    /// Another request is on trial, until this instant at the latest.
+    Wait(Timestamp),
+    /// It is a poison request and is refused for this time.
+    Refuse(Millis),
 }
 
-#[derive(Clone, Debug)]
-struct Crashes {
-    instances: Vec<(TargetId, Incarnation)>,
-    last_crash: Timestamp,
-}
-
-/// The crash reports that one process knows of.
+/// What a gateway knows of requests that crash targets, and the trial of the fleet.
 #[derive(Clone, Debug, Default)]
-pub struct PoisonTable {
-    requests: HashMap<RequestDigest, Crashes>,
-    // One element per report, in order of arrival; stale elements are skipped.
-    reports: VecDeque<(Timestamp, RequestDigest)>,
+pub struct Suspects {
+    /// The crashes.
+    pub table: PoisonTable,
+    /// The trial.
+    pub trial: TrialSlot,
 }
 
-impl PoisonTable {
-    /// Records a report of this or another process; a repeated report has no effect.
-    pub fn record(&mut self, now: Timestamp, report: CrashReport) {
-        self.expire(now);
-        let crashes = self.requests.entry(report.request).or_insert(Crashes {
-            instances: Vec::new(),
-            last_crash: now,
-        });
-        let instance = (report.target, report.incarnation);
-        if crashes.instances.contains(&instance) || crashes.instances.len() >= CRASH_LIMIT {
-            return;
-        }
-        crashes.instances.push(instance);
-        crashes.last_crash = now;
-        self.reports.push_back((now, report.request));
-        while self.requests.len() > MAX_REQUESTS {
-            let Some((_, oldest)) = self.reports.pop_front() else {
-                return;
-            };
-            self.requests.remove(&oldest);
+impl Suspects {
+    /// Decides whether a request may be sent to a target.
+    pub fn admit(&self, now: Timestamp, request: &RequestDigest) -> Admission {
+        match self.table.verdict(now, request) {
+            Verdict::Sound => Admission::Run,
+            Verdict::Poisoned(left) => Admission::Refuse(left),
+            Verdict::OnTrial => match self.trial.ends_at(now) {
+                None => Admission::Trial,
+                Some(until) => Admission::Wait(until),
+            },
         }
     }
 
-    /// Whether the request has crashed [`CRASH_LIMIT`] targets and is to be refused.
-    pub fn is_poisoned(&self, now: Timestamp, request: &RequestDigest) -> bool {
-        self.requests.get(request).is_some_and(|crashes| {
-            crashes.instances.len() >= CRASH_LIMIT && now.since(crashes.last_crash) < POISON_TIME
-        })
+    /// Claims the trial for a request that can be sent at once. The claim has to be reported to the other
+    /// gateways, and the request may be sent if it has won after [`SETTLING_TIME`].
+    pub fn claim(&mut self, now: Timestamp, request: RequestDigest, claim: TrialClaim) {
+        self.trial.claim(now, request, claim);
     }
 
-    /// Number of requests in the table.
-    pub fn len(&self) -> usize {
-        self.requests.len()
+    /// Whether a claim has won the trial, so that its request may be sent.
+    pub fn has_won(&self, now: Timestamp, request: &RequestDigest, claim: TrialClaim) -> bool {
+        self.trial.is_held(now, claim) && self.table.verdict(now, request) == Verdict::OnTrial
     }
 
-    /// Whether the table is empty.
-    pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+    /// Records an answered run; returns the report for the other gateways if it refutes crashes.
+    pub fn record_answer(&mut self, request: &RequestDigest) -> Option<SuspectReport> {
+        let report = self.table.record_answer(request);
+        if report.is_some() {
+            self.trial.end(request);
+        }
+        report
     }
 
-    fn expire(&mut self, now: Timestamp) {
-        while let Some((reported, request)) = self.reports.front().copied() {
-            if now.since(reported) < POISON_TIME {
-                return;
-            }
-            self.reports.pop_front();
-            let is_expired = self
-                .requests
-                .get(&request)
-                .is_some_and(|crashes| now.since(crashes.last_crash) >= POISON_TIME);
-            if is_expired {
-                self.requests.remove(&request);
+    /// Records a report of this or another gateway; a repeated report has no effect.
+    pub fn record(&mut self, now: Timestamp, report: &SuspectReport) {
+        // Reports are sent several times, and an old one must not end a trial that came later.
+        let is_new = self.table.record(now, report);
+        match report {
+            SuspectReport::Crashed(CrashReport { request, .. })
+            | SuspectReport::Answered { request, .. } => {
+                if is_new {
+                    self.trial.end(request);
+                }
             }
+            SuspectReport::Trial { request, claim } => self.trial.record(now, *request, *claim),
         }
     }
 }
--- /dev/null
+++ b/crates/auburnbridge_policy/tests/poison.rs
@@ -0,0 +1,255 @@
+//! Tests of the decisions about requests that crash targets, one at a time. `poison_model.rs` has them in
+//! fleets.
+
+use auburnbridge_policy::poison::{
+    Admission, CRASHES_ALONE, CRASHES_AMID_OTHERS, CrashReport, FIRST_REFUSAL_TIME, LATE_AFTER,
+    LATE_CRASHES, REFUSAL_TIME, RunHistory, SETTLING_TIME, SuspectReport, Suspects, TRIAL_TIME,
+    Verdict,
+};
+use auburnbridge_types::{Incarnation, Millis, RequestDigest, Timestamp, TrialClaim};
+
+const START: Timestamp = Timestamp(1_000_000);
+
+fn digest(request: u32) -> RequestDigest {
+    let mut bytes = [0; 32];
+    bytes[..4].copy_from_slice(&request.to_be_bytes());
+    RequestDigest(bytes)
+}
+
+fn crash(request: u32, target: &str, history: RunHistory) -> SuspectReport {
+    SuspectReport::Crashed(CrashReport {
+        request: digest(request),
+        target: target.parse().unwrap(),
+        incarnation: Incarnation(1),
+        history,
+    })
+}
+
+/// Records crashes of targets that ran the request one after another.
+fn crash_in_a_row(suspects: &mut Suspects, now: Timestamp, request: u32, crashes: u32) {
+    for number in 0..crashes {
+        let history = suspects.table.history(now, &digest(request));
+        let target = format!("t-{request}-{}-{number}", now.0);
+        suspects.record(now, &crash(request, &target, history));
+    }
+}
+
+fn verdict(suspects: &Suspects, now: Timestamp, request: u32) -> Verdict {
+    suspects.table.verdict(now, &digest(request))
+}
+
+/// Guards against a poison request that goes on crashing targets, and against the refusal of other
+/// requests.
+#[test]
+fn crashes_in_a_row_poison_only_that_request() {
+    let mut suspects = Suspects::default();
+    crash_in_a_row(&mut suspects, START, 1, 1);
+    assert_eq!(verdict(&suspects, START, 1), Verdict::Sound);
+    crash_in_a_row(&mut suspects, START.after(Millis(1)), 1, CRASHES_ALONE - 2);
+    let now = START.after(Millis(2));
+    assert_eq!(verdict(&suspects, now, 1), Verdict::OnTrial);
+    crash_in_a_row(&mut suspects, now, 1, 1);
+    assert_eq!(
+        verdict(&suspects, now, 1),
+        Verdict::Poisoned(FIRST_REFUSAL_TIME)
+    );
+    assert_eq!(verdict(&suspects, now, 2), Verdict::Sound);
+    let later = now.after(FIRST_REFUSAL_TIME);
+    assert_eq!(verdict(&suspects, later, 1), Verdict::OnTrial);
+}
+
+/// Guards against a report that counts twice, since each is sent several times.
+#[test]
+fn repeated_report_has_no_effect() {
+    let mut suspects = Suspects::default();
+    let report = crash(1, "a", RunHistory::default());
+    for time in 0..10 {
+        suspects.record(START.after(Millis(time)), &report);
+    }
+    assert_eq!(suspects.table.history(START, &digest(1)).crashes, 1);
+    assert_eq!(verdict(&suspects, START, 1), Verdict::Sound);
+}
+
+/// Guards against a request that is refused because several targets that ran it went down together.
+#[test]
+fn crashes_of_runs_at_the_same_time_count_once() {
+    let mut suspects = Suspects::default();
+    for target in 0..20 {
+        suspects.record(
+            START,
+            &crash(1, &format!("t-{target}"), RunHistory::default()),
+        );
+    }
+    assert_eq!(suspects.table.history(START, &digest(1)).crashes, 1);
+    assert_eq!(verdict(&suspects, START, 1), Verdict::OnTrial);
+}
+
+/// Guards against a request that is refused although targets answer it, at the gateway that got the
+/// answer and at the others.
+#[test]
+fn answer_refutes_the_crashes_before_it() {
+    let mut suspects = Suspects::default();
+    let mut other = Suspects::default();
+    let before = RunHistory::default();
+    crash_in_a_row(&mut suspects, START, 1, CRASHES_ALONE);
+    crash_in_a_row(&mut other, START, 1, CRASHES_ALONE);
+    let report = suspects.record_answer(&digest(1)).unwrap();
+    other.record(START, &report);
+    for suspects in [&mut suspects, &mut other] {
+        assert_eq!(verdict(suspects, START, 1), Verdict::Sound);
+        // A run that had been sent before the answer.
+        suspects.record(START, &crash(1, "late", before));
+        assert_eq!(suspects.table.history(START, &digest(1)).crashes, 0);
+        assert_eq!(
+            suspects.record_answer(&digest(1)),
+            None,
+            "nothing to refute"
+        );
+    }
+}
+
+/// Guards against a gateway that missed an answer and counts the crashes before and after it together.
+#[test]
+fn crash_report_tells_of_answers_before_it() {
+    let mut suspects = Suspects::default();
+    crash_in_a_row(&mut suspects, START, 1, CRASHES_ALONE - 1);
+    let history = RunHistory {
+        answers: 1,
+        ..RunHistory::default()
+    };
+    suspects.record(START, &crash(1, "after-answer", history));
+    assert_eq!(suspects.table.history(START, &digest(1)).crashes, 1);
+}
+
+/// Guards against a sound request that is refused while targets go down by themselves, and against a
+/// poison request that is never refused then.
+#[test]
+fn more_crashes_are_needed_while_other_targets_crash() {
+    let mut suspects = Suspects::default();
+    crash_in_a_row(&mut suspects, START, 2, 1);
+    crash_in_a_row(&mut suspects, START, 1, CRASHES_AMID_OTHERS - 1);
+    assert_eq!(verdict(&suspects, START, 1), Verdict::OnTrial);
+    crash_in_a_row(&mut suspects, START.after(Millis(1)), 1, 1);
+    let now = START.after(Millis(1));
+    assert!(matches!(verdict(&suspects, now, 1), Verdict::Poisoned(_)));
+}
+
+/// Guards against a poison request whose first copies crash many targets at once, so that later ones
+/// seldom follow each other.
+#[test]
+fn late_runs_that_crash_are_refused_in_any_case() {
+    let mut suspects = Suspects::default();
+    for target in 0..3 {
+        suspects.record(
+            START,
+            &crash(1, &format!("t-{target}"), RunHistory::default()),
+        );
+    }
+    // Another target goes down, so that crashes in a row alone would allow more.
+    let late = START.after(LATE_AFTER);
+    crash_in_a_row(&mut suspects, late, 2, 1);
+    crash_in_a_row(&mut suspects, late, 1, LATE_CRASHES);
+    assert_eq!(verdict(&suspects, late, 1), Verdict::Poisoned(REFUSAL_TIME));
+    let trial = late.after(REFUSAL_TIME);
+    assert_eq!(verdict(&suspects, trial, 1), Verdict::OnTrial);
+}
+
+/// Guards against a table that grows with the number of requests, and against a poison request that is
+/// forgotten when many targets crash.
+#[test]
+fn table_is_bounded_and_keeps_poison_requests() {
+    let mut suspects = Suspects::default();
+    crash_in_a_row(&mut suspects, START, 0, CRASHES_AMID_OTHERS);
+    for request in 1..10_000 {
+        crash_in_a_row(&mut suspects, START.after(Millis(1)), request, 1);
+    }
+    assert_eq!(suspects.table.len(), 4_096);
+    let now = START.after(Millis(2));
+    assert!(matches!(verdict(&suspects, now, 0), Verdict::Poisoned(_)));
+}
+
+fn claims(low: u64, high: u64) -> (TrialClaim, TrialClaim) {
+    (TrialClaim(low), TrialClaim(high))
+}
+
+/// Guards against two gateways that both take the trial, and against one that takes none because each
+/// yields to the other.
+#[test]
+fn lowest_of_simultaneous_claims_wins() {
+    let (low, high) = claims(1, 2);
+    let mut gateways = [Suspects::default(), Suspects::default()];
+    for (gateway, claim) in gateways.iter_mut().zip([low, high]) {
+        crash_in_a_row(gateway, START, 1, 2);
+        assert_eq!(gateway.admit(START, &digest(1)), Admission::Trial);
+        gateway.claim(START, digest(1), claim);
+    }
+    let request = digest(1);
+    gateways[0].record(
+        START,
+        &SuspectReport::Trial {
+            request,
+            claim: high,
+        },
+    );
+    gateways[1].record(
+        START,
+        &SuspectReport::Trial {
+            request,
+            claim: low,
+        },
+    );
+    let now = START.after(SETTLING_TIME);
+    assert!(gateways[0].has_won(now, &request, low));
+    assert!(!gateways[1].has_won(now, &request, high));
+    assert!(matches!(
+        gateways[1].admit(now, &request),
+        Admission::Wait(_)
+    ));
+}
+
+/// Guards against a claim that calls back a request that has been sent.
+#[test]
+fn claim_after_the_start_of_a_trial_loses() {
+    let (low, high) = claims(1, 2);
+    let mut suspects = Suspects::default();
+    crash_in_a_row(&mut suspects, START, 1, 2);
+    suspects.claim(START, digest(1), high);
+    let started = START.after(SETTLING_TIME);
+    let request = digest(2);
+    suspects.record(
+        started,
+        &SuspectReport::Trial {
+            request,
+            claim: low,
+        },
+    );
+    assert!(suspects.has_won(started, &digest(1), high));
+}
+
+/// Guards against a trial that blocks the others for good because its gateway was lost.
+#[test]
+fn trial_of_a_lost_gateway_ends() {
+    let mut suspects = Suspects::default();
+    crash_in_a_row(&mut suspects, START, 1, 2);
+    let claim = TrialClaim(1);
+    let request = digest(2);
+    suspects.record(START, &SuspectReport::Trial { request, claim });
+    let end = START.after(TRIAL_TIME);
+    assert_eq!(suspects.admit(START, &digest(1)), Admission::Wait(end));
+    assert_eq!(suspects.admit(end, &digest(1)), Admission::Trial);
+}
+
+/// Guards against two trials at once because an old report is sent again (model, seed 123).
+#[test]
+fn repeated_report_ends_no_later_trial() {
+    let mut suspects = Suspects::default();
+    let report = crash(1, "a", RunHistory::default());
+    suspects.record(START, &report);
+    crash_in_a_row(&mut suspects, START, 1, 1);
+    let claim = TrialClaim(1);
+    suspects.claim(START, digest(1), claim);
+    suspects.record(START, &report);
+    assert!(suspects.has_won(START, &digest(1), claim));
+    crash_in_a_row(&mut suspects, START.after(Millis(30)), 1, 1);
+    assert_eq!(suspects.admit(START, &digest(1)), Admission::Trial);
+}
--- a/crates/auburnbridge_telemetry/src/metrics.rs
+++ b/crates/auburnbridge_telemetry/src/metrics.rs
@@ -47,6 +47,11 @@
     reason: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SuspectLabels {
+    event: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct BodyLabels {
     direction: String,
@@ -79,6 +84,7 @@
     control_calls: Family<CallLabels, Counter>,
     stated_departures: Family<ServiceLabels, Counter>,
     unread_requests: Family<UnreadLabels, Counter>,
+    suspect_requests: Family<SuspectLabels, Counter>,
     body_bytes: Family<BodyLabels, Gauge>,
     account_requests: Family<DecisionLabels, Counter>,
     backlog_refusals: Family<ServiceLabels, Counter>,
@@ -91,6 +97,13 @@
     Histogram::new(LATENCY_BUCKETS)
 }
 
+fn register_suspect_requests(registry: &mut Registry) -> Family<SuspectLabels, Counter> {
+    let events = Family::default();
+    let help = "Events of requests that may crash targets";
+    registry.register("suspect_requests", help, events.clone());
+    events
+}
+
 impl Default for ProcessMetrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("auburnbridge");
@@ -102,6 +115,7 @@
         let control_calls = Family::default();
         let stated_departures = Family::default();
         let unread_requests = Family::default();
+        let suspect_requests = register_suspect_requests(&mut registry);
         let body_bytes = Family::default();
         let account_requests = Family::default();
         let backlog_refusals = Family::default();
@@ -180,6 +194,7 @@
             control_calls,
             stated_departures,
             unread_requests,
+            suspect_requests,
             body_bytes,
             account_requests,
             backlog_refusals,
@@ -238,6 +253,14 @@
         self.unread_requests.get_or_create(&labels).inc();
     }
 
+    /// Counts an event of a request that may crash targets.
+    pub fn record_suspect(&self, event: &str) {
+        let labels = SuspectLabels {
+            event: event.to_owned(),
+        };
+        self.suspect_requests.get_or_create(&labels).inc();
+    }
+
     /// Sets the bytes of the bodies in memory, of callers' requests and of targets' responses.
     pub fn set_body_bytes(&self, requests: u64, responses: u64) {
         for (direction, bytes) in [("request", requests), ("response", responses)] {
--- a/crates/auburnbridge_types/src/quantities.rs
+++ b/crates/auburnbridge_types/src/quantities.rs
@@ -80,6 +80,11 @@
     /// Version of a published configuration; the highest one takes effect.
     ConfigVersion(u64), "", "a whole number"
 );
+quantity!(
+    /// Random number that identifies a claim of the trial of a request; the lowest of simultaneous
+    /// claims wins.
+    TrialClaim(u64), "", "a whole number"
+);
 quantity!(
     /// Priority of a route; 0 is the highest.
     Priority(u32), "", "a whole number"
