Judge crashes of other targets by the time of the request's own

Cause: crashes of other targets counted for ten seconds from now, so that a request that got through an outage on trial could be refused for ten minutes once that time had passed. Change: they count if they came at most 10 s before or 1 s after the last crash of the request. Result: crashes_of_other_targets_count_as_long_as_those_of_the_request failed on the code before (poisoned after 20 s), and holds.

--- a/crates/auburnbridge_policy/src/poison.rs
+++ b/crates/auburnbridge_policy/src/poison.rs
@@ -92,18 +92,16 @@
         // Reports are sent several times, and an old one must not end a trial that came later.
         let is_new = self.table.record(now, report);
         match report {
-            SuspectReport::Crashed(CrashReport { request, .. })
-            | SuspectReport::Answered { request, .. } => {
-                if is_new {
-                    self.trial.end(request);
-                }
+            SuspectReport::Crashed(crash) if is_new => {
+                self.trial.end(&crash.request);
+                return self.table.correction(now, crash);
             }
-            SuspectReport::Known { .. } => {}
+            SuspectReport::Answered { request, .. } if is_new => self.trial.end(request),
             SuspectReport::Trial { request, claim } => self.trial.record(now, *request, *claim),
+            SuspectReport::Crashed(_)
+            | SuspectReport::Answered { .. }
+            | SuspectReport::Known { .. } => {}
         }
-        match report {
-            SuspectReport::Crashed(crash) if is_new => self.table.correction(now, crash),
-            _ => None,
-        }
+        None
     }
 }
--- a/crates/auburnbridge_policy/src/poison/table.rs
+++ b/crates/auburnbridge_policy/src/poison/table.rs
@@ -29,8 +29,10 @@
 pub const LATE_AFTER: Millis = Millis(1_000);
 /// Time in which a crash becomes known at all processes that run.
 const MESSAGE_TIME: Millis = Millis(100);
-/// Time for which a crash counts as one of other targets for the requests that it didn't run.
-const OTHER_CRASH_TIME: Millis = Millis(10_000);
+/// Time before the last crash of a request in which crashes of other targets count.
+const OTHERS_BEFORE: Millis = Millis(10_000);
+/// Time after the last crash of a request in which crashes of other targets count.
+const OTHERS_AFTER: Millis = Millis(1_000);
 /// Maximum number of requests in the table.
 const MAX_REQUESTS: usize = 4_096;
 /// Maximum number of crashed targets kept for each request.
@@ -248,7 +250,7 @@
         let crashes = suspect.crashes;
         let is_poisoned = crashes >= CRASHES_AMID_OTHERS
             || suspect.late_crashes >= LATE_CRASHES
-            || (crashes >= CRASHES_ALONE && !self.did_others_crash(now, suspect));
+            || (crashes >= CRASHES_ALONE && !self.did_others_crash(suspect));
         let refusal_time = if suspect.late_crashes < EARLY_TRIALS {
             FIRST_REFUSAL_TIME
         } else {
@@ -270,10 +272,13 @@
         self.requests.is_empty()
     }
 
-    /// Whether a target crashed lately that didn't run the request.
-    fn did_others_crash(&self, now: Timestamp, suspect: &Suspect) -> bool {
+    /// Whether a target that didn't run the request crashed about the time of its last crash.
+    fn did_others_crash(&self, suspect: &Suspect) -> bool {
+        let last = suspect.last_crash;
         self.recent.iter().any(|(at, instance)| {
-            now.since(*at) < OTHER_CRASH_TIME && !suspect.instances.contains(instance)
+            last.since(*at) < OTHERS_BEFORE
+                && at.since(last) < OTHERS_AFTER
+                && !suspect.instances.contains(instance)
         })
     }
 
@@ -293,14 +298,13 @@
     }
 
     fn record_recent(&mut self, now: Timestamp, instance: &Instance) {
-        while let Some((at, _)) = self.recent.front()
-            && (now.since(*at) >= OTHER_CRASH_TIME || self.recent.len() >= MAX_RECENT)
-        {
-            self.recent.pop_front();
+        if self.recent.iter().any(|(_, known)| known == instance) {
+            return;
         }
-        if !self.recent.iter().any(|(_, known)| known == instance) {
-            self.recent.push_back((now, instance.clone()));
+        if self.recent.len() >= MAX_RECENT {
+            self.recent.pop_front();
         }
+        self.recent.push_back((now, instance.clone()));
     }
 
     /// Drops forgotten requests if the table is full, or else the one with the fewest crashes in a row.
--- a/crates/auburnbridge_policy/tests/poison.rs
+++ b/crates/auburnbridge_policy/tests/poison.rs
@@ -291,3 +291,18 @@
     assert!(matches!(verdict(&started, now, 1), Verdict::Poisoned(_)));
     assert_eq!(suspects.record(now, &report), None, "a repeated report");
 }
+
+/// Guards against a request that is refused once the crashes of other targets beside its own lie some time
+/// back.
+#[test]
+fn crashes_of_other_targets_count_as_long_as_those_of_the_request() {
+    let mut suspects = Suspects::default();
+    crash_in_a_row(&mut suspects, START, 1, 3);
+    crash_in_a_row(&mut suspects, START, 2, 1);
+    let late = START.after(LATE_AFTER);
+    crash_in_a_row(&mut suspects, late, 1, LATE_CRASHES - 1);
+    for wait in [0, 20_000, 200_000] {
+        let now = late.after(Millis(wait));
+        assert_eq!(verdict(&suspects, now, 1), Verdict::OnTrial, "{wait} ms");
+    }
+}
