--- a/crates/auburnbridge_capacity/src/main.rs
+++ b/crates/auburnbridge_capacity/src/main.rs
@@ -19,6 +19,7 @@
 mod ledger;
 mod measure;
 mod peer;
+mod poison;
 mod projection;
 mod rules;
 mod store;
@@ -47,11 +48,12 @@
 /// Takes one sample of each measurement in a group.
 type Measure = fn(&mut Report);
 
-const GROUPS: [(&str, Measure); 9] = [
+const GROUPS: [(&str, Measure); 10] = [
     ("rules", rules::measure),
     ("gossip", gossip::measure),
     ("account-limits", account_limits::measure),
     ("choice", choice::measure),
+    ("poison", poison::measure),
     ("http", http::measure),
     ("store", store::measure),
     ("ledger", ledger::measure),
--- a/crates/auburnbridge_capacity/tests/capacity.rs
+++ b/crates/auburnbridge_capacity/tests/capacity.rs
@@ -74,7 +74,7 @@
     let digits = word[letters..].trim_end_matches(['a', 'b']);
     let prefixes = [
         "R", "G", "E", "A", "D", "H", "S", "P", "K", "L", "CG", "CP", "CS", "CT", "CC", "CR", "CE",
-        "CM", "CL",
+        "CM", "CL", "X",
     ];
     prefixes.contains(&&word[..letters])
         && !digits.is_empty()
