Bound the late runs of poison requests that crash slowly

Cause: the model's poison requests crashed their targets at once. Change: a claim is sent twice and a report again after 100 ms; only a report of the run on trial ends its trial; runs have ids, and a run carries the number of late crashes known when it was sent; a gateway keeps all trials that may still run, and the next one of the same request waits up to 3 s.

--- a/crates/auburnbridge_capacity/src/poison.rs
+++ b/crates/auburnbridge_capacity/src/poison.rs
@@ -1,7 +1,7 @@
 //! Measures what a gateway or an entry keeps about requests that crash targets.
 
 use auburnbridge_policy::poison::{CrashReport, PoisonTable, RunHistory, SuspectReport};
-use auburnbridge_types::{Incarnation, Millis, RequestDigest};
+use auburnbridge_types::{Incarnation, Millis, RequestDigest, RunId};
 
 use crate::fixtures::START;
 use crate::measure::{Metric, Report, heap_bytes, nanos_per_call};
@@ -42,6 +42,7 @@
                 .parse()
                 .expect("the target id is valid"),
             incarnation: Incarnation(1),
+            run: RunId(u64::from(crash)),
             history: RunHistory::default(),
             run_time: Millis(0),
         });
--- a/crates/auburnbridge_entry/src/dispatch.rs
+++ b/crates/auburnbridge_entry/src/dispatch.rs
@@ -6,7 +6,7 @@
 use auburnbridge_http::Response;
 use auburnbridge_policy::{CrashReport, TargetKey};
 use auburnbridge_rules::RouteClass;
-use auburnbridge_types::{AttemptId, ErrorKind, RequestDigest};
+use auburnbridge_types::{AttemptId, ErrorKind, RequestDigest, RunId};
 
 use crate::admission::{NotAdmitted, Permit};
 use crate::attempt::{ExchangeOutcome, request_class, unless_disconnected};
@@ -202,6 +202,7 @@
                         request: self.digest,
                         target,
                         incarnation,
+                        run: RunId(rand::random()),
                         history,
                         run_time: self.entry.deps.clock.now().since(start),
                     };
--- a/crates/auburnbridge_entry/tests/request_path/crashes_and_retries.rs
+++ b/crates/auburnbridge_entry/tests/request_path/crashes_and_retries.rs
@@ -15,7 +15,7 @@
 use crate::fakes::{FakeCluster, SEND_HEADER};
 use crate::scenario::{ImmediateSpawner, START, kind_of, member, poll, start_entry};
 
-const TARGETS: u16 = 6;
+const TARGETS: u16 = 8;
 /// Number of polls within which a request without faults completes.
 const POLLS: usize = 50;
 
@@ -95,14 +95,9 @@
 fn poison_request_is_refused_on_both_entries() {
     let pair = EntryPair::new();
     pair.poison(b"poison");
-    // The retry budget of an entry ends the first request.
-    let refused = "request-poisoned";
-    for (entry, kind) in [
-        (0, "answer-incomplete"),
-        (0, refused),
-        (1, refused),
-        (1, refused),
-    ] {
+    // The retry budget of the first entry ends its requests.
+    let (incomplete, refused) = ("answer-incomplete", "request-poisoned");
+    for (entry, kind) in [(0, incomplete), (0, incomplete), (1, refused), (1, refused)] {
         let response = pair.respond(entry, idempotent_req(b"poison"));
         assert_eq!(kind_of(&response), kind);
         assert_eq!(response.headers.text(OUTCOME_HEADER), Some("unknown"));
@@ -125,12 +120,13 @@
 fn poison_request_under_new_keys_is_refused() {
     let pair = EntryPair::new();
     pair.poison(b"poison");
-    let kinds: Vec<String> = (1..=6)
+    let kinds: Vec<String> = (1..=7)
         .map(|key| kind_of(&pair.respond(usize::from(key % 2), keyed_req("POST", key, b"poison"))))
         .collect();
     let refused = "request-poisoned";
-    assert_eq!(kinds[..4], ["answer-incomplete"; CRASHES_ALONE as usize]);
-    assert_eq!(kinds[4..], [refused, refused]);
+    let (ran, not_run) = kinds.split_at(CRASHES_ALONE as usize);
+    assert_eq!(ran, ["answer-incomplete"; CRASHES_ALONE as usize]);
+    assert_eq!(not_run, [refused, refused]);
     assert_eq!(pair.runs_of(b"poison"), CRASHES_ALONE as usize);
     assert_eq!(
         pair.respond(0, keyed_req("POST", 9, b"harmless")).status,
--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -13,7 +13,7 @@
     Exchange, ExchangeResult, NotSentReason, UnknownReason, refuses_connections,
 };
 use auburnbridge_telemetry::ExchangeLabels;
-use auburnbridge_types::{Millis, Timestamp};
+use auburnbridge_types::{Millis, RunId, Timestamp};
 use futures_lite::FutureExt;
 use log::info;
 
@@ -215,6 +215,7 @@
             request: self.incoming.digest,
             target: assignment.target().clone(),
             incarnation: assignment.pick().incarnation,
+            run: RunId(rand::random()),
             history,
             run_time: self.gateway.clock.now().since(start),
         };
--- a/crates/auburnbridge_gateway/src/suspect_resends.rs
+++ b/crates/auburnbridge_gateway/src/suspect_resends.rs
@@ -7,11 +7,13 @@
 
 /// Number of times that a report is sent.
 const SENDS: u32 = 4;
-/// Delay before a report is sent again. All sends together take less than the time in which a crash
+/// Delay before a report is sent for the second time.
+const FIRST_RESEND_DELAY: Millis = Millis(100);
+/// Delay before it is sent again after that. All sends together take less than the time in which a crash
 /// must be known everywhere, a few seconds.
 pub(crate) const RESEND_INTERVAL: Millis = Millis(600);
 /// Maximum number of reports in one datagram, which holds them with the longest ids.
-pub(crate) const MAX_REPORTS: usize = 10;
+pub(crate) const MAX_REPORTS: usize = 8;
 
 /// A report that is sent again at `due`.
 struct Pending {
@@ -46,7 +48,12 @@
             let reports = due.entry(pending.sends).or_default();
             reports.push(pending.report.clone().after(now.since(pending.added)));
             pending.sends += 1;
-            pending.due = now.after(RESEND_INTERVAL);
+            let delay = if pending.sends == 1 {
+                FIRST_RESEND_DELAY
+            } else {
+                RESEND_INTERVAL
+            };
+            pending.due = now.after(delay);
         }
         self.pending
             .retain(|pending| pending.sends < max_sends(&pending.report));
--- a/crates/auburnbridge_gateway/src/suspects.rs
+++ b/crates/auburnbridge_gateway/src/suspects.rs
@@ -230,8 +230,11 @@
             claim,
         };
         let request = *request;
-        self.queue(SuspectReport::Trial { request, claim });
-        clock.sleep(SETTLING_TIME).await;
+        // The claim is sent twice, since datagrams may be lost.
+        for _ in 0..2 {
+            self.queue(SuspectReport::Trial { request, claim });
+            clock.sleep(Millis(SETTLING_TIME.0 / 2)).await;
+        }
         let now = clock.now();
         if !self.suspects.lock().has_won(now, &request, claim) {
             return None;
--- a/crates/auburnbridge_gateway/tests/cell_reports.rs
+++ b/crates/auburnbridge_gateway/tests/cell_reports.rs
@@ -19,7 +19,7 @@
     CellPlace, Finding, GatewayHost, LoadReport, ReportedFinding, TargetHash, TargetLoad,
 };
 use auburnbridge_policy::poison::{CrashReport, RunHistory, SuspectReport};
-use auburnbridge_types::{ByteSize, Incarnation, Millis, Timestamp};
+use auburnbridge_types::{ByteSize, Incarnation, Millis, RunId, Timestamp};
 
 const TICK_MS: u64 = 100;
 const LINK: &str = "1.4Mbit/s";
@@ -87,6 +87,7 @@
         request: auburnbridge_types::RequestDigest([7; 32]),
         target: "t-1".parse().unwrap(),
         incarnation: Incarnation(1),
+        run: RunId(1),
         history: RunHistory::default(),
         run_time: Millis(0),
     })
@@ -526,3 +527,37 @@
     }
     println!("decode and encode {:?}", start.elapsed() / 100_000);
 }
+
+/// Guards against crashes that reach no other gateway because a datagram is too short for them, however
+/// many come at once and however long their ids are.
+#[test]
+fn many_crashes_at_once_are_all_sent() {
+    let mut fleet = Fleet::new(&FLEET);
+    let crashes: Vec<SuspectReport> = (0..100_u64)
+        .map(|number| {
+            SuspectReport::Crashed(CrashReport {
+                request: auburnbridge_types::RequestDigest([255; 32]),
+                target: format!("{number:0>64}").parse().unwrap(),
+                incarnation: Incarnation(u64::MAX),
+                run: RunId(u64::MAX),
+                history: RunHistory {
+                    answers: u32::MAX,
+                    crashes: u32::MAX,
+                    late_crashes: u32::MAX,
+                    is_late: true,
+                },
+                run_time: Millis(u64::MAX),
+            })
+        })
+        .collect();
+    let reported = Reported {
+        suspects: crashes.clone(),
+        ..Reported::default()
+    };
+    let mut sent: Vec<SuspectReport> = Vec::new();
+    for outgoing in fleet.gateways[0].outgoing(time(0), reported) {
+        let report: GatewayReport = codec::decode(&outgoing.datagram, ByteSize(1_400)).unwrap();
+        sent.extend(report.suspects);
+    }
+    assert_eq!(sent, crashes);
+}
--- a/crates/auburnbridge_gateway/tests/forwarding/crashes.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/crashes.rs
@@ -14,11 +14,11 @@
 use auburnbridge_policy::poison::{
     CRASHES_ALONE, CrashReport, FIRST_REFUSAL_TIME, RunHistory, SuspectReport,
 };
-use auburnbridge_types::{Incarnation, Millis, RequestDigest};
+use auburnbridge_types::{Incarnation, Millis, RequestDigest, RunId};
 use futures_lite::FutureExt;
 use parking_lot::Mutex;
 
-use crate::targets::{Behaviour, OK, Target, listen, send, start_gateway, start_target};
+use crate::targets::{Behaviour, OK, Target, listen, method_of, send, start_gateway, start_target};
 
 /// Word in the path of a request that crashes its target.
 const POISON: &str = "poison";
@@ -175,12 +175,7 @@
 
 /// The digest of a request that the tests send for `path`.
 fn digest(path: &str) -> RequestDigest {
-    let method = if path.starts_with("/order/") {
-        "POST"
-    } else {
-        "GET"
-    };
-    let mut req = Request::new(method, path);
+    let mut req = Request::new(method_of(path), path);
     req.headers.append("Host", "h");
     request_digest(&req, &CallerIdentity::Address("127.0.0.1".parse().unwrap()))
 }
@@ -192,6 +187,7 @@
             request: digest(path),
             target: format!("t-{}", 10 + number).parse().unwrap(),
             incarnation: Incarnation(1),
+            run: RunId(u64::from(number)),
             history: RunHistory {
                 crashes: number,
                 ..RunHistory::default()
--- a/crates/auburnbridge_gateway/tests/forwarding/targets.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/targets.rs
@@ -319,6 +319,15 @@
     exchange(&mut connection, path, wait_ms, headers).await
 }
 
+/// The method with which the tests send a request for `path`.
+pub fn method_of(path: &str) -> &'static str {
+    if path.starts_with("/order/") {
+        "POST"
+    } else {
+        "GET"
+    }
+}
+
 /// Sends a request on an open connection, and returns the response.
 pub async fn exchange(
     connection: &mut Connection<TcpStream>,
@@ -326,12 +335,7 @@
     wait_ms: u64,
     headers: &[(&'static str, &str)],
 ) -> Response {
-    let method = if path.starts_with("/order/") {
-        "POST"
-    } else {
-        "GET"
-    };
-    let mut req = Request::new(method, path);
+    let mut req = Request::new(method_of(path), path);
     req.headers.append("Host", "h");
     req.headers.append("Attempt", "a-7");
     req.headers.append("Wait-Ms", wait_ms.to_string());
--- a/crates/auburnbridge_policy/src/poison.rs
+++ b/crates/auburnbridge_policy/src/poison.rs
@@ -27,7 +27,7 @@
     CRASHES_ALONE, CRASHES_AMID_OTHERS, CrashReport, FIRST_REFUSAL_TIME, LATE_AFTER, LATE_CRASHES,
     PoisonTable, REFUSAL_TIME, RunHistory, SuspectReport, Verdict,
 };
-pub use trial_slot::{SETTLING_TIME, TRIAL_TIME, TrialSlot};
+pub use trial_slot::{SAME_REQUEST_TRIAL_TIME, SETTLING_TIME, TRIAL_TIME, TrialSlot};
 
 use auburnbridge_types::{Millis, RequestDigest, Timestamp, TrialClaim};
 
@@ -59,7 +59,7 @@
         match self.table.verdict(now, request) {
             Verdict::Sound => Admission::Run,
             Verdict::Poisoned(left) => Admission::Refuse(left),
-            Verdict::OnTrial => match self.trial.ends_at(now) {
+            Verdict::OnTrial => match self.trial.blocked_until(now, request) {
                 None => Admission::Trial,
                 Some(until) => Admission::Wait(until),
             },
@@ -89,11 +89,12 @@
     /// Records a report of this or another gateway; a repeated report has no effect. Returns the answer
     /// for a gateway that knows too little.
     pub fn record(&mut self, now: Timestamp, report: &SuspectReport) -> Option<SuspectReport> {
-        // Reports are sent several times, and an old one must not end a trial that came later.
+        // Reports are sent several times and may be late, and an old one must not end a trial that came
+        // after its run.
         let is_new = self.table.record(now, report);
         match report {
             SuspectReport::Crashed(crash) if is_new => {
-                self.trial.end(&crash.request);
+                self.trial.end_run(&crash.request, crash.sent_at(now));
                 return self.table.correction(now, crash);
             }
             SuspectReport::Answered { request, .. } if is_new => self.trial.end(request),
--- a/crates/auburnbridge_policy/src/poison/table.rs
+++ b/crates/auburnbridge_policy/src/poison/table.rs
@@ -3,11 +3,13 @@
 use std::cmp::Ordering;
 use std::collections::{HashMap, VecDeque};
 
-use auburnbridge_types::{Incarnation, Millis, RequestDigest, TargetId, Timestamp, TrialClaim};
+use auburnbridge_types::{
+    Incarnation, Millis, RequestDigest, RunId, TargetId, Timestamp, TrialClaim,
+};
 use serde::{Deserialize, Serialize};
 
 /// Crashes in a row after which a request is refused, if no other target crashes.
-pub const CRASHES_ALONE: u32 = 4;
+pub const CRASHES_ALONE: u32 = 5;
 /// Crashes in a row after which a request is refused while other targets crash.
 pub const CRASHES_AMID_OTHERS: u32 = 6;
 /// Crashes of late runs (see [`RunHistory::is_late`]) after which a request is refused in any case.
@@ -37,6 +39,8 @@
 const MAX_REQUESTS: usize = 4_096;
 /// Maximum number of crashed targets kept for each request.
 const MAX_INSTANCES: usize = 32;
+/// Maximum number of late runs kept for each request.
+const MAX_LATE_RUNS: usize = 8;
 /// Maximum number of recent crashes of all targets.
 const MAX_RECENT: usize = 256;
 
@@ -50,7 +54,9 @@
     pub answers: u32,
     /// Crashes in a row since then.
     pub crashes: u32,
-    /// Whether the run was sent later than [`LATE_AFTER`] after the third crash.
+    /// Crashes of late runs among them.
+    pub late_crashes: u32,
+    /// Whether the run is late: sent later than [`LATE_AFTER`] after the third crash.
     pub is_late: bool,
 }
 
@@ -63,6 +69,8 @@
     pub target: TargetId,
     /// Incarnation of the target that crashed.
     pub incarnation: Incarnation,
+    /// The run, which tells a further run on the same target from a repeated report.
+    pub run: RunId,
     /// What the sender of the report knew of the request when it sent it to the target.
     pub history: RunHistory,
     /// Time from then until the report is sent.
@@ -102,6 +110,13 @@
     },
 }
 
+impl CrashReport {
+    /// Time at which the run was sent, if the report arrives now.
+    pub fn sent_at(&self, now: Timestamp) -> Timestamp {
+        Timestamp(now.0.saturating_sub(self.run_time.0))
+    }
+}
+
 impl SuspectReport {
     /// The report as it is sent again after some time.
     #[must_use]
@@ -139,7 +154,10 @@
     /// Time at which `crashes` became what it is.
     in_a_row_since: Timestamp,
     third_crash: Option<Timestamp>,
-    late_crashes: u32,
+    /// Late runs that crashed their targets, as far as their reports have arrived.
+    late_runs: Vec<RunId>,
+    /// Number of late crashes that another process knows of.
+    late_crashes_elsewhere: u32,
 }
 
 /// The crashes that one process knows of.
@@ -159,6 +177,7 @@
         RunHistory {
             answers: suspect.answers,
             crashes: suspect.crashes,
+            late_crashes: suspect.late_crashes(),
             is_late: suspect
                 .third_crash
                 .is_some_and(|third| now.since(third) >= LATE_AFTER),
@@ -194,7 +213,7 @@
             request: crash.request,
             answers: suspect.answers,
             crashes: suspect.crashes,
-            late_crashes: suspect.late_crashes,
+            late_crashes: suspect.late_crashes(),
         })
     }
 
@@ -208,8 +227,11 @@
             Ordering::Equal => {}
             Ordering::Greater => suspect.refute(report.history.answers),
         }
-        let sent = Timestamp(now.0.saturating_sub(report.run_time.0));
-        suspect.add(now, instance, suspect.history_at(sent, report.history))
+        let history = suspect.history_at(report.sent_at(now), report.history);
+        if history.is_late {
+            suspect.add_late_run(report.run, history.late_crashes);
+        }
+        suspect.add(now, instance, history.crashes)
     }
 
     /// Records an answered run; returns the report for other processes if it refutes crashes.
@@ -249,9 +271,9 @@
         }
         let crashes = suspect.crashes;
         let is_poisoned = crashes >= CRASHES_AMID_OTHERS
-            || suspect.late_crashes >= LATE_CRASHES
+            || suspect.late_crashes() >= LATE_CRASHES
             || (crashes >= CRASHES_ALONE && !self.did_others_crash(suspect));
-        let refusal_time = if suspect.late_crashes < EARLY_TRIALS {
+        let refusal_time = if suspect.late_crashes() < EARLY_TRIALS {
             FIRST_REFUSAL_TIME
         } else {
             REFUSAL_TIME
@@ -338,7 +360,8 @@
             last_crash: now,
             in_a_row_since: now,
             third_crash: None,
-            late_crashes: 0,
+            late_runs: Vec::new(),
+            late_crashes_elsewhere: 0,
         }
     }
 
@@ -362,6 +385,7 @@
         RunHistory {
             answers: self.answers,
             crashes: known_to_sender.crashes.max(crashes),
+            late_crashes: known_to_sender.late_crashes,
             is_late: known_to_sender.is_late || is_late,
         }
     }
@@ -371,10 +395,10 @@
         if answers > self.answers {
             self.refute(answers);
         }
-        let is_new = crashes > self.crashes || late_crashes > self.late_crashes;
+        let is_new = crashes > self.crashes || late_crashes > self.late_crashes();
         if is_new {
             self.set_crashes(now, crashes);
-            self.late_crashes = self.late_crashes.max(late_crashes);
+            self.late_crashes_elsewhere = self.late_crashes_elsewhere.max(late_crashes);
             self.last_crash = now;
             self.third_crash.get_or_insert(now);
         }
@@ -388,15 +412,28 @@
         }
     }
 
-    /// Adds a crash, and returns whether it was not known.
-    fn add(&mut self, now: Timestamp, instance: Instance, history: RunHistory) -> bool {
-        self.set_crashes(now, history.crashes.saturating_add(1));
+    fn late_crashes(&self) -> u32 {
+        let known = u32::try_from(self.late_runs.len()).unwrap_or(u32::MAX);
+        known.max(self.late_crashes_elsewhere)
+    }
+
+    fn add_late_run(&mut self, run: RunId, late_crashes_before: u32) {
+        let late_crashes = late_crashes_before.saturating_add(1);
+        self.late_crashes_elsewhere = self.late_crashes_elsewhere.max(late_crashes);
+        if self.late_runs.len() < MAX_LATE_RUNS && !self.late_runs.contains(&run) {
+            self.late_runs.push(run);
+        }
+    }
+
+    /// Adds a crash of a run that was sent after `crashes_before` ones, and returns whether it was not
+    /// known.
+    fn add(&mut self, now: Timestamp, instance: Instance, crashes_before: u32) -> bool {
+        self.set_crashes(now, crashes_before.saturating_add(1));
         if self.instances.len() >= MAX_INSTANCES || self.instances.contains(&instance) {
             return false;
         }
         self.last_crash = now;
         self.instances.push(instance);
-        self.late_crashes += u32::from(history.is_late);
         if self.instances.len() >= CRASHES_BEFORE_LATE {
             self.third_crash.get_or_insert(now);
         }
--- a/crates/auburnbridge_policy/src/poison/trial_slot.rs
+++ b/crates/auburnbridge_policy/src/poison/trial_slot.rs
@@ -2,14 +2,18 @@
 //!
 //! Gateways claim the trial by a message to all others and wait until claims made at the same time must
 //! have arrived; the lowest claim wins. There is no owner: a gateway that misses a claim may start a
-//! second trial, and a gateway that is lost blocks the trial for [`TRIAL_TIME`] at most.
+//! second trial, and a gateway that is lost blocks other requests for [`TRIAL_TIME`] at most.
 
 use auburnbridge_types::{Millis, RequestDigest, Timestamp, TrialClaim};
 
 /// Time between a claim and the run, in which the claims of other gateways arrive.
-pub const SETTLING_TIME: Millis = Millis(25);
-/// Time after which a trial no longer keeps others from starting.
+pub const SETTLING_TIME: Millis = Millis(30);
+/// Time after which a trial no longer keeps one of another request from starting.
 pub const TRIAL_TIME: Millis = Millis(1_000);
+/// The same for the next trial of the same request, which may take long to crash its target.
+pub const SAME_REQUEST_TRIAL_TIME: Millis = Millis(3_000);
+/// Maximum number of trials kept.
+const MAX_TRIALS: usize = 16;
 
 #[derive(Clone, Copy, Debug)]
 struct Trial {
@@ -19,16 +23,29 @@
     is_own: bool,
 }
 
-/// The trial as one gateway knows it.
+impl Trial {
+    /// Instant until which it keeps a trial of `request` from starting.
+    fn blocks_until(&self, request: &RequestDigest) -> Timestamp {
+        let time = if self.request == *request {
+            SAME_REQUEST_TRIAL_TIME
+        } else {
+            TRIAL_TIME
+        };
+        self.since.after(time)
+    }
+}
+
+/// The trials that one gateway knows of: the present one, and those that took so long that one of another
+/// request has started meanwhile.
 #[derive(Clone, Debug, Default)]
 pub struct TrialSlot {
-    current: Option<Trial>,
+    trials: Vec<Trial>,
 }
 
 impl TrialSlot {
     /// Claims the trial for a request of this gateway.
     pub fn claim(&mut self, now: Timestamp, request: RequestDigest, claim: TrialClaim) {
-        self.current = Some(Trial {
+        self.add(Trial {
             request,
             claim,
             since: now,
@@ -36,22 +53,34 @@
         });
     }
 
-    /// Instant at which the present trial ends at the latest; `None` if there is none.
-    pub fn ends_at(&self, now: Timestamp) -> Option<Timestamp> {
-        let trial = self.running(now)?;
-        Some(trial.since.after(TRIAL_TIME))
+    /// Instant until which a trial of `request` has to wait at most; `None` if it may start.
+    pub fn blocked_until(&self, now: Timestamp, request: &RequestDigest) -> Option<Timestamp> {
+        self.trials
+            .iter()
+            .map(|trial| trial.blocks_until(request))
+            .filter(|until| now < *until)
+            .max()
     }
 
     /// Records the claim of another gateway.
     pub fn record(&mut self, now: Timestamp, request: RequestDigest, claim: TrialClaim) {
-        if let Some(trial) = self.running(now) {
-            // A request of this gateway that has been sent can't be called back.
-            let was_sent = trial.is_own && now.since(trial.since) >= SETTLING_TIME;
-            if was_sent || trial.claim <= claim {
-                return;
+        let keeps_trial = |trial: &Trial| {
+            let is_simultaneous = now.since(trial.since) < SETTLING_TIME;
+            // A request of this gateway that has been sent can't be called back. The trial of another
+            // gateway has ended if one of them claims the next.
+            if is_simultaneous {
+                trial.claim <= claim
+            } else {
+                trial.is_own
             }
+        };
+        let is_blocking = |trial: &Trial| now < trial.blocks_until(&request);
+        let mut blocking = self.trials.iter().filter(|trial| is_blocking(trial));
+        if blocking.any(keeps_trial) {
+            return;
         }
-        self.current = Some(Trial {
+        self.trials.retain(|trial| !is_blocking(trial));
+        self.add(Trial {
             request,
             claim,
             since: now,
@@ -61,21 +90,33 @@
 
     /// Whether the trial is held by this claim.
     pub fn is_held(&self, now: Timestamp, claim: TrialClaim) -> bool {
-        self.running(now).is_some_and(|trial| trial.claim == claim)
+        self.trials
+            .iter()
+            .any(|trial| trial.claim == claim && now.since(trial.since) < SAME_REQUEST_TRIAL_TIME)
     }
 
-    /// Ends the trial of a request whose run crashed its target or was answered.
+    /// Ends the trial of a request whose run, sent at `sent`, crashed its target.
+    pub fn end_run(&mut self, request: &RequestDigest, sent: Timestamp) {
+        self.trials
+            .retain(|trial| trial.request != *request || sent < trial.since);
+    }
+
+    /// Ends the trial of a request that was answered.
     pub fn end(&mut self, request: &RequestDigest) {
-        self.current.take_if(|trial| trial.request == *request);
+        self.trials.retain(|trial| trial.request != *request);
     }
 
     /// Ends the trial of a claim whose run had another outcome.
     pub fn release(&mut self, claim: TrialClaim) {
-        self.current.take_if(|trial| trial.claim == claim);
+        self.trials.retain(|trial| trial.claim != claim);
     }
 
-    fn running(&self, now: Timestamp) -> Option<Trial> {
-        self.current
-            .filter(|trial| now.since(trial.since) < TRIAL_TIME)
+    fn add(&mut self, trial: Trial) {
+        self.trials
+            .retain(|old| trial.since.since(old.since) < SAME_REQUEST_TRIAL_TIME);
+        if self.trials.len() >= MAX_TRIALS {
+            self.trials.remove(0);
+        }
+        self.trials.push(trial);
     }
 }
--- a/crates/auburnbridge_policy/tests/poison.rs
+++ b/crates/auburnbridge_policy/tests/poison.rs
@@ -1,12 +1,14 @@
 //! Tests of the decisions about requests that crash targets, one at a time. `poison_model.rs` has them in
 //! fleets.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use auburnbridge_policy::poison::{
     Admission, CRASHES_ALONE, CRASHES_AMID_OTHERS, CrashReport, FIRST_REFUSAL_TIME, LATE_AFTER,
-    LATE_CRASHES, REFUSAL_TIME, RunHistory, SETTLING_TIME, SuspectReport, Suspects, TRIAL_TIME,
-    Verdict,
+    LATE_CRASHES, REFUSAL_TIME, RunHistory, SAME_REQUEST_TRIAL_TIME, SETTLING_TIME, SuspectReport,
+    Suspects, TRIAL_TIME, Verdict,
 };
-use auburnbridge_types::{Incarnation, Millis, RequestDigest, Timestamp, TrialClaim};
+use auburnbridge_types::{Incarnation, Millis, RequestDigest, RunId, Timestamp, TrialClaim};
 
 const START: Timestamp = Timestamp(1_000_000);
 
@@ -16,11 +18,19 @@
     RequestDigest(bytes)
 }
 
+/// Id of the only run on a target.
+fn run_id(target: &str) -> RunId {
+    let mut hasher = DefaultHasher::new();
+    target.hash(&mut hasher);
+    RunId(hasher.finish())
+}
+
 fn crash(request: u32, target: &str, history: RunHistory) -> SuspectReport {
     SuspectReport::Crashed(CrashReport {
         request: digest(request),
         target: target.parse().unwrap(),
         incarnation: Incarnation(1),
+        run: run_id(target),
         history,
         run_time: Millis(0),
     })
@@ -227,32 +237,63 @@
     assert!(suspects.has_won(started, &digest(1), high));
 }
 
+/// Guards against a gateway that starts a trial beside the next one of another gateway, since it missed the
+/// end of the trial before (model, seed 20).
+#[test]
+fn later_claim_of_another_gateway_replaces_its_trial() {
+    let (low, high) = claims(1, 2);
+    let mut suspects = Suspects::default();
+    crash_in_a_row(&mut suspects, START, 1, 2);
+    let request = digest(1);
+    for (claim, time) in [(low, 10), (high, 500)] {
+        let now = START.after(Millis(time));
+        suspects.record(now, &SuspectReport::Trial { request, claim });
+    }
+    let now = START.after(Millis(600));
+    let end = START.after(Millis(500 + SAME_REQUEST_TRIAL_TIME.0));
+    let late_report = crash(1, "c", RunHistory::default()).after(Millis(550));
+    suspects.record(now, &late_report);
+    assert_eq!(suspects.admit(now, &request), Admission::Wait(end));
+}
+
 /// Guards against a trial that blocks the others for good because its gateway was lost.
 #[test]
 fn trial_of_a_lost_gateway_ends() {
     let mut suspects = Suspects::default();
     crash_in_a_row(&mut suspects, START, 1, 2);
+    crash_in_a_row(&mut suspects, START, 2, 2);
     let claim = TrialClaim(1);
     let request = digest(2);
     suspects.record(START, &SuspectReport::Trial { request, claim });
-    let end = START.after(TRIAL_TIME);
-    assert_eq!(suspects.admit(START, &digest(1)), Admission::Wait(end));
-    assert_eq!(suspects.admit(end, &digest(1)), Admission::Trial);
+    for (request, time) in [(1, TRIAL_TIME), (2, SAME_REQUEST_TRIAL_TIME)] {
+        let end = START.after(time);
+        let request = digest(request);
+        assert_eq!(suspects.admit(START, &request), Admission::Wait(end));
+        assert_eq!(suspects.admit(end, &request), Admission::Trial);
+    }
 }
 
-/// Guards against two trials at once because an old report is sent again (model, seed 123).
+/// Guards against two trials at once because an old report is sent again (model, seed 123), or arrives only
+/// then (seed 15).
 #[test]
-fn repeated_report_ends_no_later_trial() {
+fn report_of_an_older_run_ends_no_trial() {
     let mut suspects = Suspects::default();
-    let report = crash(1, "a", RunHistory::default());
-    suspects.record(START, &report);
+    let first = crash(1, "a", RunHistory::default());
+    let second = crash(1, "b", RunHistory::default()).after(Millis(600));
+    suspects.record(START, &first);
     crash_in_a_row(&mut suspects, START, 1, 1);
+    let started = START.after(Millis(100));
     let claim = TrialClaim(1);
-    suspects.claim(START, digest(1), claim);
-    suspects.record(START, &report);
-    assert!(suspects.has_won(START, &digest(1), claim));
-    crash_in_a_row(&mut suspects, START.after(Millis(30)), 1, 1);
-    assert_eq!(suspects.admit(START, &digest(1)), Admission::Trial);
+    suspects.claim(started, digest(1), claim);
+    let now = started.after(Millis(200));
+    suspects.record(now, &first);
+    suspects.record(now, &second);
+    assert!(suspects.has_won(now, &digest(1), claim));
+    // The run on trial.
+    let history = suspects.table.history(now, &digest(1));
+    let third = crash(1, "c", history).after(Millis(50));
+    suspects.record(now, &third);
+    assert_eq!(suspects.admit(now, &digest(1)), Admission::Trial);
 }
 
 /// Guards against crashes in a row that aren't counted since each gateway that reports one has just started
@@ -306,3 +347,47 @@
         assert_eq!(verdict(&suspects, now, 1), Verdict::OnTrial, "{wait} ms");
     }
 }
+
+/// Guards against a second late run on a target that counts as a repeated report, so that one more is
+/// allowed (model, seed 27).
+#[test]
+fn late_runs_on_one_target_count_one_by_one() {
+    let mut suspects = Suspects::default();
+    for target in 0..3 {
+        let target = format!("t-{target}");
+        suspects.record(START, &crash(1, &target, RunHistory::default()));
+    }
+    crash_in_a_row(&mut suspects, START, 2, 1);
+    let late = START.after(LATE_AFTER);
+    let history = suspects.table.history(late, &digest(1));
+    for run in 0..u64::from(LATE_CRASHES) {
+        assert_eq!(verdict(&suspects, late, 1), Verdict::OnTrial, "{run} late");
+        let SuspectReport::Crashed(mut report) = crash(1, "t-9", history) else {
+            unreachable!("the report of a crash");
+        };
+        report.run = RunId(run);
+        for _ in 0..4 {
+            suspects.record(late, &SuspectReport::Crashed(report.clone()));
+        }
+    }
+    assert_eq!(verdict(&suspects, late, 1), Verdict::Poisoned(REFUSAL_TIME));
+}
+
+/// Guards against a gateway that allows a late run too many because it missed a report (model, seed 1).
+#[test]
+fn late_run_tells_of_those_before_it() {
+    let mut suspects = Suspects::default();
+    for target in 0..3 {
+        let target = format!("t-{target}");
+        suspects.record(START, &crash(1, &target, RunHistory::default()));
+    }
+    let history = RunHistory {
+        crashes: 3,
+        late_crashes: LATE_CRASHES - 1,
+        is_late: true,
+        ..RunHistory::default()
+    };
+    let late = START.after(LATE_AFTER);
+    suspects.record(late, &crash(1, "t-9", history));
+    assert_eq!(verdict(&suspects, late, 1), Verdict::Poisoned(REFUSAL_TIME));
+}
--- a/crates/auburnbridge_policy/tests/poison_model.rs
+++ b/crates/auburnbridge_policy/tests/poison_model.rs
@@ -9,9 +9,10 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use auburnbridge_policy::poison::{
-    Admission, CrashReport, FIRST_REFUSAL_TIME, RunHistory, SETTLING_TIME, SuspectReport, Suspects,
+    Admission, CRASHES_ALONE, CrashReport, FIRST_REFUSAL_TIME, RunHistory, SETTLING_TIME,
+    SuspectReport, Suspects,
 };
-use auburnbridge_types::{Incarnation, Millis, RequestDigest, Timestamp, TrialClaim};
+use auburnbridge_types::{Incarnation, Millis, RequestDigest, RunId, Timestamp, TrialClaim};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -26,6 +27,7 @@
 const FIRST_OUTAGE_MS: u64 = 500;
 /// Resends of a report, as gateways do.
 const RESENDS: u32 = 3;
+const FIRST_RESEND_MS: u64 = 100;
 const RESEND_INTERVAL_MS: u64 = 600;
 /// Interval at which a request that waits for the trial tries again.
 const RETRY_MS: u64 = 5;
@@ -38,7 +40,7 @@
     copies: usize,
     /// Targets to which one copy may be sent.
     max_attempts: u32,
-    /// Duration of a run that ends with an answer.
+    /// Duration of a run until its answer, or until it crashes its target.
     work_ms: u64,
     /// Time between the end of a copy and the next one.
     pause_ms: u64,
@@ -66,6 +68,7 @@
     const POISON: Self = Self {
         is_poison: true,
         copies: 1,
+        work_ms: 2,
         pause_ms: 400,
         ..Self::PAGE
     };
@@ -154,6 +157,7 @@
     incarnation: Incarnation,
     history: RunHistory,
     claim: Option<TrialClaim>,
+    id: RunId,
     sent: u64,
 }
 
@@ -310,7 +314,14 @@
             Admission::Trial => {
                 let claim = TrialClaim(self.rng.random());
                 self.gateways[copy.gateway].claim(now, request, claim);
-                self.broadcast(copy.gateway, SuspectReport::Trial { request, claim }, 0);
+                let report = SuspectReport::Trial { request, claim };
+                self.broadcast(copy.gateway, report.clone(), 0);
+                let again = Event::Send {
+                    from: copy.gateway,
+                    report,
+                    resends: 0,
+                };
+                self.schedule(SETTLING_TIME.0 / 2, again);
                 self.schedule(SETTLING_TIME.0, Event::Settled(copy, claim));
             }
         }
@@ -343,16 +354,13 @@
             incarnation: self.targets[target].incarnation,
             history,
             claim,
+            id: RunId(self.rng.random()),
             sent: self.now,
         };
         self.next_run += 1;
         self.runs.insert(self.next_run, run);
-        let time = if load.is_poison {
-            self.rng.random_range(1..=3)
-        } else {
-            self.rng
-                .random_range(load.work_ms / 2..=load.work_ms * 3 / 2)
-        };
+        let work = load.work_ms;
+        let time = self.rng.random_range(work / 2..=work * 3 / 2);
         self.schedule(time, Event::End(self.next_run));
     }
 
@@ -408,6 +416,7 @@
             request: digest(copy.request),
             target: format!("t-{target}").parse().unwrap(),
             incarnation: run.incarnation,
+            run: run.id,
             history: run.history,
             run_time: Millis(self.now - run.sent),
         });
@@ -458,10 +467,15 @@
             self.send(from, to, report.clone());
         }
         if resends > 0 {
+            let delay = if resends == RESENDS {
+                FIRST_RESEND_MS
+            } else {
+                RESEND_INTERVAL_MS
+            };
             let resends = resends - 1;
-            let report = report.after(Millis(RESEND_INTERVAL_MS));
+            let report = report.after(Millis(delay));
             self.schedule(
-                RESEND_INTERVAL_MS,
+                delay,
                 Event::Send {
                     from,
                     report,
@@ -641,10 +655,10 @@
 
 /// Guards against a request that is refused since the targets of a few of its runs in a row went down.
 #[test]
-fn lookup_is_served_after_three_crashes_in_a_row() {
+fn lookup_is_served_after_four_crashes_in_a_row() {
     for period_ms in [150, 500, 2_000] {
         let outages = Outages::Following {
-            crashes: 3,
+            crashes: CRASHES_ALONE as usize - 1,
             period_ms,
         };
         let scenario = Scenario {
@@ -659,12 +673,16 @@
     let outages = [Outages::None, OUTAGES[0], OUTAGES[1]];
     for (gateways, targets) in [(2, 6), (16, 26)] {
         for outages in outages {
-            for (copies, pause_ms, max_attempts) in [
-                (1, 400, 2),
-                (1, 5_000, 1),
-                (4, 50, 2),
-                (8, 4_000, 1),
-                (3, 6_000, 3),
+            for (copies, pause_ms, max_attempts, work_ms) in [
+                (1, 400, 2, 2),
+                (1, 5_000, 1, 2),
+                (4, 50, 2, 2),
+                (8, 4_000, 1, 2),
+                (3, 6_000, 3, 2),
+                (1, 400, 2, 400),
+                (4, 50, 2, 400),
+                (8, 4_000, 1, 400),
+                (8, 6_000, 1, 1_000),
             ] {
                 let scenario = Scenario {
                     gateways,
@@ -676,6 +694,7 @@
                 let poison = Load {
                     copies,
                     max_attempts,
+                    work_ms,
                     pause_ms,
                     ..Load::POISON
                 };
@@ -735,18 +754,28 @@
     check_sound_beside_poison(150);
 }
 
-/// The same with many seeds.
+/// The properties with many seeds, by hand: `cargo test --release ... -- --ignored`.
 #[test]
-#[ignore = "takes minutes; run by hand"]
-fn many_seeds() {
+#[ignore = "takes minutes"]
+fn many_seeds_of_sound_requests() {
     check_sound_requests(&OUTAGES, 5_000);
-    check_poison_requests(1_000);
-    check_sound_beside_poison(5_000);
+}
+
+#[test]
+#[ignore = "takes minutes"]
+fn many_seeds_of_poison_requests() {
+    check_poison_requests(500);
+}
+
+#[test]
+#[ignore = "takes minutes"]
+fn many_seeds_beside_a_poison_request() {
+    check_sound_beside_poison(3_000);
 }
 
 /// Prints how often a sound request is refused in outages that are heavier than the platform's.
 #[test]
-#[ignore = "prints figures; run by hand with --nocapture"]
+#[ignore = "prints figures"]
 fn print_refusals_in_heavy_outages() {
     for scenario in outage_scenarios(&HEAVY_OUTAGES) {
         let models = (0..5_000).map(|seed| Model::run(scenario, &SOUND_LOADS, seed));
--- a/crates/auburnbridge_types/src/quantities.rs
+++ b/crates/auburnbridge_types/src/quantities.rs
@@ -80,6 +80,10 @@
     /// Version of a published configuration; the highest one takes effect.
     ConfigVersion(u64), "", "a whole number"
 );
+quantity!(
+    /// Random number that identifies a run of a request on a target.
+    RunId(u64), "", "a whole number"
+);
 quantity!(
     /// Random number that identifies a claim of the trial of a request; the lowest of simultaneous
     /// claims wins.
