Keep a poison request's neighbours and trials apart

Ruled out: a higher limit, which the poison request's first copies reach as well. Change: a request all of whose crashed targets but one ran another request too stays on trial, which separates them; late crashes are refused in any case.

--- a/crates/auburnbridge_policy/src/poison/table.rs
+++ b/crates/auburnbridge_policy/src/poison/table.rs
@@ -270,9 +270,10 @@
             return Verdict::Sound;
         }
         let crashes = suspect.crashes;
-        let is_poisoned = crashes >= CRASHES_AMID_OTHERS
-            || suspect.late_crashes() >= LATE_CRASHES
+        let has_many = crashes >= CRASHES_AMID_OTHERS
             || (crashes >= CRASHES_ALONE && !self.did_others_crash(suspect));
+        let is_poisoned = suspect.late_crashes() >= LATE_CRASHES
+            || (has_many && !self.has_companion(request, suspect));
         let refusal_time = if suspect.late_crashes() < EARLY_TRIALS {
             FIRST_REFUSAL_TIME
         } else {
@@ -304,6 +305,18 @@
         })
     }
 
+    /// Whether another request ran on all targets that crashed under this one, so that either may have
+    /// crashed them. One may be missing, since its report may still be on its way. Trials separate them.
+    fn has_companion(&self, request: &RequestDigest, suspect: &Suspect) -> bool {
+        let needed = suspect.instances.len().saturating_sub(1);
+        let ran_on_all = |other: &Suspect| {
+            other.instances.len() >= needed && suspect.count_shared(other) >= needed
+        };
+        self.requests
+            .iter()
+            .any(|(other_request, other)| other_request != request && ran_on_all(other))
+    }
+
     /// The state of a request, which starts anew if its last crash is forgotten.
     fn suspect(&mut self, now: Timestamp, request: RequestDigest) -> &mut Suspect {
         if !self.requests.contains_key(&request) {
@@ -412,6 +425,12 @@
         }
     }
 
+    /// Number of targets that crashed while they ran this request and `other`.
+    fn count_shared(&self, other: &Self) -> usize {
+        let is_shared = |instance: &&Instance| other.instances.contains(instance);
+        self.instances.iter().filter(is_shared).count()
+    }
+
     fn late_crashes(&self) -> u32 {
         let known = u32::try_from(self.late_runs.len()).unwrap_or(u32::MAX);
         known.max(self.late_crashes_elsewhere)
--- a/crates/auburnbridge_policy/src/poison/trial_slot.rs
+++ b/crates/auburnbridge_policy/src/poison/trial_slot.rs
@@ -21,6 +21,8 @@
     claim: TrialClaim,
     since: Timestamp,
     is_own: bool,
+    /// Kept for a while, so that a claim that arrives again begins no new trial.
+    is_over: bool,
 }
 
 impl Trial {
@@ -50,13 +52,14 @@
             claim,
             since: now,
             is_own: true,
+            is_over: false,
         });
     }
 
     /// Instant until which a trial of `request` has to wait at most; `None` if it may start.
     pub fn blocked_until(&self, now: Timestamp, request: &RequestDigest) -> Option<Timestamp> {
-        self.trials
-            .iter()
+        let running = self.trials.iter().filter(|trial| !trial.is_over);
+        running
             .map(|trial| trial.blocks_until(request))
             .filter(|until| now < *until)
             .max()
@@ -64,51 +67,57 @@
 
     /// Records the claim of another gateway.
     pub fn record(&mut self, now: Timestamp, request: RequestDigest, claim: TrialClaim) {
-        let keeps_trial = |trial: &Trial| {
-            let is_simultaneous = now.since(trial.since) < SETTLING_TIME;
-            // A request of this gateway that has been sent can't be called back. The trial of another
-            // gateway has ended if one of them claims the next.
-            if is_simultaneous {
-                trial.claim <= claim
+        let is_simultaneous = |trial: &Trial| now.since(trial.since) < SETTLING_TIME;
+        let wins = |trial: &Trial| {
+            if is_simultaneous(trial) {
+                trial.claim < claim
             } else {
-                trial.is_own
+                // A request of this gateway that has been sent can't be called back.
+                trial.is_own && now < trial.blocks_until(&request)
             }
         };
-        let is_blocking = |trial: &Trial| now < trial.blocks_until(&request);
-        let mut blocking = self.trials.iter().filter(|trial| is_blocking(trial));
-        if blocking.any(keeps_trial) {
+        let refuses = |trial: &Trial| trial.claim == claim || (!trial.is_over && wins(trial));
+        if self.trials.iter().any(refuses) {
             return;
         }
-        self.trials.retain(|trial| !is_blocking(trial));
+        // A trial of the same request on another gateway has ended if one of them claims the next.
+        self.end_if(|trial| is_simultaneous(trial) || trial.request == request);
         self.add(Trial {
             request,
             claim,
             since: now,
             is_own: false,
+            is_over: false,
         });
     }
 
     /// Whether the trial is held by this claim.
     pub fn is_held(&self, now: Timestamp, claim: TrialClaim) -> bool {
-        self.trials
-            .iter()
-            .any(|trial| trial.claim == claim && now.since(trial.since) < SAME_REQUEST_TRIAL_TIME)
+        self.trials.iter().any(|trial| {
+            let is_running = !trial.is_over && now.since(trial.since) < SAME_REQUEST_TRIAL_TIME;
+            is_running && trial.claim == claim
+        })
     }
 
     /// Ends the trial of a request whose run, sent at `sent`, crashed its target.
     pub fn end_run(&mut self, request: &RequestDigest, sent: Timestamp) {
-        self.trials
-            .retain(|trial| trial.request != *request || sent < trial.since);
+        self.end_if(|trial| trial.request == *request && sent >= trial.since);
     }
 
     /// Ends the trial of a request that was answered.
     pub fn end(&mut self, request: &RequestDigest) {
-        self.trials.retain(|trial| trial.request != *request);
+        self.end_if(|trial| trial.request == *request);
     }
 
     /// Ends the trial of a claim whose run had another outcome.
     pub fn release(&mut self, claim: TrialClaim) {
-        self.trials.retain(|trial| trial.claim != claim);
+        self.end_if(|trial| trial.claim == claim);
+    }
+
+    fn end_if(&mut self, is_over: impl Fn(&Trial) -> bool) {
+        for trial in &mut self.trials {
+            trial.is_over |= is_over(trial);
+        }
     }
 
     fn add(&mut self, trial: Trial) {
--- a/crates/auburnbridge_policy/tests/poison.rs
+++ b/crates/auburnbridge_policy/tests/poison.rs
@@ -256,6 +256,41 @@
     assert_eq!(suspects.admit(now, &request), Admission::Wait(end));
 }
 
+/// Guards against a second trial of a request because that of another one began meanwhile (model, seed 295).
+#[test]
+fn trial_of_another_request_ends_no_trial() {
+    let (low, high) = claims(1, 2);
+    let mut suspects = Suspects::default();
+    crash_in_a_row(&mut suspects, START, 1, 2);
+    let trial = |request, claim| SuspectReport::Trial {
+        request: digest(request),
+        claim,
+    };
+    suspects.record(START, &trial(1, high));
+    // The gateway of the other request knows of the first trial a millisecond longer.
+    let now = START.after(Millis(TRIAL_TIME.0 - 1));
+    suspects.record(now, &trial(2, low));
+    let end = START.after(SAME_REQUEST_TRIAL_TIME);
+    let later = now.after(TRIAL_TIME);
+    assert_eq!(suspects.admit(later, &digest(1)), Admission::Wait(end));
+}
+
+/// Guards against a trial that begins again because its claim arrives a second time after its end (model,
+/// seed 421).
+#[test]
+fn repeated_claim_begins_no_trial_after_its_end() {
+    let mut suspects = Suspects::default();
+    crash_in_a_row(&mut suspects, START, 1, 2);
+    crash_in_a_row(&mut suspects, START, 2, 2);
+    let (request, claim) = (digest(2), TrialClaim(1));
+    let trial = SuspectReport::Trial { request, claim };
+    suspects.record(START, &trial);
+    suspects.record_answer(&request).unwrap();
+    let now = START.after(Millis(10));
+    suspects.record(now, &trial);
+    assert_eq!(suspects.admit(now, &digest(1)), Admission::Trial);
+}
+
 /// Guards against a trial that blocks the others for good because its gateway was lost.
 #[test]
 fn trial_of_a_lost_gateway_ends() {
@@ -391,3 +426,22 @@
     suspects.record(late, &crash(1, "t-9", history));
     assert_eq!(verdict(&suspects, late, 1), Verdict::Poisoned(REFUSAL_TIME));
 }
+
+/// Guards against a sound request that is refused because it met a poison request on each of its targets
+/// (model, seed 94), and against two requests that protect each other for good.
+#[test]
+fn request_that_shared_all_crashed_targets_with_another_one_stays_on_trial() {
+    let mut suspects = Suspects::default();
+    for number in 0..CRASHES_AMID_OTHERS {
+        for request in [1, 2] {
+            let history = suspects.table.history(START, &digest(request));
+            suspects.record(START, &crash(request, &format!("t-{number}"), history));
+        }
+    }
+    assert_eq!(verdict(&suspects, START, 1), Verdict::OnTrial);
+    assert_eq!(verdict(&suspects, START, 2), Verdict::OnTrial);
+    crash_in_a_row(&mut suspects, START.after(Millis(1)), 1, 2);
+    let now = START.after(Millis(1));
+    assert!(matches!(verdict(&suspects, now, 1), Verdict::Poisoned(_)));
+    assert_eq!(verdict(&suspects, now, 2), Verdict::OnTrial);
+}
