--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -40,6 +40,14 @@
     pub(crate) dispatcher: &'a Arc<ServiceDispatcher>,
 }
 
+/// A run of the request on a target, as far as the report of a crash needs it.
+#[derive(Clone, Copy)]
+struct StartedRun {
+    id: RunId,
+    start: Timestamp,
+    history: RunHistory,
+}
+
 /// Outcome of sending a request to one target.
 pub(crate) enum Outcome {
     /// The target's response is passed on to the caller.
@@ -92,10 +100,14 @@
 impl Exchanger<'_> {
     /// Sends the request to a target and waits for the outcome. Dropping the future cancels the
     /// request at the target.
-    pub(crate) async fn send(self, assignment: Assignment) -> SendResult {
+    pub(crate) async fn send(self, assignment: Assignment, run: RunId) -> SendResult {
         let start = self.gateway.clock.now();
         let request = self.outgoing_request(&assignment, start);
-        let history = self.gateway.suspects.history(start, &self.incoming.digest);
+        let started = StartedRun {
+            id: run,
+            start,
+            history: self.gateway.suspects.history(start, &self.incoming.digest),
+        };
         let was_silent = AtomicBool::new(false);
         let silence = self.watch_for_silence(&assignment, &was_silent);
         let exchange = self.exchange(&assignment, &request).or(silence).await;
@@ -115,7 +127,7 @@
                 answer_started,
             } => {
                 if !answer_started && is_disconnect(reason) {
-                    self.check_crash(&assignment, history, start).await;
+                    self.check_crash(&assignment, started).await;
                 }
                 classify_unknown(reason, time)
             }
@@ -210,20 +222,20 @@
     }
 
     /// Reports a crash if the target refuses connections after the connection broke.
-    async fn check_crash(self, assignment: &Assignment, history: RunHistory, start: Timestamp) {
+    async fn check_crash(self, assignment: &Assignment, run: StartedRun) {
         let crash = CrashReport {
             request: self.incoming.digest,
             target: assignment.target().clone(),
             incarnation: assignment.pick().incarnation,
-            run: RunId(rand::random()),
-            history,
-            run_time: self.gateway.clock.now().since(start),
+            run: run.id,
+            history: run.history,
+            run_time: self.gateway.clock.now().since(run.start),
         };
         let check = check_crash(Arc::clone(self.gateway), assignment.address(), crash);
         // A crash must be known before the request is retried on another target, and before the next
         // request is on trial.
         let check = task::spawn(check);
-        if self.incoming.route.class == RequestClass::Idempotent || history.crashes > 0 {
+        if self.incoming.route.class == RequestClass::Idempotent || run.history.crashes > 0 {
             check.await;
         }
     }
--- a/crates/auburnbridge_gateway/src/forward.rs
+++ b/crates/auburnbridge_gateway/src/forward.rs
@@ -8,6 +8,7 @@
 use auburnbridge_policy::balance::{AccountKey, BalancedKey, PlacementRequest, Refusal};
 use auburnbridge_policy::poison::Verdict;
 use auburnbridge_telemetry::RequestLabels;
+use auburnbridge_types::RunId;
 use futures_lite::FutureExt;
 use log::info;
 
@@ -123,14 +124,14 @@
     async fn send(&mut self, assignment: Assignment, permit: &RunPermit<'_>) -> Outcome {
         let exchanger = self.exchanger;
         if exchanger.incoming.route.class == RequestClass::Once || permit.is_on_trial() {
-            return self.record_send(exchanger.send(assignment).await);
+            return self.record_send(exchanger.send(assignment, permit.run).await);
         }
         let left = exchanger
             .incoming
             .objective
             .since(exchanger.gateway.clock.now());
         let hedge_delay = exchanger.dispatcher.answer_times().hedge_delay(left);
-        let mut first = Box::pin(exchanger.send(assignment));
+        let mut first = Box::pin(exchanger.send(assignment, permit.run));
         let delay = exchanger.gateway.clock.sleep(hedge_delay);
         let responded = async { Some((&mut first).await) };
         let timed_out = async {
@@ -147,7 +148,7 @@
         // Two sends are counted: one here, whether or not its outcome is awaited, and the one whose
         // result is returned in `record_send`.
         self.sends += 1;
-        let mut hedge = Box::pin(exchanger.send(hedge));
+        let mut hedge = Box::pin(exchanger.send(hedge, RunId(rand::random())));
         // The flag tells whether the first send completed before the hedge.
         let either = async { (true, (&mut first).await) }
             .or(async { (false, (&mut hedge).await) })
--- a/crates/auburnbridge_gateway/src/suspects.rs
+++ b/crates/auburnbridge_gateway/src/suspects.rs
@@ -9,7 +9,7 @@
 };
 use auburnbridge_routing::ClientAccount;
 use auburnbridge_telemetry::ProcessMetrics;
-use auburnbridge_types::{AccountId, Clock, Millis, RequestDigest, Timestamp, TrialClaim};
+use auburnbridge_types::{AccountId, Clock, Millis, RequestDigest, RunId, Timestamp};
 use event_listener::{Event, EventListener};
 use futures_lite::FutureExt;
 use log::info;
@@ -75,6 +75,8 @@
 
 /// Permission to send a request to one target, which is held until the outcome is known.
 pub(crate) struct RunPermit<'a> {
+    /// Id of the run.
+    pub(crate) run: RunId,
     trial: Option<Trial<'a>>,
 }
 
@@ -88,12 +90,12 @@
 /// The trial of a request; ends when it is dropped.
 struct Trial<'a> {
     register: &'a SuspectRegister,
-    claim: TrialClaim,
+    run: RunId,
 }
 
 impl Drop for Trial<'_> {
     fn drop(&mut self) {
-        self.register.suspects.lock().trial.release(self.claim);
+        self.register.suspects.lock().trial.end_run(self.run);
         self.register.changed.notify(usize::MAX);
     }
 }
@@ -215,33 +217,36 @@
         clock: &dyn Clock,
         request: &RequestDigest,
     ) -> Option<RunPermit<'_>> {
-        let claim = TrialClaim(rand::random());
+        let run = RunId(rand::random());
         let now = clock.now();
         {
             let mut suspects = self.suspects.lock();
             match suspects.admit(now, request) {
-                Admission::Run => return Some(RunPermit { trial: None }),
-                Admission::Trial => suspects.claim(now, *request, claim),
+                Admission::Run => return Some(RunPermit { run, trial: None }),
+                Admission::Trial => suspects.claim(now, *request, run),
                 Admission::Wait(_) | Admission::Refuse(_) => return None,
             }
         }
         let trial = Trial {
             register: self,
-            claim,
+            run,
         };
         let request = *request;
         // The claim is sent twice, since datagrams may be lost.
         for _ in 0..2 {
-            self.queue(SuspectReport::Trial { request, claim });
+            self.queue(SuspectReport::Trial { request, run });
             clock.sleep(Millis(SETTLING_TIME.0 / 2)).await;
         }
         let now = clock.now();
-        if !self.suspects.lock().has_won(now, &request, claim) {
+        if !self.suspects.lock().has_won(now, &request, run) {
             return None;
         }
         self.metrics.record_suspect(SuspectEvent::Trial.into());
-        info!(request:% = request, claim = claim.0; "request on trial");
-        Some(RunPermit { trial: Some(trial) })
+        info!(request:% = request, run = run.0; "request on trial");
+        Some(RunPermit {
+            run,
+            trial: Some(trial),
+        })
     }
 
     fn report(&self, now: Timestamp, report: SuspectReport) {
--- a/crates/auburnbridge_policy/src/poison.rs
+++ b/crates/auburnbridge_policy/src/poison.rs
@@ -29,7 +29,7 @@
 };
 pub use trial_slot::{SAME_REQUEST_TRIAL_TIME, SETTLING_TIME, TRIAL_TIME, TrialSlot};
 
-use auburnbridge_types::{Millis, RequestDigest, Timestamp, TrialClaim};
+use auburnbridge_types::{Millis, RequestDigest, RunId, Timestamp};
 
 /// Whether a request may be sent to a target now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,15 +66,15 @@
         }
     }
 
-    /// Claims the trial for a request that can be sent at once. The claim has to be reported to the other
+    /// Claims the trial for a run of a request that can be sent at once. The claim has to be reported to the other
     /// gateways, and the request may be sent if it has won after [`SETTLING_TIME`].
-    pub fn claim(&mut self, now: Timestamp, request: RequestDigest, claim: TrialClaim) {
-        self.trial.claim(now, request, claim);
+    pub fn claim(&mut self, now: Timestamp, request: RequestDigest, run: RunId) {
+        self.trial.claim(now, request, run);
     }
 
-    /// Whether a claim has won the trial, so that its request may be sent.
-    pub fn has_won(&self, now: Timestamp, request: &RequestDigest, claim: TrialClaim) -> bool {
-        self.trial.is_held(now, claim) && self.table.verdict(now, request) == Verdict::OnTrial
+    /// Whether a run has won the trial, so that its request may be sent.
+    pub fn has_won(&self, now: Timestamp, request: &RequestDigest, run: RunId) -> bool {
+        self.trial.is_held(now, run) && self.table.verdict(now, request) == Verdict::OnTrial
     }
 
     /// Records an answered run; returns the report for the other gateways if it refutes crashes.
@@ -89,16 +89,14 @@
     /// Records a report of this or another gateway; a repeated report has no effect. Returns the answer
     /// for a gateway that knows too little.
     pub fn record(&mut self, now: Timestamp, report: &SuspectReport) -> Option<SuspectReport> {
-        // Reports are sent several times and may be late, and an old one must not end a trial that came
-        // after its run.
         let is_new = self.table.record(now, report);
         match report {
             SuspectReport::Crashed(crash) if is_new => {
-                self.trial.end_run(&crash.request, crash.sent_at(now));
+                self.trial.end_run(crash.run);
                 return self.table.correction(now, crash);
             }
             SuspectReport::Answered { request, .. } if is_new => self.trial.end(request),
-            SuspectReport::Trial { request, claim } => self.trial.record(now, *request, *claim),
+            SuspectReport::Trial { request, run } => self.trial.record(now, *request, *run),
             SuspectReport::Crashed(_)
             | SuspectReport::Answered { .. }
             | SuspectReport::Known { .. } => {}
--- a/crates/auburnbridge_policy/src/poison/table.rs
+++ b/crates/auburnbridge_policy/src/poison/table.rs
@@ -3,9 +3,7 @@
 use std::cmp::Ordering;
 use std::collections::{HashMap, VecDeque};
 
-use auburnbridge_types::{
-    Incarnation, Millis, RequestDigest, RunId, TargetId, Timestamp, TrialClaim,
-};
+use auburnbridge_types::{Incarnation, Millis, RequestDigest, RunId, TargetId, Timestamp};
 use serde::{Deserialize, Serialize};
 
 /// Crashes in a row after which a request is refused, if no other target crashes.
@@ -105,8 +103,8 @@
     Trial {
         /// The request.
         request: RequestDigest,
-        /// The claim, which competes with those of other gateways.
-        claim: TrialClaim,
+        /// The run for which it claims the trial.
+        run: RunId,
     },
 }
 
--- a/crates/auburnbridge_policy/src/poison/trial_slot.rs
+++ b/crates/auburnbridge_policy/src/poison/trial_slot.rs
@@ -1,10 +1,10 @@
 //! The trial of the fleet: one request at a time that may be a poison request.
 //!
-//! Gateways claim the trial by a message to all others and wait until claims made at the same time must
-//! have arrived; the lowest claim wins. There is no owner: a gateway that misses a claim may start a
+//! Gateways claim the trial for a run by a message to all others and wait until claims made at the same
+//! time must have arrived; the lowest id of a run wins. There is no owner: a gateway that misses a claim may start a
 //! second trial, and a gateway that is lost blocks other requests for [`TRIAL_TIME`] at most.
 
-use auburnbridge_types::{Millis, RequestDigest, Timestamp, TrialClaim};
+use auburnbridge_types::{Millis, RequestDigest, RunId, Timestamp};
 
 /// Time between a claim and the run, in which the claims of other gateways arrive.
 pub const SETTLING_TIME: Millis = Millis(30);
@@ -18,7 +18,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Trial {
     request: RequestDigest,
-    claim: TrialClaim,
+    run: RunId,
     since: Timestamp,
     is_own: bool,
     /// Kept for a while, so that a claim that arrives again begins no new trial.
@@ -46,10 +46,10 @@
 
 impl TrialSlot {
     /// Claims the trial for a request of this gateway.
-    pub fn claim(&mut self, now: Timestamp, request: RequestDigest, claim: TrialClaim) {
+    pub fn claim(&mut self, now: Timestamp, request: RequestDigest, run: RunId) {
         self.add(Trial {
             request,
-            claim,
+            run,
             since: now,
             is_own: true,
             is_over: false,
@@ -66,17 +66,17 @@
     }
 
     /// Records the claim of another gateway.
-    pub fn record(&mut self, now: Timestamp, request: RequestDigest, claim: TrialClaim) {
+    pub fn record(&mut self, now: Timestamp, request: RequestDigest, run: RunId) {
         let is_simultaneous = |trial: &Trial| now.since(trial.since) < SETTLING_TIME;
         let wins = |trial: &Trial| {
             if is_simultaneous(trial) {
-                trial.claim < claim
+                trial.run < run
             } else {
                 // A request of this gateway that has been sent can't be called back.
                 trial.is_own && now < trial.blocks_until(&request)
             }
         };
-        let refuses = |trial: &Trial| trial.claim == claim || (!trial.is_over && wins(trial));
+        let refuses = |trial: &Trial| trial.run == run || (!trial.is_over && wins(trial));
         if self.trials.iter().any(refuses) {
             return;
         }
@@ -84,34 +84,29 @@
         self.end_if(|trial| is_simultaneous(trial) || trial.request == request);
         self.add(Trial {
             request,
-            claim,
+            run,
             since: now,
             is_own: false,
             is_over: false,
         });
     }
 
-    /// Whether the trial is held by this claim.
-    pub fn is_held(&self, now: Timestamp, claim: TrialClaim) -> bool {
+    /// Whether the trial is held by this run.
+    pub fn is_held(&self, now: Timestamp, run: RunId) -> bool {
         self.trials.iter().any(|trial| {
             let is_running = !trial.is_over && now.since(trial.since) < SAME_REQUEST_TRIAL_TIME;
-            is_running && trial.claim == claim
+            is_running && trial.run == run
         })
     }
 
-    /// Ends the trial of a request whose run, sent at `sent`, crashed its target.
-    pub fn end_run(&mut self, request: &RequestDigest, sent: Timestamp) {
-        self.end_if(|trial| trial.request == *request && sent >= trial.since);
-    }
-
     /// Ends the trial of a request that was answered.
     pub fn end(&mut self, request: &RequestDigest) {
         self.end_if(|trial| trial.request == *request);
     }
 
-    /// Ends the trial of a claim whose run had another outcome.
-    pub fn release(&mut self, claim: TrialClaim) {
-        self.end_if(|trial| trial.claim == claim);
+    /// Ends the trial of a run.
+    pub fn end_run(&mut self, run: RunId) {
+        self.end_if(|trial| trial.run == run);
     }
 
     fn end_if(&mut self, is_over: impl Fn(&Trial) -> bool) {
--- a/crates/auburnbridge_policy/tests/poison.rs
+++ b/crates/auburnbridge_policy/tests/poison.rs
@@ -8,7 +8,7 @@
     LATE_CRASHES, REFUSAL_TIME, RunHistory, SAME_REQUEST_TRIAL_TIME, SETTLING_TIME, SuspectReport,
     Suspects, TRIAL_TIME, Verdict,
 };
-use auburnbridge_types::{Incarnation, Millis, RequestDigest, RunId, Timestamp, TrialClaim};
+use auburnbridge_types::{Incarnation, Millis, RequestDigest, RunId, Timestamp};
 
 const START: Timestamp = Timestamp(1_000_000);
 
@@ -179,8 +179,8 @@
     assert!(matches!(verdict(&suspects, now, 0), Verdict::Poisoned(_)));
 }
 
-fn claims(low: u64, high: u64) -> (TrialClaim, TrialClaim) {
-    (TrialClaim(low), TrialClaim(high))
+fn claims(low: u64, high: u64) -> (RunId, RunId) {
+    (RunId(low), RunId(high))
 }
 
 /// Guards against two gateways that both take the trial, and against one that takes none because each
@@ -195,20 +195,8 @@
         gateway.claim(START, digest(1), claim);
     }
     let request = digest(1);
-    gateways[0].record(
-        START,
-        &SuspectReport::Trial {
-            request,
-            claim: high,
-        },
-    );
-    gateways[1].record(
-        START,
-        &SuspectReport::Trial {
-            request,
-            claim: low,
-        },
-    );
+    gateways[0].record(START, &SuspectReport::Trial { request, run: high });
+    gateways[1].record(START, &SuspectReport::Trial { request, run: low });
     let now = START.after(SETTLING_TIME);
     assert!(gateways[0].has_won(now, &request, low));
     assert!(!gateways[1].has_won(now, &request, high));
@@ -227,13 +215,7 @@
     suspects.claim(START, digest(1), high);
     let started = START.after(SETTLING_TIME);
     let request = digest(2);
-    suspects.record(
-        started,
-        &SuspectReport::Trial {
-            request,
-            claim: low,
-        },
-    );
+    suspects.record(started, &SuspectReport::Trial { request, run: low });
     assert!(suspects.has_won(started, &digest(1), high));
 }
 
@@ -247,7 +229,13 @@
     let request = digest(1);
     for (claim, time) in [(low, 10), (high, 500)] {
         let now = START.after(Millis(time));
-        suspects.record(now, &SuspectReport::Trial { request, claim });
+        suspects.record(
+            now,
+            &SuspectReport::Trial {
+                request,
+                run: claim,
+            },
+        );
     }
     let now = START.after(Millis(600));
     let end = START.after(Millis(500 + SAME_REQUEST_TRIAL_TIME.0));
@@ -262,9 +250,9 @@
     let (low, high) = claims(1, 2);
     let mut suspects = Suspects::default();
     crash_in_a_row(&mut suspects, START, 1, 2);
-    let trial = |request, claim| SuspectReport::Trial {
+    let trial = |request, run| SuspectReport::Trial {
         request: digest(request),
-        claim,
+        run,
     };
     suspects.record(START, &trial(1, high));
     // The gateway of the other request knows of the first trial a millisecond longer.
@@ -282,8 +270,11 @@
     let mut suspects = Suspects::default();
     crash_in_a_row(&mut suspects, START, 1, 2);
     crash_in_a_row(&mut suspects, START, 2, 2);
-    let (request, claim) = (digest(2), TrialClaim(1));
-    let trial = SuspectReport::Trial { request, claim };
+    let (request, claim) = (digest(2), RunId(1));
+    let trial = SuspectReport::Trial {
+        request,
+        run: claim,
+    };
     suspects.record(START, &trial);
     suspects.record_answer(&request).unwrap();
     let now = START.after(Millis(10));
@@ -297,9 +288,15 @@
     let mut suspects = Suspects::default();
     crash_in_a_row(&mut suspects, START, 1, 2);
     crash_in_a_row(&mut suspects, START, 2, 2);
-    let claim = TrialClaim(1);
+    let claim = RunId(1);
     let request = digest(2);
-    suspects.record(START, &SuspectReport::Trial { request, claim });
+    suspects.record(
+        START,
+        &SuspectReport::Trial {
+            request,
+            run: claim,
+        },
+    );
     for (request, time) in [(1, TRIAL_TIME), (2, SAME_REQUEST_TRIAL_TIME)] {
         let end = START.after(time);
         let request = digest(request);
@@ -318,7 +315,7 @@
     suspects.record(START, &first);
     crash_in_a_row(&mut suspects, START, 1, 1);
     let started = START.after(Millis(100));
-    let claim = TrialClaim(1);
+    let claim = RunId(1);
     suspects.claim(started, digest(1), claim);
     let now = started.after(Millis(200));
     suspects.record(now, &first);
@@ -326,8 +323,11 @@
     assert!(suspects.has_won(now, &digest(1), claim));
     // The run on trial.
     let history = suspects.table.history(now, &digest(1));
-    let third = crash(1, "c", history).after(Millis(50));
-    suspects.record(now, &third);
+    let SuspectReport::Crashed(mut third) = crash(1, "c", history) else {
+        unreachable!("the report of a crash");
+    };
+    third.run = claim;
+    suspects.record(now, &SuspectReport::Crashed(third));
     assert_eq!(suspects.admit(now, &digest(1)), Admission::Trial);
 }
 
--- a/crates/auburnbridge_policy/tests/poison_model.rs
+++ b/crates/auburnbridge_policy/tests/poison_model.rs
@@ -12,7 +12,7 @@
     Admission, CRASHES_ALONE, CrashReport, FIRST_REFUSAL_TIME, RunHistory, SETTLING_TIME,
     SuspectReport, Suspects,
 };
-use auburnbridge_types::{Incarnation, Millis, RequestDigest, RunId, Timestamp, TrialClaim};
+use auburnbridge_types::{Incarnation, Millis, RequestDigest, RunId, Timestamp};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -122,7 +122,7 @@
     /// A copy tries to be sent to a target.
     Try(Copy),
     /// The time for other claims has passed.
-    Settled(Copy, TrialClaim),
+    Settled(Copy, RunId),
     /// The run ends, by an answer or the crash of its target.
     End(usize),
     /// A gateway has noticed that the target of a run crashed.
@@ -156,7 +156,7 @@
     target: usize,
     incarnation: Incarnation,
     history: RunHistory,
-    claim: Option<TrialClaim>,
+    claim: Option<RunId>,
     id: RunId,
     sent: u64,
 }
@@ -271,7 +271,7 @@
                 if self.gateways[copy.gateway].has_won(now, &request, claim) {
                     self.start(copy, Some(claim));
                 } else {
-                    self.gateways[copy.gateway].trial.release(claim);
+                    self.gateways[copy.gateway].trial.end_run(claim);
                     self.admit(copy);
                 }
             }
@@ -312,9 +312,12 @@
             }
             Admission::Run => self.start(copy, None),
             Admission::Trial => {
-                let claim = TrialClaim(self.rng.random());
+                let claim = RunId(self.rng.random());
                 self.gateways[copy.gateway].claim(now, request, claim);
-                let report = SuspectReport::Trial { request, claim };
+                let report = SuspectReport::Trial {
+                    request,
+                    run: claim,
+                };
                 self.broadcast(copy.gateway, report.clone(), 0);
                 let again = Event::Send {
                     from: copy.gateway,
@@ -327,7 +330,7 @@
         }
     }
 
-    fn start(&mut self, copy: Copy, claim: Option<TrialClaim>) {
+    fn start(&mut self, copy: Copy, claim: Option<RunId>) {
         let up: Vec<usize> = (0..self.targets.len())
             .filter(|target| self.targets[*target].is_up)
             .collect();
@@ -354,7 +357,7 @@
             incarnation: self.targets[target].incarnation,
             history,
             claim,
-            id: RunId(self.rng.random()),
+            id: claim.unwrap_or_else(|| RunId(self.rng.random())),
             sent: self.now,
         };
         self.next_run += 1;
@@ -432,9 +435,9 @@
         }
     }
 
-    fn release(&mut self, gateway: usize, claim: Option<TrialClaim>) {
+    fn release(&mut self, gateway: usize, claim: Option<RunId>) {
         if let Some(claim) = claim {
-            self.gateways[gateway].trial.release(claim);
+            self.gateways[gateway].trial.end_run(claim);
         }
     }
 
--- a/crates/auburnbridge_types/src/lib.rs
+++ b/crates/auburnbridge_types/src/lib.rs
@@ -17,7 +17,7 @@
 pub use names::{AccountId, DataCentre, ServiceName, TargetId, VmId};
 pub use quantities::{
     ByteRate, ByteSize, ConfigVersion, Incarnation, LinkRate, Millis, Priority, RatePerSecond,
-    RequestRate, Revision, RunId, Sequence, Slots, Timestamp, TrialClaim, Weight,
+    RequestRate, Revision, RunId, Sequence, Slots, Timestamp, Weight,
 };
 
 /// Error for a text that can't be parsed as one of this crate's types.
--- a/crates/auburnbridge_types/src/quantities.rs
+++ b/crates/auburnbridge_types/src/quantities.rs
@@ -84,11 +84,6 @@
     /// Random number that identifies a run of a request on a target.
     RunId(u64), "", "a whole number"
 );
-quantity!(
-    /// Random number that identifies a claim of the trial of a request; the lowest of simultaneous
-    /// claims wins.
-    TrialClaim(u64), "", "a whole number"
-);
 quantity!(
     /// Priority of a route; 0 is the highest.
     Priority(u32), "", "a whole number"
