--- a/crates/auburnbridge_gateway/src/exchange.rs
+++ b/crates/auburnbridge_gateway/src/exchange.rs
@@ -231,7 +231,7 @@
             history: run.history,
             run_time: self.gateway.clock.now().since(run.start),
         };
-        let check = check_crash(Arc::clone(self.gateway), assignment.address(), crash);
+        let check = report_if_crashed(Arc::clone(self.gateway), assignment.address(), crash);
         // A crash must be known before the request is retried on another target, and before the next
         // request is on trial.
         let check = task::spawn(check);
@@ -335,7 +335,7 @@
 }
 
 /// Reports a crash if the target refuses connections after the connection broke.
-async fn check_crash(gateway: Arc<Gateway>, address: SocketAddr, crash: CrashReport) {
+async fn report_if_crashed(gateway: Arc<Gateway>, address: SocketAddr, crash: CrashReport) {
     if refuses_connections(address).await {
         gateway.suspects.report_crash(gateway.clock.now(), crash);
     }
--- a/crates/auburnbridge_gateway/src/suspects.rs
+++ b/crates/auburnbridge_gateway/src/suspects.rs
@@ -5,7 +5,8 @@
 
 use auburnbridge_http::Request;
 use auburnbridge_policy::poison::{
-    Admission, CrashReport, RunHistory, SETTLING_TIME, SuspectReport, Suspects, Verdict,
+    Admission, CLAIM_SENDS, CrashReport, RunHistory, SETTLING_TIME, SuspectReport, Suspects,
+    Verdict,
 };
 use auburnbridge_routing::ClientAccount;
 use auburnbridge_telemetry::ProcessMetrics;
@@ -232,10 +233,9 @@
             run,
         };
         let request = *request;
-        // The claim is sent twice, since datagrams may be lost.
-        for _ in 0..2 {
+        for _ in 0..CLAIM_SENDS {
             self.queue(SuspectReport::Trial { request, run });
-            clock.sleep(Millis(SETTLING_TIME.0 / 2)).await;
+            clock.sleep(Millis(SETTLING_TIME.0 / CLAIM_SENDS)).await;
         }
         let now = clock.now();
         if !self.suspects.lock().has_won(now, &request, run) {
--- a/crates/auburnbridge_policy/src/poison.rs
+++ b/crates/auburnbridge_policy/src/poison.rs
@@ -27,7 +27,7 @@
     CRASHES_ALONE, CRASHES_AMID_OTHERS, CrashReport, FIRST_REFUSAL_TIME, LATE_AFTER, LATE_CRASHES,
     PoisonTable, REFUSAL_TIME, RunHistory, SuspectReport, Verdict,
 };
-pub use trial_slot::{SAME_REQUEST_TRIAL_TIME, SETTLING_TIME, TRIAL_TIME, TrialSlot};
+pub use trial_slot::{CLAIM_SENDS, SAME_REQUEST_TRIAL_TIME, SETTLING_TIME, TRIAL_TIME, TrialSlot};
 
 use auburnbridge_types::{Millis, RequestDigest, RunId, Timestamp};
 
--- a/crates/auburnbridge_policy/src/poison/trial_slot.rs
+++ b/crates/auburnbridge_policy/src/poison/trial_slot.rs
@@ -8,6 +8,8 @@
 
 /// Time between a claim and the run, in which the claims of other gateways arrive.
 pub const SETTLING_TIME: Millis = Millis(30);
+/// Number of times that a claim is sent during [`SETTLING_TIME`], since datagrams may be lost.
+pub const CLAIM_SENDS: u64 = 3;
 /// Time after which a trial no longer keeps one of another request from starting.
 pub const TRIAL_TIME: Millis = Millis(1_000);
 /// The same for the next trial of the same request, which may take long to crash its target.
--- a/crates/auburnbridge_policy/tests/poison_model.rs
+++ b/crates/auburnbridge_policy/tests/poison_model.rs
@@ -9,8 +9,8 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use auburnbridge_policy::poison::{
-    Admission, CRASHES_ALONE, CrashReport, FIRST_REFUSAL_TIME, RunHistory, SETTLING_TIME,
-    SuspectReport, Suspects,
+    Admission, CLAIM_SENDS, CRASHES_ALONE, CrashReport, FIRST_REFUSAL_TIME, RunHistory,
+    SETTLING_TIME, SuspectReport, Suspects,
 };
 use auburnbridge_types::{Incarnation, Millis, RequestDigest, RunId, Timestamp};
 use rand::rngs::StdRng;
@@ -319,12 +319,14 @@
                     run: claim,
                 };
                 self.broadcast(copy.gateway, report.clone(), 0);
-                let again = Event::Send {
-                    from: copy.gateway,
-                    report,
-                    resends: 0,
-                };
-                self.schedule(SETTLING_TIME.0 / 2, again);
+                for send in 1..CLAIM_SENDS {
+                    let again = Event::Send {
+                        from: copy.gateway,
+                        report: report.clone(),
+                        resends: 0,
+                    };
+                    self.schedule(SETTLING_TIME.0 / CLAIM_SENDS * send, again);
+                }
                 self.schedule(SETTLING_TIME.0, Event::Settled(copy, claim));
             }
         }
