Give the sound request of the poison test targets that run

The test's bounds allow 11 early and 3 late crashes, and its targets, of which there are 12, never come back. Ruled out: a refusal as poison by the register, whose digest is that of another path. How many targets were left in the failed run isn't known; it was not seen again. Change: two targets start before that check, in place of those that crashed; it now also wants the poison order refused there.

--- a/crates/auburnbridge_gateway/tests/forwarding/crashes.rs
+++ b/crates/auburnbridge_gateway/tests/forwarding/crashes.rs
@@ -11,6 +11,7 @@
 use async_std::task::{self, block_on};
 use auburnbridge_gateway::{CallerIdentity, Gateway, request_digest};
 use auburnbridge_http::{Connection, Limits, Request};
+use auburnbridge_membership::Announcement;
 use auburnbridge_policy::poison::{
     CRASHES_ALONE, CrashReport, FIRST_REFUSAL_TIME, RunHistory, SuspectReport,
 };
@@ -18,7 +19,9 @@
 use futures_lite::FutureExt;
 use parking_lot::Mutex;
 
-use crate::targets::{Behaviour, OK, Target, listen, method_of, send, start_gateway, start_target};
+use crate::targets::{
+    Behaviour, OK, Target, announcement, listen, method_of, send, start_gateway, start_target,
+};
 
 /// Word in the path of a request that crashes its target.
 const POISON: &str = "poison";
@@ -322,8 +325,16 @@
             assert_eq!(caller.await.last(), Some(&503));
         }
         reports.await;
+        // Targets that start in place of those that crashed.
+        let started = start_targets(&["t-21", "t-22"]).await;
+        let announcements: Vec<Announcement> = started
+            .iter()
+            .map(|target| announcement(&target.target))
+            .collect();
         for gateway in &gateways {
+            gateway.services().apply_targets(&announcements);
             let address = listen(gateway).await;
+            assert_eq!(send(address, "/order/poison", 1_000).await.status, 503);
             assert_eq!(send(address, "/order/sound", 1_000).await.status, 200);
         }
     });
